Add the build, the checks, the base and wire libraries and the design page

The interfaces between the parts (transport, consensus, configuration model and messages) are fixed first, so that the parts can be built side by side.

--- /dev/null
+++ b/Libraries/LibConsensus/RaftNode.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibBase/RandomSource.h"
+#include "LibBase/Time.h"
+#include "LibConsensus/LogStore.h"
+#include "LibWire/RaftMessages.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Consensus {
+
+enum class Role : std::uint8_t { Learner, Follower, PreCandidate, Candidate, Leader };
+
+struct RaftOptions
+{
+    std::string nodeId;
+    std::string peerAddress;
+    /// Members of a new cluster; used only when the store holds neither log nor snapshot and bootstrap is
+    /// set.
+    std::vector<Wire::RaftMember> initialMembers;
+    Base::Duration heartbeatInterval = Base::milliseconds(100);
+    Base::Duration electionTimeout = Base::milliseconds(600); ///< Randomised up to twice this value.
+    std::uint64_t seed = 0;
+};
+
+/// Work that the caller must carry out after each step, in this order: restore, apply, send.
+struct Ready
+{
+    std::optional<Wire::RaftSnapshot> restore; ///< Replaces the state machine's content.
+    std::vector<Wire::RaftEntry> committed; ///< To apply in order; includes Noop and Membership entries.
+    std::vector<Wire::RaftMessage> messages;
+};
+
+/// How long a member has been unheard, for status output.
+struct MemberStatus
+{
+    Wire::RaftMember member;
+    std::uint64_t matchIndex = 0;
+    Base::Duration silentFor {}; ///< Known at the leader for all members, elsewhere for the leader only.
+};
+
+struct RaftStatus
+{
+    Role role = Role::Follower;
+    std::uint64_t term = 0;
+    std::string leaderId; ///< Empty while unknown.
+    std::uint64_t commitIndex = 0;
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t lastIndex = 0;
+    bool isolated = false; ///< No majority heard for longer than the election timeout allows.
+    Base::Duration isolatedFor {};
+    std::vector<MemberStatus> members;
+};
+
+/// Raft decisions for one node, without I/O besides the store and without a clock.
+class RaftNode
+{
+public:
+    static Base::Result<std::unique_ptr<RaftNode>> create(RaftOptions options, LogStore &store,
+                                                          Base::Instant now);
+    virtual ~RaftNode() = default;
+
+    virtual void tick(Base::Instant now) = 0;
+    virtual void receive(Base::Instant now, const Wire::RaftMessage &message) = 0;
+
+    /// Appends a command; returns its index, or NotLeader.
+    virtual Base::Result<std::uint64_t> propose(Base::Instant now, Base::Bytes payload) = 0;
+    /// Starts a change of one member: adds a learner, promotes a caught-up learner, or removes a member.
+    virtual Base::Result<std::uint64_t> proposeMembership(Base::Instant now,
+                                                          Wire::RaftMembership membership) = 0;
+
+    /// Syncs the store once, then returns the work that has become safe. A storage error is fatal for the
+    /// process.
+    virtual Base::Result<Ready> takeReady(Base::Instant now) = 0;
+
+    /// Replaces log entries up to `index` (applied) by a snapshot with this state machine content.
+    virtual Base::Result<void> compact(std::uint64_t index, Base::Bytes payload) = 0;
+
+    /// True while this node leads and has heard a majority within the election timeout.
+    virtual bool isLeader(Base::Instant now) const = 0;
+    virtual RaftStatus status(Base::Instant now) const = 0;
+};
+
+} // namespace Consensus
--- /dev/null
+++ b/Services/Control/ControlSettings.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibWire/RaftMessages.h"
+
+#include <string>
+#include <vector>
+
+namespace Services {
+
+/// Settings of `daisyroute control`.
+struct ControlSettings
+{
+    std::string nodeId;
+    std::string dataCentre;
+    std::string environment;
+    std::string dataDirectory;
+    std::string httpAddress; ///< ip:port for operators and callers.
+    std::string peerAddress; ///< ip:port for other processes of the system.
+    std::vector<Wire::RaftMember> members; ///< All control nodes of a new cluster, this one included.
+    bool join = false; ///< Starts as a learner that an existing cluster adds.
+    std::string sharedSecret; ///< Read from the key file.
+};
+
+} // namespace Services
--- /dev/null
+++ b/Services/Main.cpp
@@ -0,0 +1,7 @@
+#include <fmt/format.h>
+
+int main()
+{
+    fmt::print("daisyroute {}\n", DAISYROUTE_VERSION);
+    return 0;
+}
--- /dev/null
+++ b/Tests/LibWire/TestCodec.cpp
@@ -0,0 +1,43 @@
+#include "LibWire/ClaimMessages.h"
+#include "LibWire/LeaseMessages.h"
+#include "LibWire/RaftMessages.h"
+#include "LibWire/SubrequestMessages.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+// A field left out of MSGPACK_DEFINE would silently arrive as its default.
+TEST(Codec, RoundTripsLeaseRenewal)
+{
+    Wire::RenewLeaseRequest request;
+    request.entry.entryId = "entry-1";
+    request.entry.state = Wire::EntryState::Leaving;
+    request.stagedRevision = 7;
+    request.releasedShares = {{"server-1", 4}};
+    request.finished = true;
+    const auto decoded = Wire::decode<Wire::RenewLeaseRequest>(Wire::encode(request));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->entry, request.entry);
+    EXPECT_EQ(decoded->stagedRevision, 7U);
+    ASSERT_EQ(decoded->releasedShares.size(), 1U);
+    EXPECT_EQ(decoded->releasedShares[0].epoch, 4U);
+    EXPECT_TRUE(decoded->finished);
+}
+
+// Input from a faulty peer must end as an error and never as a crash or a partly decoded message.
+RC_GTEST_PROP(Codec, RejectsArbitraryInput, (const std::vector<std::uint8_t> &input))
+{
+    (void)Wire::decode<Wire::RaftMessage>(input);
+    (void)Wire::decode<Wire::ExecuteSubrequestRequest>(input);
+    (void)Wire::decode<Wire::ClaimRequestReply>(input);
+    (void)Wire::decode<Wire::RenewLeaseReply>(input);
+}
+
+// A truncated message must not decode.
+RC_GTEST_PROP(Codec, RejectsTruncatedMessages, (const std::string &id, std::uint64_t epoch))
+{
+    Wire::ReleasedShare share {id, epoch};
+    auto encoded = Wire::encode(share);
+    encoded.pop_back();
+    RC_ASSERT(!Wire::decode<Wire::ReleasedShare>(encoded).has_value());
+}
