Destroy server queues before the attempts that they link

Cause: the attempt table was declared after the server table, so it was freed first and the queues' destructors walked freed attempts.

--- a/Libraries/LibBackend/OwnerCore.h
+++ b/Libraries/LibBackend/OwnerCore.h
@@ -88,8 +88,9 @@
     void dispatch(Base::Instant now, Server &server, Connection &connection, Attempt &attempt);
 
     std::string entryId_;
-    ServerTable servers_;
+    // Declared before the servers: their queues link attempts and must be destroyed first.
     AttemptTable attempts_;
+    ServerTable servers_;
     std::vector<Attempt *> inFlight_; ///< Attempts that the sender still waits for.
     Base::Instant leaseUntil_ {};
     std::uint64_t nextSequence_ = 1;
--- a/Tests/LibBackend/TestOwnerProperties.cpp
+++ b/Tests/LibBackend/TestOwnerProperties.cpp
@@ -169,3 +169,15 @@
     run.finish();
     RC_ASSERT(run.pending() == 0U);
 }
+
+// A process that stops with queued work must not touch freed attempts; the queues link into the attempt
+// table.
+TEST(OwnerCore, CanBeDestroyedWithQueuedWork)
+{
+    RandomOwnerRun run;
+    run.step(7, 255);
+    // An amount of 48 keeps the clock still and gives each sub-request 48 ms.
+    for (int count = 0; count < 8; ++count)
+        run.step(0, 48);
+    EXPECT_EQ(run.pending(), 8U);
+}
