Add the coordinator's decisions

Each step is a system over shared tables, so that it can be tested and replaced alone. Not yet covered by tests; they follow.

--- /dev/null
+++ b/Libraries/LibQuery/AdmissionTable.cpp
@@ -0,0 +1,75 @@
+#include "LibQuery/AdmissionTable.h"
+
+#include <algorithm>
+
+namespace Query {
+
+namespace {
+
+/// Above this part of the limit a tenant may not exceed its share, so that the others always find room.
+constexpr double ContendedFraction = 0.75;
+/// A tenant keeps its claim to a share for this long after its last query.
+constexpr Base::Duration TenantActivity = Base::seconds(1);
+
+constexpr double DecreaseFactor = 0.85;
+constexpr double MinLimit = 1.0;
+/// The limit grows only while it is used, so that a quiet hour does not raise it beyond what was tested.
+constexpr double UsedFraction = 0.7;
+
+} // namespace
+
+std::optional<Base::ErrorKind> AdmissionTable::admit(Base::Instant now, const AdmissionKey &key,
+                                                     const Configuration::TrafficClass &trafficClass,
+                                                     const Configuration::Document &document)
+{
+    auto &gate = gates_[{key.trafficClass, key.index}];
+    gate.maxLimit = std::max(MinLimit, static_cast<double>(trafficClass.maxQueriesInFlight));
+    gate.limit = gate.limit > 0.0 ? std::min(gate.limit, gate.maxLimit) : gate.maxLimit;
+    auto &tenant = gate.tenants[key.tenant];
+    const auto *declared = document.findTenant(key.tenant);
+    tenant.weight = declared != nullptr ? std::max(1U, declared->weight) : 1U;
+    tenant.lastSeen = now;
+
+    auto &classInFlight = inFlightByClass_[key.trafficClass];
+    if (classInFlight >= trafficClass.maxQueriesInFlight || gate.inFlight + 1.0 > gate.limit)
+        return Base::ErrorKind::Overloaded;
+    const bool contended = gate.inFlight + 1.0 > ContendedFraction * gate.limit;
+    if (contended && tenant.inFlight + 1.0 > tenantShare(now, gate, tenant))
+        return Base::ErrorKind::TenantOverLimit;
+
+    ++classInFlight;
+    ++gate.inFlight;
+    ++tenant.inFlight;
+    return std::nullopt;
+}
+
+void AdmissionTable::release(Base::Instant now, const AdmissionKey &key, const AdmissionOutcome &outcome)
+{
+    auto &gate = gates_[{key.trafficClass, key.index}];
+    const bool used = gate.inFlight >= UsedFraction * gate.limit;
+    --gate.inFlight;
+    --gate.tenants[key.tenant].inFlight;
+    --inFlightByClass_[key.trafficClass];
+
+    if (!outcome.overloadSeen) {
+        gate.limit = used ? std::min(gate.limit + 1.0 / gate.limit, gate.maxLimit) : gate.limit;
+        return;
+    }
+    // Queries accepted before the last decrease report the load that it already answered.
+    if (outcome.acceptedAt < gate.lastDecrease)
+        return;
+    gate.limit = std::max(MinLimit, std::min<double>(gate.limit, gate.inFlight + 1.0) * DecreaseFactor);
+    gate.lastDecrease = now;
+}
+
+double AdmissionTable::tenantShare(Base::Instant now, const Gate &gate, const TenantRow &tenant)
+{
+    double weights = 0.0;
+    for (const auto &[name, other] : gate.tenants) {
+        if (other.inFlight > 0 || now - other.lastSeen <= TenantActivity)
+            weights += other.weight;
+    }
+    return std::max(1.0, gate.limit * tenant.weight / weights);
+}
+
+} // namespace Query
--- a/Libraries/LibQuery/Answer.h
+++ b/Libraries/LibQuery/Answer.h
@@ -48,4 +48,7 @@
 /// Renders the HTTP status and JSON body of docs/HTTP.md; an OutcomeRecord is returned unchanged.
 Wire::OutcomeRecord renderCompletion(const Completion &completion);
 
+/// Returns whether a shard's body is valid UTF-8 and so can be part of a JSON answer.
+bool isRenderable(const std::string &body);
+
 } // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/ExtraLoadBudget.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <algorithm>
+
+namespace Query {
+
+/// Allowance of one traffic class for hedges and retries. The attempts taken never exceed the given fraction
+/// of the first attempts earned.
+class ExtraLoadBudget
+{
+public:
+    /// Adds the allowance that one first attempt brings.
+    void earn(double fraction) { tokens_ = std::min(tokens_ + fraction, MaxTokens); }
+
+    bool available() const { return tokens_ >= 1.0 - RoundingSlack; }
+
+    /// Takes one extra attempt; returns false when the allowance is used up.
+    bool take()
+    {
+        if (!available())
+            return false;
+        tokens_ -= 1.0;
+        return true;
+    }
+
+private:
+    /// Bounds the burst after a quiet period, so that a fault that slows every server is not answered by a
+    /// flood of hedges.
+    static constexpr double MaxTokens = 50.0;
+    /// Fifty additions of 0.02 must make a whole token.
+    static constexpr double RoundingSlack = 1e-6;
+
+    double tokens_ = 0.0;
+};
+
+} // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/ReplicaChooser.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "LibBase/RandomSource.h"
+#include "LibQuery/ServerTable.h"
+#include "LibQuery/ShardMap.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace Query {
+
+/// What a replica is chosen for.
+struct ReplicaRequest
+{
+    const MappedShard *shard = nullptr;
+    std::uint64_t version = 0;
+    std::span<const ServerKey> excluded; ///< Servers already tried.
+    Base::Duration typical {}; ///< Latency assumed for a server without an estimate.
+    bool allowProbe = true; ///< Prefer an ejected server that is due for a test.
+    bool allowLastResort = true;
+};
+
+/// Picks the replica with the earliest predicted answer. Reported load decides only between replicas whose
+/// predictions are nearly equal.
+class ReplicaChooser
+{
+public:
+    ReplicaChooser(const ServerTable &servers, std::uint64_t seed)
+        : servers_(servers)
+        , random_(seed)
+    {
+    }
+
+    std::optional<ServerKey> choose(Base::Instant now, const ReplicaRequest &request);
+
+private:
+    struct Candidate
+    {
+        ServerKey key = 0;
+        double cost = 0.0;
+    };
+
+    ServerKey cheapest(std::vector<Candidate> &candidates);
+    double cost(ServerKey key, Base::Duration typical) const;
+
+    const ServerTable &servers_;
+    Base::RandomSource random_;
+};
+
+} // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/ServerTable.cpp
@@ -0,0 +1,163 @@
+#include "LibQuery/ServerTable.h"
+
+#include <algorithm>
+
+namespace Query {
+
+namespace {
+
+/// Owners are polled every 500 ms; three lost polls mean that the owner is silent.
+constexpr Base::Duration ObservationLifetime = Base::milliseconds(1600);
+
+constexpr std::uint32_t FailuresUntilEjection = 5;
+constexpr Base::Duration FirstEjection = Base::seconds(1);
+constexpr std::uint32_t MaxEjectionDoublings = 4;
+
+constexpr double LatencyWeight = 0.1;
+/// A single sample counts as at most this multiple of the average, so that one straggler does not turn the
+/// choice away from a healthy server.
+constexpr double LatencySampleCap = 3.0;
+
+} // namespace
+
+bool ServerRow::offers(std::uint64_t version) const
+{
+    if (!observation)
+        return false;
+    const auto &versions = observation->versions;
+    return std::find(versions.begin(), versions.end(), version) != versions.end();
+}
+
+ServerKey ServerTable::intern(std::string_view serverId)
+{
+    const auto next = static_cast<ServerKey>(rows_.size());
+    const auto [entry, added] = keys_.try_emplace(std::string(serverId), next);
+    if (added)
+        rows_.emplace_back().serverId = serverId;
+    return entry->second;
+}
+
+void ServerTable::assignShares(std::span<const Wire::ShareRecord> shares)
+{
+    for (const auto &share : shares) {
+        auto &server = rows_[intern(share.serverId)];
+        if (server.ownerEntryId == share.entryId && server.shareEpoch == share.epoch)
+            continue;
+        server.ownerEntryId = share.entryId;
+        server.shareEpoch = share.epoch;
+        server.observation.reset();
+    }
+}
+
+void ServerTable::observe(Base::Instant now, std::string_view ownerEntryId,
+                          const Wire::ServerObservation &observation)
+{
+    const auto entry = keys_.find(observation.serverId);
+    if (entry == keys_.end())
+        return;
+    auto &server = rows_[entry->second];
+    if (server.ownerEntryId != ownerEntryId)
+        return;
+    server.observation = observation;
+    server.observedAt = now;
+    server.inFlightWhenObserved = server.inFlight;
+}
+
+void ServerTable::withdrawVersion(ServerKey key, std::uint64_t version)
+{
+    if (rows_[key].observation)
+        std::erase(rows_[key].observation->versions, version);
+}
+
+void ServerTable::attemptStarted(Base::Instant now, ServerKey key)
+{
+    auto &server = rows_[key];
+    ++server.inFlight;
+    if (standing(now, key) == Standing::ProbeDue)
+        server.probing = true;
+}
+
+void ServerTable::attemptEnded(ServerKey key)
+{
+    auto &server = rows_[key];
+    server.inFlight -= server.inFlight > 0 ? 1 : 0;
+    if (server.inFlight == 0)
+        server.probing = false;
+}
+
+void ServerTable::recordReply(ServerKey key, Base::Duration latency)
+{
+    auto &server = rows_[key];
+    server.consecutiveFailures = 0;
+    server.consecutiveEjections = 0;
+    server.ejectedUntil.reset();
+    server.probing = false;
+    recordSilence(key, latency);
+}
+
+bool ServerTable::recordFailure(Base::Instant now, ServerKey key)
+{
+    auto &server = rows_[key];
+    ++server.consecutiveFailures;
+    const bool probeFailed = server.probing;
+    server.probing = false;
+    if (!probeFailed && (server.ejectedUntil || server.consecutiveFailures < FailuresUntilEjection))
+        return false;
+    const auto doublings = std::min(server.consecutiveEjections, MaxEjectionDoublings);
+    ++server.consecutiveEjections;
+    server.ejectedUntil = now + FirstEjection * (1U << doublings);
+    return true;
+}
+
+void ServerTable::recordSilence(ServerKey key, Base::Duration elapsed)
+{
+    auto &average = rows_[key].latencyMicroseconds;
+    const auto sample = static_cast<double>(elapsed.count());
+    if (average <= 0.0) {
+        average = sample;
+        return;
+    }
+    average += LatencyWeight * (std::min(sample, LatencySampleCap * average) - average);
+}
+
+Standing ServerTable::standing(Base::Instant now, ServerKey key) const
+{
+    const auto &server = rows_[key];
+    if (server.leaving || server.ownerEntryId.empty() || !server.observation)
+        return Standing::Unusable;
+    if (!server.observation->reachable || server.observation->draining)
+        return Standing::Unusable;
+    if (server.ejectedUntil && now >= *server.ejectedUntil && !server.probing)
+        return Standing::ProbeDue;
+    if (server.ejectedUntil || now - server.observedAt > ObservationLifetime)
+        return Standing::LastResort;
+    return Standing::Ready;
+}
+
+double ServerTable::occupancy(ServerKey key) const
+{
+    const auto &server = rows_[key];
+    double others = 0.0;
+    double slots = 1.0;
+    if (server.observation) {
+        const auto total = server.observation->inFlight + server.observation->queued;
+        others = std::max(0.0, static_cast<double>(total) - server.inFlightWhenObserved);
+        slots = std::max(1.0, static_cast<double>(server.observation->slots));
+    }
+    return (others + server.inFlight) / slots;
+}
+
+Base::Duration ServerTable::predictedAnswer(ServerKey key, Base::Duration typical) const
+{
+    const auto &server = rows_[key];
+    auto latency = server.latencyMicroseconds;
+    if (latency <= 0.0 && server.observation)
+        latency = static_cast<double>(server.observation->recentLatencyMicroseconds);
+    if (latency <= 0.0)
+        latency = static_cast<double>(typical.count());
+    const double slots = server.observation ? std::max<double>(1.0, server.observation->slots) : 1.0;
+    const double waiting = std::max(0.0, occupancy(key) + 1.0 / slots - 1.0);
+    return Base::Duration(static_cast<Base::Duration::rep>(latency * (1.0 + waiting)));
+}
+
+} // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/TimerQueue.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <queue>
+#include <utility>
+#include <vector>
+
+namespace Query {
+
+/// Instants at which queries must be looked at. Timers are never removed early; looking at a query once too
+/// often is harmless.
+class TimerQueue
+{
+public:
+    void schedule(Base::Instant due, std::uint64_t queryId) { timers_.emplace(due, queryId); }
+
+    std::optional<Base::Instant> next() const
+    {
+        return timers_.empty() ? std::nullopt : std::optional(timers_.top().first);
+    }
+
+    /// Removes and returns the query of the earliest timer that is due.
+    std::optional<std::uint64_t> popDue(Base::Instant now)
+    {
+        if (timers_.empty() || timers_.top().first > now)
+            return std::nullopt;
+        const auto queryId = timers_.top().second;
+        timers_.pop();
+        return queryId;
+    }
+
+private:
+    using Timer = std::pair<Base::Instant, std::uint64_t>;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+};
+
+} // namespace Query
--- /dev/null
+++ b/Libraries/LibQuery/VersionChooser.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "LibQuery/ServerTable.h"
+#include "LibQuery/ShardMap.h"
+
+#include <cstdint>
+#include <span>
+
+namespace Query {
+
+/// An index version and how many of the given shards an eligible server offers it for.
+struct VersionChoice
+{
+    std::uint64_t version = 0;
+    std::uint32_t shardCount = 0; ///< 0 means that no version is offered.
+};
+
+/// Returns the version offered for the most shards; of equals, the newest.
+VersionChoice chooseVersion(Base::Instant now, const ServerTable &servers,
+                            std::span<const MappedShard> shards);
+
+/// Returns whether an eligible server offers `version` for the shard.
+bool offersVersion(Base::Instant now, const ServerTable &servers, const MappedShard &shard,
+                   std::uint64_t version);
+
+} // namespace Query
