Number claims and mark shares that must be released

A late copy of "not run" could remove a newer claim by the same process on the same id, after which the request could be claimed, and run, once more. Claims now carry a number that the claimant echoes. - A claim whose reply was lost, for instance by a leader change, could not be repeated: granting it again to the same process might have run the request twice. A random attempt number of the sender makes a repeat recognisable. - The directory had no way to ask an owner for a share, so servers could not be balanced onto an entry process that joins.

Ruled out: telling repeats apart by claimant alone, because one entry process may handle two copies of a caller's request at the same time.

The new fields come last and have defaults, so present code still compiles. Conclusion: entry processes must set ClaimRequestMessage::attempt, echo claimId in RecordOutcomeRequest, and release shares with releaseRequested.

--- a/Libraries/LibWire/ClaimMessages.h
+++ b/Libraries/LibWire/ClaimMessages.h
@@ -15,8 +15,11 @@
     std::string entryId;
     std::uint64_t incarnation = 0;
     std::int64_t createdAtMilliseconds = 0; ///< Unix time that the request id carries.
+    /// Random number of the sender's own handling of the request. A repeat with the same number is granted
+    /// again, so that a lost reply does not block the request; 0 means that the claim is never repeated.
+    std::uint64_t attempt = 0;
 
-    MSGPACK_DEFINE(requestId, bodyDigest, entryId, incarnation, createdAtMilliseconds)
+    MSGPACK_DEFINE(requestId, bodyDigest, entryId, incarnation, createdAtMilliseconds, attempt)
 };
 
 enum class ClaimState : std::uint8_t {
@@ -48,8 +51,9 @@
 {
     ClaimState state = ClaimState::OutcomeUnknown;
     OutcomeRecord outcome; ///< Filled only when `state` is Recorded.
+    std::uint64_t claimId = 0; ///< Unique number of the claim, filled when `state` is Granted.
 
-    MSGPACK_DEFINE(state, outcome)
+    MSGPACK_DEFINE(state, outcome, claimId)
 };
 
 /// entry → control leader, after dispatch.
@@ -60,8 +64,11 @@
     std::uint64_t incarnation = 0;
     bool notRun = false; ///< Proven not run: the claim is removed and the id may be used again.
     OutcomeRecord outcome;
+    /// Number from the grant. Without it, a late copy of "not run" could remove a newer claim on the same
+    /// id and let the request run twice.
+    std::uint64_t claimId = 0;
 
-    MSGPACK_DEFINE(requestId, entryId, incarnation, notRun, outcome)
+    MSGPACK_DEFINE(requestId, entryId, incarnation, notRun, outcome, claimId)
 };
 
 struct RecordOutcomeReply
--- a/Libraries/LibWire/Directory.h
+++ b/Libraries/LibWire/Directory.h
@@ -41,9 +41,10 @@
     std::string serverId; ///< Backend server as named in the document.
     std::string entryId; ///< Owner; empty while the server is unassigned.
     std::uint64_t epoch = 0; ///< Grows with every assignment of this server.
+    bool releaseRequested = false; ///< The owner must finish its work on the server and release it.
 
     bool operator==(const ShareRecord &) const = default;
-    MSGPACK_DEFINE(serverId, entryId, epoch)
+    MSGPACK_DEFINE(serverId, entryId, epoch, releaseRequested)
 };
 
 /// Names one revision of the configuration.
