--- /dev/null
+++ b/Libraries/LibControl/RaftWatch.cpp
@@ -0,0 +1,45 @@
+#include "LibControl/RaftWatch.h"
+
+#include <algorithm>
+
+namespace Control {
+
+using Base::LogLevel;
+
+void RaftWatch::observe(const Consensus::RaftStatus &status)
+{
+    if (status.leaderId != leaderId_ || (status.term != term_ && !status.leaderId.empty())) {
+        leaderId_ = status.leaderId;
+        term_ = status.term;
+        onEvent_(LogLevel::Info, leaderId_.empty() ? "Leader unknown." : "Leader changed.",
+                 {{"leader", leaderId_}, {"term", status.term}});
+    }
+    if (status.isolated != isolated_) {
+        isolated_ = status.isolated;
+        onEvent_(isolated_ ? LogLevel::Error : LogLevel::Info,
+                 isolated_ ? "This node is isolated from the majority." : "This node hears a majority again.",
+                 {{"term", status.term}});
+    }
+    for (const auto &member : status.members)
+        observeMember(member);
+}
+
+bool RaftWatch::isHealthy(const Consensus::RaftStatus &status)
+{
+    return !status.isolated && !status.leaderId.empty()
+           && std::all_of(status.members.begin(), status.members.end(),
+                          [](const auto &member) { return member.silentFor < UnheardAfter; });
+}
+
+void RaftWatch::observeMember(const Consensus::MemberStatus &member)
+{
+    const auto &nodeId = member.member.nodeId;
+    const bool isUnheard = member.silentFor >= UnheardAfter;
+    if (isUnheard && unheard_.insert(nodeId).second)
+        onEvent_(LogLevel::Warning, "Control node is not heard.",
+                 {{"node", nodeId}, {"silent_ms", Base::toMilliseconds(member.silentFor)}});
+    else if (!isUnheard && unheard_.erase(nodeId) > 0)
+        onEvent_(LogLevel::Info, "Control node is heard again.", {{"node", nodeId}});
+}
+
+} // namespace Control
