--- a/Tests/BackendStandIn/SimulatedServer.cpp
+++ b/Tests/BackendStandIn/SimulatedServer.cpp
@@ -32,6 +32,13 @@
     return request.path.substr(ShardPrefix.size(), length);
 }
 
+/// Every answer to a query names its attempt, so that the owner can tell a late answer from its own.
+void reply(Connection &connection, const HttpRequest &request, HttpResponse response)
+{
+    response.headers["X-Attempt-Id"] = request.header("x-attempt-id");
+    connection.respond(response);
+}
+
 Base::Duration fromMilliseconds(double milliseconds)
 {
     return std::chrono::duration_cast<Base::Duration>(
@@ -163,7 +170,7 @@
     work.logPosition = log_.add(std::string(request.header("x-request-id")),
                                 request.header("x-idempotent") != "0", std::move(execution));
     if (refused) {
-        connection->respond(*refused);
+        reply(*connection, request, *refused);
         return;
     }
     work.connection = connection;
@@ -227,7 +234,6 @@
 
 HttpResponse SimulatedServer::answer(const Work &work) const
 {
-    const auto attempt = std::string(work.request.header("x-attempt-id"));
     const nlohmann::json body {
         {"server", settings_.id},
         {"index", settings_.index},
@@ -237,9 +243,7 @@
         {"body_digest", Base::sha256Hex(Base::asBytes(work.request.body))},
     };
     return {200,
-            {{"X-Attempt-Id", attempt},
-             {"X-Index-Version", fmt::format("{}", work.version)},
-             {"X-Load", fmt::format("{:.3f}", load())}},
+            {{"X-Index-Version", fmt::format("{}", work.version)}, {"X-Load", fmt::format("{:.3f}", load())}},
             body.dump()};
 }
 
@@ -256,9 +260,9 @@
     if (drops)
         work.connection->close();
     else if (fails)
-        work.connection->respond({500, {{"X-Run", "1"}}, {}});
+        reply(*work.connection, work.request, {500, {{"X-Run", "1"}}, {}});
     else
-        work.connection->respond(answer(work));
+        reply(*work.connection, work.request, answer(work));
 }
 
 void SimulatedServer::passDeadline(WorkId id)
@@ -266,8 +270,8 @@
     const auto work = take(id, "deadline");
     ++counters_.deadlinePassed;
     if (!behaviour_.silent)
-        work.connection->respond(work.running ? HttpResponse {504, {{"X-Run", "1"}}, {}}
-                                              : notRun(504, "deadline"));
+        reply(*work.connection, work.request,
+              work.running ? HttpResponse {504, {{"X-Run", "1"}}, {}} : notRun(504, "deadline"));
 }
 
 HttpResponse SimulatedServer::cancelAttempt(std::string_view attemptId)
@@ -279,8 +283,8 @@
         return notRun(404, "unknown_attempt");
     const auto work = take(found->first, "cancelled");
     ++counters_.cancelled;
-    work.connection->respond(work.running ? HttpResponse {499, {{"X-Run", "1"}}, {}}
-                                          : notRun(499, "cancelled"));
+    reply(*work.connection, work.request,
+          work.running ? HttpResponse {499, {{"X-Run", "1"}}, {}} : notRun(499, "cancelled"));
     return {200, {}, {}};
 }
 
