Release a share when the leader asks for it

The directory marks a share that must move to another entry process. The owner stops new work on it, closes its unused connections and reports it as released once nothing is in flight.

--- a/Libraries/LibBackend/OwnerCore.cpp
+++ b/Libraries/LibBackend/OwnerCore.cpp
@@ -101,6 +101,8 @@
     server->retired = false;
     if (isNewShare)
         server->released = false;
+    if (share.releaseRequested)
+        release(declared.id);
     if (!server->takesNewWork())
         dropQueued(*server, server->released ? ErrorKind::NotOwner : ErrorKind::BackendDraining);
 }
--- a/Libraries/LibBackend/OwnerCore.h
+++ b/Libraries/LibBackend/OwnerCore.h
@@ -26,7 +26,8 @@
     explicit OwnerCore(std::string entryId);
 
     /// Adopts the shares that the directory gives to this entry process, with the limits of `document`.
-    /// `leavingVms` holds the addresses (ip) that the platform lists as leaving.
+    /// A share that the leader wants back is released. `leavingVms` holds the addresses (ip) that the
+    /// platform lists as leaving.
     void configure(Base::Instant now, const Configuration::Document &document,
                    std::span<const Wire::ShareRecord> shares,
                    const std::unordered_set<std::string> &leavingVms);
--- a/Tests/LibBackend/OwnerSession.cpp
+++ b/Tests/LibBackend/OwnerSession.cpp
@@ -92,8 +92,9 @@
 void OwnerSession::configure(Base::Instant now, const Fields &fields)
 {
     const auto epoch = std::stoull(fields.at("epoch"));
-    const std::vector<Wire::ShareRecord> shares {{"server-a", fields.at("a"), epoch},
-                                                 {"server-b", fields.at("b"), 1}};
+    const bool wanted = fields.contains("release_requested");
+    const std::vector<Wire::ShareRecord> shares {{"server-a", fields.at("a"), epoch, wanted},
+                                                 {"server-b", fields.at("b"), 1, false}};
     core_.configure(now, makeDocument(fields.contains("leaving")), shares, {});
 }
 
--- a/Tests/LibBackend/TestOwnerProperties.cpp
+++ b/Tests/LibBackend/TestOwnerProperties.cpp
@@ -48,7 +48,7 @@
 private:
     void configure()
     {
-        const std::vector<Wire::ShareRecord> shares {{"server-a", "entry-1", epoch_}};
+        const std::vector<Wire::ShareRecord> shares {{"server-a", "entry-1", epoch_, false}};
         core_.configure(now_, document_, shares, {});
     }
 
