--- a/Libraries/LibConsensus/LogStore.h
+++ b/Libraries/LibConsensus/LogStore.h
@@ -33,7 +33,8 @@
     virtual Base::Result<void> setHardState(const HardState &state) = 0;
 
     virtual std::optional<Wire::RaftSnapshot> snapshot() const = 0;
-    /// Stores a snapshot and drops the log up to its last index.
+    /// Stores a snapshot and drops the log up to its last index. Later entries are kept only if the log holds
+    /// the snapshot's last entry with the same term; otherwise they conflict with it.
     virtual Base::Result<void> saveSnapshot(const Wire::RaftSnapshot &snapshot) = 0;
 
     /// Index of the first entry held; one past the snapshot when the log is empty.
--- /dev/null
+++ b/Libraries/LibConsensus/StandardRaftNodeElection.cpp
@@ -0,0 +1,169 @@
+#include "LibConsensus/QuorumValue.h"
+#include "LibConsensus/StandardRaftNode.h"
+
+#include <utility>
+
+namespace Consensus {
+
+void StandardRaftNode::setHardState(std::uint64_t term, const NodeIdentity &votedFor)
+{
+    hardState_ = {term, votedFor.nodeId, votedFor.incarnation};
+    check(store_.setHardState(hardState_));
+}
+
+void StandardRaftNode::setRoleWithoutLeader()
+{
+    role_ = isVoter() ? Role::Follower : Role::Learner;
+}
+
+void StandardRaftNode::becomeFollower(Base::Instant now, std::uint64_t term, std::string leaderId)
+{
+    if (term > hardState_.term)
+        setHardState(term, {});
+    if (role_ == Role::Leader)
+        resetElectionDeadline(now);
+    leaderId_ = std::move(leaderId);
+    setRoleWithoutLeader();
+}
+
+void StandardRaftNode::becomePreCandidate(Base::Instant now)
+{
+    role_ = Role::PreCandidate;
+    leaderId_.clear();
+    resetElectionDeadline(now);
+    requestVotes(now, Wire::RaftMessageKind::PreVoteRequest, hardState_.term + 1);
+    if (wonVotes())
+        becomeCandidate(now);
+}
+
+void StandardRaftNode::becomeCandidate(Base::Instant now)
+{
+    role_ = Role::Candidate;
+    setHardState(hardState_.term + 1, self_);
+    resetElectionDeadline(now);
+    requestVotes(now, Wire::RaftMessageKind::VoteRequest, hardState_.term);
+    if (wonVotes())
+        becomeLeader(now);
+}
+
+void StandardRaftNode::becomeLeader(Base::Instant now)
+{
+    role_ = Role::Leader;
+    leaderId_ = self_.nodeId;
+    leaderSince_ = now;
+    for (auto &[identity, peer] : peers_) {
+        peer = PeerProgress {};
+        peer.lastHeard = now;
+        peer.nextIndex = store_.lastIndex() + 1;
+    }
+    // Entries of earlier terms are committed only through an entry of the new term.
+    appendOwn(Wire::RaftEntryKind::Noop, {});
+    sendHeartbeats(now);
+}
+
+void StandardRaftNode::requestVotes(Base::Instant now, Wire::RaftMessageKind kind, std::uint64_t term)
+{
+    for (auto &[identity, peer] : peers_) {
+        peer.voteGranted = false;
+        if (!memberships_.isVoter(identity))
+            continue;
+        auto request = makeMessage(kind, identity);
+        request.term = term;
+        request.previousIndex = store_.lastIndex();
+        request.previousTerm = lastTerm();
+        request.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        outbox_.push_back(std::move(request));
+    }
+}
+
+bool StandardRaftNode::wonVotes() const
+{
+    return quorumValue<int>(1, [](const PeerProgress &peer) { return peer.voteGranted ? 1 : 0; }) == 1;
+}
+
+bool StandardRaftNode::heardLeaderRecently(Base::Instant now) const
+{
+    if (role_ == Role::Leader)
+        return holdsQuorum(now);
+    return now - lastLeaderContact_ < options_.electionTimeout;
+}
+
+bool StandardRaftNode::isUpToDate(const Wire::RaftMessage &request) const
+{
+    if (request.previousTerm != lastTerm())
+        return request.previousTerm > lastTerm();
+    return request.previousIndex >= store_.lastIndex();
+}
+
+void StandardRaftNode::receivePreVoteRequest(Base::Instant now, const Wire::RaftMessage &request)
+{
+    auto reply = makeReply(Wire::RaftMessageKind::PreVoteReply, request);
+    reply.granted = request.term > hardState_.term && isUpToDate(request) && !heardLeaderRecently(now);
+    if (reply.granted)
+        reply.term = request.term;
+    outbox_.push_back(std::move(reply));
+}
+
+void StandardRaftNode::receivePreVoteReply(Base::Instant now, const Wire::RaftMessage &reply)
+{
+    if (!reply.granted) {
+        if (reply.term > hardState_.term)
+            becomeFollower(now, reply.term, {});
+        return;
+    }
+    auto *peer = findPeer(reply);
+    if (peer == nullptr || role_ != Role::PreCandidate || reply.term != hardState_.term + 1)
+        return;
+    peer->voteGranted = true;
+    if (wonVotes())
+        becomeCandidate(now);
+}
+
+bool StandardRaftNode::mayVoteFor(const NodeIdentity &candidate) const
+{
+    return hardState_.votedFor.empty()
+           || NodeIdentity {hardState_.votedFor, hardState_.votedForIncarnation} == candidate;
+}
+
+// A voter that hears a leader neither votes nor adopts the candidate's term, so a node that was cut off or
+// removed cannot depose a working leader.
+void StandardRaftNode::receiveVoteRequest(Base::Instant now, const Wire::RaftMessage &request)
+{
+    if (request.term > hardState_.term && !heardLeaderRecently(now))
+        becomeFollower(now, request.term, {});
+    const NodeIdentity candidate {request.from, request.fromIncarnation};
+    auto reply = makeReply(Wire::RaftMessageKind::VoteReply, request);
+    reply.granted = request.term == hardState_.term && mayVoteFor(candidate) && isUpToDate(request);
+    if (reply.granted) {
+        if (hardState_.votedFor.empty())
+            setHardState(hardState_.term, candidate);
+        resetElectionDeadline(now);
+    }
+    outbox_.push_back(std::move(reply));
+}
+
+void StandardRaftNode::receiveVoteReply(Base::Instant now, const Wire::RaftMessage &reply)
+{
+    if (reply.term > hardState_.term)
+        return becomeFollower(now, reply.term, {});
+    auto *peer = findPeer(reply);
+    if (peer == nullptr || role_ != Role::Candidate || reply.term != hardState_.term || !reply.granted)
+        return;
+    peer->voteGranted = true;
+    if (wonVotes())
+        becomeLeader(now);
+}
+
+/// Start of the leader's lease: a majority answered requests that were sent at this time or later.
+Base::Instant StandardRaftNode::quorumContact(Base::Instant now) const
+{
+    return quorumValue<Base::Instant>(now, [](const PeerProgress &peer) { return peer.answeredSendTime; });
+}
+
+// A new leader has one election timeout to hear from a majority for the first time.
+bool StandardRaftNode::holdsQuorum(Base::Instant now) const
+{
+    return now - std::max(quorumContact(now), leaderSince_) < options_.electionTimeout;
+}
+
+} // namespace Consensus
--- /dev/null
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "LibConsensus/MemoryLogStore.h"
+#include "LibConsensus/NodeIdentity.h"
+#include "LibConsensus/RaftNode.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+/// Nodes with fake disks, a message pool and one clock. Every step checks the safety properties and collects
+/// what violates them.
+class SimulatedCluster
+{
+public:
+    SimulatedCluster(unsigned size, std::uint64_t seed);
+
+    std::size_t size() const { return nodes_.size(); }
+    Consensus::RaftNode *node(std::size_t index) { return nodes_[index].raft.get(); }
+    MemoryLogStore &store(std::size_t index) { return *nodes_[index].store; }
+    Base::Instant now() const { return now_; }
+    std::vector<Wire::RaftMessage> &messages() { return messages_; }
+    Wire::RaftMember member(std::size_t index, bool voter) const;
+    /// Index of a node with isLeader(); size() when there is none.
+    std::size_t leader() const;
+
+    void advance(Base::Duration step) { now_ += step; }
+    void tick(std::size_t index);
+    /// Delivers a message; without `ready` the node does not get to its sync.
+    void deliver(const Wire::RaftMessage &message, bool ready = true);
+    /// Returns whether the node took the command.
+    bool propose(std::size_t index, const std::string &text);
+    void takeReady(std::size_t index);
+    void compact(std::size_t index);
+    void crash(std::size_t index);
+    void restart(std::size_t index);
+    /// Crashes the node and empties its disk; the restarted node is a new identity without members.
+    void wipe(std::size_t index);
+    /// Lets the leader take the next step from a wiped node to a full set of voters.
+    void repairStep();
+    /// Whether the committed membership is all nodes, each as voter under its current identity.
+    bool isFullyRepaired() const;
+
+    /// Runs ticks and delivers everything in order for a time; `isolated` nodes neither send nor receive.
+    void run(Base::Duration time, const std::set<std::size_t> &isolated = {});
+
+    /// Hash over roles, terms, votes, logs, memberships and messages under way.
+    std::size_t stateHash() const;
+
+    std::vector<std::string> violations;
+    std::size_t committedCount() const { return committed_.size(); }
+    std::size_t termsWithLeader() const { return leaders_.size(); }
+    /// Commands applied by a node, joined by ','.
+    std::string applied(std::size_t index) const { return nodes_[index].applied; }
+
+private:
+    struct SimulatedNode
+    {
+        std::string id;
+        std::unique_ptr<MemoryLogStore> store;
+        std::unique_ptr<Consensus::RaftNode> raft;
+        std::string applied;
+        std::uint64_t appliedIndex = 0;
+    };
+
+    void start(std::size_t index, std::vector<Wire::RaftMember> initialMembers);
+    void apply(SimulatedNode &node, const Consensus::Ready &ready);
+    void expect(bool holds, const std::string &property, const SimulatedNode &node);
+    void checkVote(const SimulatedNode &node, const Wire::RaftMessage &message);
+    void checkLeaders(const SimulatedNode &node);
+    void checkLog(const SimulatedNode &node);
+
+    std::uint64_t seed_;
+    std::uint64_t nextIncarnation_ = 1;
+    Base::Instant now_ {};
+    std::vector<SimulatedNode> nodes_;
+    std::vector<Wire::RaftMessage> messages_;
+    Wire::RaftMembership committedMembership_;
+    std::uint64_t committedMembershipIndex_ = 0;
+
+    std::map<std::uint64_t, Consensus::NodeIdentity> leaders_; ///< By term.
+    std::map<std::pair<std::string, std::uint64_t>, Consensus::NodeIdentity> votes_; ///< By disk and term.
+    std::map<std::uint64_t, Wire::RaftEntry> committed_; ///< By index.
+    std::map<std::uint64_t, std::string> appliedAt_; ///< State machine content by index.
+    /// Entry and term of its predecessor by index and term: if these are unique, logs match by induction.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, std::pair<Wire::RaftEntry, std::uint64_t>> logged_;
+};
