--- a/Libraries/LibQuery/AdmissionTable.cpp
+++ b/Libraries/LibQuery/AdmissionTable.cpp
@@ -39,6 +39,7 @@
 
     ++classInFlight;
     ++gate.inFlight;
+    gate.peakInFlight = std::max(gate.peakInFlight, gate.inFlight);
     ++tenant.inFlight;
     return std::nullopt;
 }
@@ -58,7 +59,9 @@
     // Queries accepted before the last decrease report the load that it already answered.
     if (outcome.acceptedAt < gate.lastDecrease)
         return;
-    gate.limit = std::max(MinLimit, std::min<double>(gate.limit, gate.inFlight + 1.0) * DecreaseFactor);
+    // A limit that was never reached says nothing; the decrease starts from what was in flight.
+    gate.limit = std::max(MinLimit, std::min<double>(gate.limit, gate.peakInFlight) * DecreaseFactor);
+    gate.peakInFlight = gate.inFlight;
     gate.lastDecrease = now;
 }
 
--- a/Libraries/LibQuery/AdmissionTable.h
+++ b/Libraries/LibQuery/AdmissionTable.h
@@ -52,6 +52,7 @@
         double limit = 0.0; ///< 0 until the first query.
         double maxLimit = 0.0;
         std::uint32_t inFlight = 0;
+        std::uint32_t peakInFlight = 0; ///< Since the last decrease.
         Base::Instant lastDecrease {};
         std::map<std::string, TenantRow> tenants;
     };
--- a/Libraries/LibQuery/Completer.cpp
+++ b/Libraries/LibQuery/Completer.cpp
@@ -41,6 +41,7 @@
     ++tables_.statistics.refused;
     Failure failure;
     failure.requestId = caller.requestId;
+    failure.run = Base::errorAnswer(error.kind).runState;
     failure.error = std::move(error);
     tables_.actions.emplace_back(CompleteQuery {caller.token, std::move(failure)});
 }
