--- a/Services/Cli/CallerCommands.cpp
+++ b/Services/Cli/CallerCommands.cpp
@@ -11,13 +11,13 @@
 
 namespace {
 
-ControlClient callerClient(const Settings::CommandLine &line)
+OperatorClient callerClient(const Settings::CommandLine &line)
 {
     // Callers need no key; the same client serves because it only adds the header when there is one.
     return {line.list("entry-addresses"), {}, Base::milliseconds(line.number("timeout-ms"))};
 }
 
-Base::Result<nlohmann::json> fetchEntries(const ControlClient &client)
+Base::Result<nlohmann::json> fetchEntries(const OperatorClient &client)
 {
     Base::Error lastError;
     for (const auto &address : client.addresses()) {
@@ -96,8 +96,8 @@
 }
 
 /// Sends the query to the entries in turn; goes on only when nothing of it was sent.
-int sendQuery(const ControlClient &client, const std::vector<std::string> &addresses, const std::string &body,
-              bool json)
+int sendQuery(const OperatorClient &client, const std::vector<std::string> &addresses,
+              const std::string &body, bool json)
 {
     Base::Error lastError {Base::ErrorKind::ControlUnavailable, "no entry process is listed"};
     for (const auto &address : addresses) {
--- a/Services/Cli/CommandOutput.cpp
+++ b/Services/Cli/CommandOutput.cpp
@@ -45,13 +45,13 @@
     return text.str();
 }
 
-Base::Result<ControlClient> makeControlClient(const Settings::CommandLine &line)
+Base::Result<OperatorClient> makeOperatorClient(const Settings::CommandLine &line)
 {
     const auto key = Settings::readKeyFile(line.text("key-file"));
     if (!key)
         return tl::unexpected(key.error());
     const auto timeout = Base::milliseconds(line.number("timeout-ms"));
-    return ControlClient(line.list("control-http-addresses"), *key, timeout);
+    return OperatorClient(line.list("control-http-addresses"), *key, timeout);
 }
 
 std::string randomId()
--- a/Services/Cli/CommandOutput.h
+++ b/Services/Cli/CommandOutput.h
@@ -3,7 +3,7 @@
 #include "LibBase/Error.h"
 #include "LibHttp/Message.h"
 #include "LibSettings/CommandLine.h"
-#include "Services/Cli/ControlClient.h"
+#include "Services/Cli/OperatorClient.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
@@ -22,7 +22,7 @@
 Base::Result<std::string> readFile(const std::string &path);
 
 /// Builds a client from the settings control-http-addresses, key-file and timeout-ms.
-Base::Result<ControlClient> makeControlClient(const Settings::CommandLine &line);
+Base::Result<OperatorClient> makeOperatorClient(const Settings::CommandLine &line);
 
 /// Returns a random id of 128 bits in hexadecimal digits.
 std::string randomId();
--- a/Services/Cli/DocumentCommands.cpp
+++ b/Services/Cli/DocumentCommands.cpp
@@ -56,7 +56,7 @@
 }
 
 /// Fetches the document in effect; an empty document when there is none.
-Base::Result<Configuration::Document> fetchEffective(const ControlClient &client)
+Base::Result<Configuration::Document> fetchEffective(const OperatorClient &client)
 {
     const auto status = client.askLeader("GET", "/v1/status", {});
     if (!status)
@@ -79,7 +79,7 @@
         return Base::fail(
             Base::ErrorKind::SettingInvalid,
             "--control-http-addresses: a value is missing; accepted: addresses, or a second file");
-    return makeControlClient(line).and_then(fetchEffective);
+    return makeOperatorClient(line).and_then(fetchEffective);
 }
 
 void printChanges(const std::vector<std::string> &changes, bool json)
@@ -145,7 +145,7 @@
     const auto text = readFile(line.argument("FILE").front());
     if (!text)
         return printError(text.error());
-    const auto client = makeControlClient(line);
+    const auto client = makeOperatorClient(line);
     if (!client)
         return printError(client.error());
     const auto answer = client->askLeader("POST", "/v1/documents", *text);
@@ -154,7 +154,7 @@
 
 int runPromote(const Settings::CommandLine &line)
 {
-    const auto client = makeControlClient(line);
+    const auto client = makeOperatorClient(line);
     if (!client)
         return printError(client.error());
     const auto changeId = line.text("change-id").empty() ? randomId() : line.text("change-id");
--- a/Services/Cli/ControlClient.cpp
+++ b/Services/Cli/OperatorClient.cpp
@@ -1,4 +1,4 @@
-#include "Services/Cli/ControlClient.h"
+#include "Services/Cli/OperatorClient.h"
 
 #include "LibBase/Clock.h"
 
@@ -18,15 +18,15 @@
 
 } // namespace
 
-ControlClient::ControlClient(std::vector<std::string> addresses, std::string key, Base::Duration timeout)
+OperatorClient::OperatorClient(std::vector<std::string> addresses, std::string key, Base::Duration timeout)
     : addresses_(std::move(addresses))
     , key_(std::move(key))
     , timeout_(timeout)
 {
 }
 
-Base::Result<AddressedResponse> ControlClient::ask(const std::string &address, const std::string &method,
-                                                   const std::string &path, const std::string &body) const
+Base::Result<AddressedResponse> OperatorClient::ask(const std::string &address, const std::string &method,
+                                                    const std::string &path, const std::string &body) const
 {
     auto client = Http::Client::connect(address, std::min(ConnectTimeout, timeout_));
     if (!client)
@@ -43,8 +43,8 @@
     return AddressedResponse {address, std::move(*response)};
 }
 
-Base::Result<AddressedResponse> ControlClient::askLeader(const std::string &method, const std::string &path,
-                                                         const std::string &body) const
+Base::Result<AddressedResponse> OperatorClient::askLeader(const std::string &method, const std::string &path,
+                                                          const std::string &body) const
 {
     const Base::SystemClock clock;
     const auto end = clock.now() + timeout_;
--- a/Services/Cli/ControlClient.h
+++ b/Services/Cli/OperatorClient.h
@@ -15,10 +15,10 @@
 };
 
 /// Sends operator calls to the control processes and finds the leader among them.
-class ControlClient
+class OperatorClient
 {
 public:
-    ControlClient(std::vector<std::string> addresses, std::string key, Base::Duration timeout);
+    OperatorClient(std::vector<std::string> addresses, std::string key, Base::Duration timeout);
 
     /// Tries the addresses in turn, and again while there is no leader, until one answers as the leader or
     /// the timeout passes. Only safe for calls that may arrive twice; a promotion is one by its change id.
--- a/Services/Cli/ServiceCommands.cpp
+++ b/Services/Cli/ServiceCommands.cpp
@@ -15,6 +15,7 @@
 // them.
 Base::Result<void> runControl(const ControlSettings &settings) __attribute__((weak));
 Base::Result<void> runEntry(const EntrySettings &settings) __attribute__((weak));
+// NOLINTEND(readability-redundant-declaration)
 
 namespace {
 
--- a/Services/Cli/StatusCommand.cpp
+++ b/Services/Cli/StatusCommand.cpp
@@ -17,7 +17,7 @@
     std::vector<std::string> problems;
 };
 
-ProcessStatus fetchStatus(const ControlClient &client, const std::string &address)
+ProcessStatus fetchStatus(const OperatorClient &client, const std::string &address)
 {
     ProcessStatus status;
     status.address = address;
@@ -60,7 +60,7 @@
 
 int runStatus(const Settings::CommandLine &line)
 {
-    const auto client = makeControlClient(line);
+    const auto client = makeOperatorClient(line);
     if (!client)
         return printError(client.error());
     bool healthy = true;
--- a/Tests/LoadGenerator/ArrivalSchedule.cpp
+++ b/Tests/LoadGenerator/ArrivalSchedule.cpp
@@ -8,6 +8,7 @@
                                   std::uint64_t count, std::uint64_t seed)
 {
     std::vector<double> weights;
+    weights.reserve(mix.size());
     for (const auto &kind : mix)
         weights.push_back(kind.weight);
     std::mt19937_64 random(seed);
--- a/Tests/LoadGenerator/LoadRun.cpp
+++ b/Tests/LoadGenerator/LoadRun.cpp
@@ -27,6 +27,7 @@
 {
     start_ = clock_.now();
     std::vector<std::thread> workers;
+    workers.reserve(static_cast<std::size_t>(threads));
     for (int count = 0; count < threads; ++count)
         workers.emplace_back([this] { work(); });
     for (auto &worker : workers)
--- a/Tests/LoadGenerator/QueryKind.cpp
+++ b/Tests/LoadGenerator/QueryKind.cpp
@@ -5,6 +5,7 @@
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
 #include <cstdlib>
+#include <fmt/format.h>
 
 namespace Load {
 
@@ -25,9 +26,9 @@
         const double value = std::strtod(weight.c_str(), nullptr);
         if ((parts.size() != PartsOfIdempotent && !once) || !(value > 0))
             return Base::fail(Base::ErrorKind::SettingInvalid,
-                              "--mix: " + name + "=" + weight
-                                  + " is not accepted; accepted: INDEX/CLASS/TENANT=WEIGHT or "
-                                    "INDEX/CLASS/TENANT/once=WEIGHT");
+                              fmt::format("--mix: {}={} is not accepted; accepted: INDEX/CLASS/TENANT=WEIGHT "
+                                          "or INDEX/CLASS/TENANT/once=WEIGHT",
+                                          name, weight));
         kinds.push_back({parts[0], parts[1], parts[2], !once, value});
     }
     if (kinds.empty())
--- /dev/null
+++ b/Tests/Sessions/Deployment.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "Sessions/Process.h"
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Sessions {
+
+/// Three control processes, three entry processes and the stand-in on a loopback address that no other test
+/// process uses, with a temporary directory. All processes end with the object.
+class Deployment
+{
+public:
+    Deployment();
+    ~Deployment();
+    Deployment(const Deployment &) = delete;
+    Deployment &operator=(const Deployment &) = delete;
+
+    /// Starts everything and waits until the control processes have a leader.
+    void start();
+
+    /// Writes a document with three shards; `leavingServer` is marked as leaving.
+    std::string writeDocument(const std::string &name, const std::string &leavingServer) const;
+
+    /// Runs an operator command to its end; returns its exit code and puts its output into `output`.
+    int runCommand(std::vector<std::string> arguments, std::string &output) const;
+
+    /// Submits and promotes a document; fails the test unless it becomes `baseRevision` + 1 or later.
+    void promote(const std::string &path, std::uint64_t baseRevision, const std::string &changeId) const;
+
+    /// Waits until this many entry processes are listed and answer queries.
+    bool waitForEntries(std::size_t count) const;
+
+    /// Starts the load generator; its report appears at reportPath(runId).
+    Process startLoad(const std::string &runId, int queries, int rate) const;
+    std::string reportPath(const std::string &runId) const { return path(runId + ".json"); }
+
+    /// Sends one query to entry `number`; returns the status and puts the body into `answer`.
+    int query(int number, const nlohmann::json &query, nlohmann::json &answer) const;
+
+    nlohmann::json readAdmin(const std::string &pathAndQuery) const;
+    nlohmann::json changeAdmin(const std::string &adminPath, const nlohmann::json &body) const;
+
+    Process &entry(int number) { return processes_.at("entry-" + std::to_string(number)); }
+
+    /// Stops all processes in order by SIGTERM; returns the names of those that did not exit with 0.
+    std::vector<std::string> stop(const std::vector<std::string> &alreadyEnded);
+
+    std::string path(const std::string &name) const { return (directory_ / name).string(); }
+
+private:
+    void startProcess(const std::string &name, const std::vector<std::string> &arguments);
+    void startControl(int number);
+    void startEntry(int number);
+    std::string address(int port) const;
+    std::string controlHttpAddresses() const;
+
+    std::filesystem::path directory_;
+    std::string ip_;
+    std::map<std::string, Process> processes_;
+};
+
+/// Repeats `condition` until it holds; returns false after a time that only a broken system needs.
+bool waitUntil(const std::function<bool()> &condition);
+
+/// Reads a whole file; empty when there is none.
+std::string readText(const std::string &path);
+
+} // namespace Sessions
