Answer waiting operators only when their promotion has ended

Cause: every result that named a change id, also "pending", was passed to the operators who waited for it, so the proposal itself answered them.

--- a/Libraries/LibControl/ControlCore.cpp
+++ b/Libraries/LibControl/ControlCore.cpp
@@ -18,6 +18,12 @@
     return found == content.entries.end() ? Wire::EntryRecord {} : found->second;
 }
 
+/// Tells whether the command ends the pending promotion.
+bool isEnd(const Command &command)
+{
+    return std::holds_alternative<AcceptPromotion>(command) || std::holds_alternative<AbortPromotion>(command);
+}
+
 /// An entry process whose proposal got lost may safely repeat it, with this or another leader.
 Base::Error forEntry(Base::Error error)
 {
@@ -330,7 +336,7 @@
     const auto result = state_.apply(entry.index, *command);
     afterApply(*command, result);
     proposals_.complete(entry.index, entry.term, result);
-    if (result && std::holds_alternative<PromotionResult>(*result))
+    if (result && isEnd(*command))
         waiters_.answer(std::get<PromotionResult>(*result));
     return {};
 }
