--- a/Libraries/LibControl/ControlCore.cpp
+++ b/Libraries/LibControl/ControlCore.cpp
@@ -21,7 +21,8 @@
 /// Tells whether the command ends the pending promotion.
 bool isEnd(const Command &command)
 {
-    return std::holds_alternative<AcceptPromotion>(command) || std::holds_alternative<AbortPromotion>(command);
+    return std::holds_alternative<AcceptPromotion>(command)
+           || std::holds_alternative<AbortPromotion>(command);
 }
 
 /// An entry process whose proposal got lost may safely repeat it, with this or another leader.
@@ -349,8 +350,14 @@
             leases_.remove(removal->entryId);
         tracker_.forget(removal->entryId);
     }
-    if (result && std::holds_alternative<PromotionResult>(*result))
-        reportPromotion(std::get<PromotionResult>(*result));
+    if (result && std::holds_alternative<PromotionResult>(*result)) {
+        const auto &promotion = std::get<PromotionResult>(*result);
+        // A repeated request that gets its first result is not another acceptance.
+        const bool hasEnded =
+            promotion.state == PromotionState::Accepted || promotion.state == PromotionState::Rejected;
+        if (!hasEnded || isEnd(command))
+            reportPromotion(promotion);
+    }
     loadDocument();
 }
 
--- a/Libraries/LibControl/SharePlanner.cpp
+++ b/Libraries/LibControl/SharePlanner.cpp
@@ -12,13 +12,15 @@
 using Shares = std::map<std::string, Wire::ShareRecord>;
 
 /// Tells whether a move from `current` to `target` brings the layout closer to rest. Each alternative lowers
-/// one aim without raising an earlier one, so moves cannot go round in a circle.
-bool isImprovement(const ShareLayout::Fit &current, const ShareLayout::Fit &target)
+/// one aim without raising an earlier one, so moves cannot go round in a circle. With `keepApart`, a move
+/// that only balances the load must not bring replicas into one data centre, which would cost a second move.
+bool isImprovement(const ShareLayout::Fit &current, const ShareLayout::Fit &target, bool keepApart)
 {
     if (target.sameEntryReplicas != current.sameEntryReplicas)
         return target.sameEntryReplicas < current.sameEntryReplicas;
     if (target.overloaded != current.overloaded)
-        return current.overloaded;
+        return current.overloaded
+               && (!keepApart || target.sameDataCentreReplicas <= current.sameDataCentreReplicas);
     return target.sameDataCentreReplicas < current.sameDataCentreReplicas && target.load <= current.load;
 }
 
@@ -39,7 +41,8 @@
         if (!layout_.hasEntries())
             return std::move(plan_);
         assignServers();
-        moveShares();
+        moveShares(true);
+        moveShares(false);
         return std::move(plan_);
     }
 
@@ -80,14 +83,14 @@
         }
     }
 
-    void moveShares()
+    void moveShares(bool keepApart)
     {
         const auto candidates = settled_;
         for (const auto &serverId : candidates) {
             if (movesUnderWay_ >= SharePlanner::MaxMovesUnderWay)
                 return;
             if (areFellowsSettled(serverId))
-                considerMove(serverId);
+                considerMove(serverId, keepApart);
         }
     }
 
@@ -99,11 +102,12 @@
                            [this](const std::string &fellow) { return settled_.contains(fellow); });
     }
 
-    void considerMove(const std::string &serverId)
+    void considerMove(const std::string &serverId, bool keepApart)
     {
         const auto target = layout_.bestEntry(serverId);
         const auto &owner = layout_.owner(serverId);
-        if (target == owner || !isImprovement(layout_.fit(serverId, owner), layout_.fit(serverId, target)))
+        if (target == owner
+            || !isImprovement(layout_.fit(serverId, owner), layout_.fit(serverId, target), keepApart))
             return;
         plan_.releases.push_back({serverId, shares_.at(serverId).epoch});
         layout_.assign(serverId, target);
--- a/Libraries/LibWire/Method.cpp
+++ b/Libraries/LibWire/Method.cpp
@@ -9,7 +9,7 @@
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Method::Count)> Names {
     "raft-message",   "renew-lease",        "fetch-document",   "claim-request",
-    "record-outcome", "execute-subrequest", "observe-backends",
+    "record-outcome", "execute-subrequest", "observe-backends", "introduce-node",
 };
 
 } // namespace
--- a/Libraries/LibWire/Method.h
+++ b/Libraries/LibWire/Method.h
@@ -15,6 +15,7 @@
     RecordOutcome, ///< entry → control leader.
     ExecuteSubrequest, ///< entry → owner entry.
     ObserveBackends, ///< entry → owner entry.
+    IntroduceNode, ///< control → control.
     Count
 };
 
