--- a/Libraries/LibControl/ControlCore.cpp
+++ b/Libraries/LibControl/ControlCore.cpp
@@ -350,8 +350,14 @@
             leases_.remove(removal->entryId);
         tracker_.forget(removal->entryId);
     }
-    if (result && std::holds_alternative<PromotionResult>(*result))
-        reportPromotion(std::get<PromotionResult>(*result));
+    if (result && std::holds_alternative<PromotionResult>(*result)) {
+        const auto &promotion = std::get<PromotionResult>(*result);
+        // A repeated request that gets its first result is not another acceptance.
+        const bool hasEnded =
+            promotion.state == PromotionState::Accepted || promotion.state == PromotionState::Rejected;
+        if (!hasEnded || isEnd(command))
+            reportPromotion(promotion);
+    }
     loadDocument();
 }
 
