--- a/Libraries/LibControl/ControlCore.cpp
+++ b/Libraries/LibControl/ControlCore.cpp
@@ -21,7 +21,8 @@
 /// Tells whether the command ends the pending promotion.
 bool isEnd(const Command &command)
 {
-    return std::holds_alternative<AcceptPromotion>(command) || std::holds_alternative<AbortPromotion>(command);
+    return std::holds_alternative<AcceptPromotion>(command)
+           || std::holds_alternative<AbortPromotion>(command);
 }
 
 /// An entry process whose proposal got lost may safely repeat it, with this or another leader.
--- a/Services/Entry/DocumentCache.cpp
+++ b/Services/Entry/DocumentCache.cpp
@@ -29,7 +29,7 @@
             arrived();
     };
     control_.call(Wire::Method::FetchDocument, Wire::encode(Wire::FetchDocumentRequest {hash}), FetchTimeout,
-                  ControlClient::Repeat::Always, done);
+                  LeaderClient::Repeat::Always, done);
 }
 
 void DocumentCache::store(const std::string &hash, const Base::Result<Base::Bytes> &reply)
--- a/Services/Entry/DocumentCache.h
+++ b/Services/Entry/DocumentCache.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibConfiguration/DocumentParser.h"
-#include "Services/Entry/ControlClient.h"
+#include "Services/Entry/LeaderClient.h"
 
 #include <map>
 #include <memory>
@@ -14,7 +14,7 @@
 class DocumentCache
 {
 public:
-    explicit DocumentCache(ControlClient &control)
+    explicit DocumentCache(LeaderClient &control)
         : control_(control)
     {
     }
@@ -31,7 +31,7 @@
 private:
     void store(const std::string &hash, const Base::Result<Base::Bytes> &reply);
 
-    ControlClient &control_;
+    LeaderClient &control_;
     std::map<std::string, std::shared_ptr<const Configuration::ParseOutcome>> documents_;
     std::set<std::string> fetching_;
 };
--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -254,7 +254,7 @@
             query_.claimFailed(now(), queryId, reply.error());
     };
     control_.call(Wire::Method::ClaimRequest, Wire::encode(action.request), action.timeout,
-                  ControlClient::Repeat::OnlyUnsent, done);
+                  LeaderClient::Repeat::OnlyUnsent, done);
 }
 
 void EntryLoop::perform(const Query::SendRecordOutcome &action)
@@ -269,7 +269,7 @@
             query_.outcomeFailed(now(), queryId, reply.error());
     };
     control_.call(Wire::Method::RecordOutcome, Wire::encode(action.request), action.timeout,
-                  ControlClient::Repeat::Always, done);
+                  LeaderClient::Repeat::Always, done);
 }
 
 // Backend servers
@@ -424,7 +424,7 @@
     auto request = describeRenewal();
     request.finished = true;
     control_.call(Wire::Method::RenewLease, Wire::encode(request), FinishedTimeout,
-                  ControlClient::Repeat::Always, [this](const Base::Result<Base::Bytes> & /*result*/) {
+                  LeaderClient::Repeat::Always, [this](const Base::Result<Base::Bytes> & /*result*/) {
                       Log.info("finished");
                       phase_ = Phase::Stopped;
                   });
--- a/Services/Entry/EntryLoop.h
+++ b/Services/Entry/EntryLoop.h
@@ -107,7 +107,7 @@
     Query::QueryCore query_;
     Backend::OwnerCore owner_;
     BackendConnector connector_;
-    ControlClient control_;
+    LeaderClient control_;
     DocumentCache documents_;
     ConfigurationState configuration_;
     LeaseClient leaseClient_;
--- a/Services/Entry/ControlClient.cpp
+++ b/Services/Entry/LeaderClient.cpp
@@ -1,4 +1,4 @@
-#include "Services/Entry/ControlClient.h"
+#include "Services/Entry/LeaderClient.h"
 
 #include <algorithm>
 
@@ -22,19 +22,19 @@
 
 } // namespace
 
-struct ControlClient::Pending
+struct LeaderClient::Pending
 {
     Wire::Method method = Wire::Method::RenewLease;
     Base::Bytes payload;
     Base::Instant deadline;
     Repeat repeat = Repeat::OnlyUnsent;
-    ControlReply done;
+    LeaderReply done;
     std::string address;
     bool maybeReceived = false; ///< An earlier try may have reached the leader.
 };
 
-ControlClient::ControlClient(Peer::Endpoint &endpoint, EventQueue &events, const Base::Clock &clock,
-                             std::vector<std::string> addresses)
+LeaderClient::LeaderClient(Peer::Endpoint &endpoint, EventQueue &events, const Base::Clock &clock,
+                           std::vector<std::string> addresses)
     : endpoint_(endpoint)
     , events_(events)
     , clock_(clock)
@@ -42,8 +42,8 @@
 {
 }
 
-void ControlClient::call(Wire::Method method, Base::Bytes payload, Base::Duration timeout, Repeat repeat,
-                         ControlReply done)
+void LeaderClient::call(Wire::Method method, Base::Bytes payload, Base::Duration timeout, Repeat repeat,
+                        LeaderReply done)
 {
     auto pending = std::make_shared<Pending>();
     pending->method = method;
@@ -54,7 +54,7 @@
     attempt(pending);
 }
 
-void ControlClient::attempt(const std::shared_ptr<Pending> &pending)
+void LeaderClient::attempt(const std::shared_ptr<Pending> &pending)
 {
     const auto left = pending->deadline - clock_.now();
     if (left.count() <= 0) {
@@ -73,7 +73,7 @@
                    });
 }
 
-void ControlClient::finished(const std::shared_ptr<Pending> &pending, Base::Result<Base::Bytes> result)
+void LeaderClient::finished(const std::shared_ptr<Pending> &pending, Base::Result<Base::Bytes> result)
 {
     if (result) {
         pending->done(std::move(result));
@@ -95,7 +95,7 @@
     events_.postAt(clock_.now() + RetryPause, [this, pending] { attempt(pending); });
 }
 
-void ControlClient::moveOn(const std::string &from, const Base::Error &error)
+void LeaderClient::moveOn(const std::string &from, const Base::Error &error)
 {
     // Several calls may fail on one process; only the first of them moves on.
     if (addresses_[current_] != from)
@@ -107,8 +107,8 @@
         current_ = (current_ + 1) % addresses_.size();
 }
 
-void ControlClient::callOnce(Wire::Method method, Base::Bytes payload, Base::Duration timeout,
-                             ControlReply done)
+void LeaderClient::callOnce(Wire::Method method, Base::Bytes payload, Base::Duration timeout,
+                            LeaderReply done)
 {
     const auto address = addresses_[current_];
     endpoint_.call(address, method, std::move(payload), timeout,
--- a/Services/Entry/ControlClient.h
+++ b/Services/Entry/LeaderClient.h
@@ -10,10 +10,10 @@
 namespace Services {
 
 /// Runs on the decision thread with the reply of a control process.
-using ControlReply = std::function<void(Base::Result<Base::Bytes>)>;
+using LeaderReply = std::function<void(Base::Result<Base::Bytes>)>;
 
 /// Calls the control leader and finds it again after it changed. Used on the decision thread only.
-class ControlClient
+class LeaderClient
 {
 public:
     /// Which failures allow another try with another control process.
@@ -22,16 +22,16 @@
         Always ///< Any transport failure, for calls that may be carried out twice.
     };
 
-    ControlClient(Peer::Endpoint &endpoint, EventQueue &events, const Base::Clock &clock,
-                  std::vector<std::string> addresses);
+    LeaderClient(Peer::Endpoint &endpoint, EventQueue &events, const Base::Clock &clock,
+                 std::vector<std::string> addresses);
 
     /// Calls until a process that leads replies or `timeout` has passed. Without any process reached, the
     /// error is ControlUnavailable.
     void call(Wire::Method method, Base::Bytes payload, Base::Duration timeout, Repeat repeat,
-              ControlReply done);
+              LeaderReply done);
 
     /// Makes one call to the presumed leader; a failure moves on to the next process for later calls.
-    void callOnce(Wire::Method method, Base::Bytes payload, Base::Duration timeout, ControlReply done);
+    void callOnce(Wire::Method method, Base::Bytes payload, Base::Duration timeout, LeaderReply done);
 
 private:
     struct Pending;
--- a/Services/Entry/LeaseClient.cpp
+++ b/Services/Entry/LeaseClient.cpp
@@ -18,7 +18,7 @@
 
 } // namespace
 
-LeaseClient::LeaseClient(ControlClient &control, EventQueue &events, const Base::Clock &clock,
+LeaseClient::LeaseClient(LeaderClient &control, EventQueue &events, const Base::Clock &clock,
                          Callbacks callbacks)
     : control_(control)
     , events_(events)
--- a/Services/Entry/LeaseClient.h
+++ b/Services/Entry/LeaseClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibWire/LeaseMessages.h"
-#include "Services/Entry/ControlClient.h"
+#include "Services/Entry/LeaderClient.h"
 
 #include <functional>
 
@@ -19,7 +19,7 @@
         std::function<void(Base::Instant sentAt, Wire::RenewLeaseReply reply)> granted;
     };
 
-    LeaseClient(ControlClient &control, EventQueue &events, const Base::Clock &clock, Callbacks callbacks);
+    LeaseClient(LeaderClient &control, EventQueue &events, const Base::Clock &clock, Callbacks callbacks);
 
     /// Renews now and from then on periodically.
     void start();
@@ -35,7 +35,7 @@
     void finished(Base::Instant sentAt, const Base::Result<Base::Bytes> &result);
     void schedule(Base::Duration delay);
 
-    ControlClient &control_;
+    LeaderClient &control_;
     EventQueue &events_;
     const Base::Clock &clock_;
     Callbacks callbacks_;
--- a/Tests/LibControl/FakeCluster.cpp
+++ b/Tests/LibControl/FakeCluster.cpp
@@ -122,8 +122,8 @@
 {
     Wire::RenewLeaseRequest request;
     const auto dataCentre = std::string("dc") + static_cast<char>('1' + entryId.back() % 3);
-    request.entry = {entryId, incarnation, dataCentre, entryId + ":80", entryId + ":81",
-                     Wire::EntryState::Serving};
+    request.entry = {entryId,         incarnation,     dataCentre,
+                     entryId + ":80", entryId + ":81", Wire::EntryState::Serving};
     request.stagedRevision = staged;
     return request;
 }
@@ -144,7 +144,8 @@
         const auto name = "s" + std::to_string(shard);
         index.shards.push_back({name, {name + "a", name + "b"}});
         for (const char *replica : {"a", "b"})
-            index.servers.push_back({name + replica, "127.0.0.1:1", replica[0] == 'a' ? "dc1" : "dc2", false});
+            index.servers.push_back(
+                {name + replica, "127.0.0.1:1", replica[0] == 'a' ? "dc1" : "dc2", false});
     }
     return {document, {}};
 }
--- a/Tests/LibControl/TestControlCore.cpp
+++ b/Tests/LibControl/TestControlCore.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::int64_t Day = std::int64_t {24} * 60 * 60 * 1000;
 
-Wire::ClaimRequestMessage claimBy(const std::string &entryId, std::int64_t createdAt, std::uint64_t attempt = 1)
+Wire::ClaimRequestMessage claimBy(const std::string &entryId, std::int64_t createdAt,
+                                  std::uint64_t attempt = 1)
 {
     return {"request-1", "digest", entryId, 1, createdAt, attempt};
 }
@@ -80,7 +81,8 @@
     EXPECT_EQ(cluster.content().accepted.revision, 2U);
 }
 
-// After a leader change the operator cannot know the result; the promotion must go on and a resend must join it.
+// After a leader change the operator cannot know the result; the promotion must go on and a resend must join
+// it.
 TEST(ControlCore, LeaderChangeDuringPromotion)
 {
     FakeCluster cluster;
