--- a/Libraries/LibQuery/Completer.cpp
+++ b/Libraries/LibQuery/Completer.cpp
@@ -11,7 +11,7 @@
 LackingShard describeLacking(const ShardRow &row)
 {
     LackingShard lacking {row.shard->name, row.lastError.value_or(Base::ErrorKind::DeadlineExceeded),
-                          row.worst};
+                          std::max(row.worst, row.earlierWorst)};
     if (row.state == ShardState::Pending && !row.openAttempts.empty()) {
         lacking.kind = Base::ErrorKind::DeadlineExceeded;
         lacking.run = std::max(lacking.run, Base::RunState::MayHaveRun);
--- a/Libraries/LibQuery/Planner.cpp
+++ b/Libraries/LibQuery/Planner.cpp
@@ -86,7 +86,7 @@
     plan(now, query);
     for (auto &row : query.shards) {
         if (const auto entry = earlier.find(row.shard->name); entry != earlier.end())
-            row.worsen(entry->second);
+            row.earlierWorst = entry->second;
     }
     return true;
 }
--- a/Libraries/LibQuery/QueryRow.h
+++ b/Libraries/LibQuery/QueryRow.h
@@ -25,7 +25,8 @@
     std::vector<ServerKey> tried; ///< Servers that had an attempt since the last backoff.
     std::string body; ///< Of a covered shard.
     std::optional<Base::ErrorKind> lastError;
-    Base::RunState worst = Base::RunState::NotRun; ///< Over all closed attempts, also of an earlier plan.
+    Base::RunState worst = Base::RunState::NotRun; ///< Over all closed attempts of this plan.
+    Base::RunState earlierWorst = Base::RunState::NotRun; ///< Over all attempts of the plan before.
     std::uint32_t chargedRetries = 0;
     std::uint32_t freeRetries = 0;
     bool hedged = false;
--- a/Libraries/LibQuery/RetrySystem.cpp
+++ b/Libraries/LibQuery/RetrySystem.cpp
@@ -35,7 +35,7 @@
     const bool versionGone = !offersVersion(now, tables_.servers, *row.shard, query.indexVersion);
     if (versionGone && planner_.replan(now, query))
         return;
-    decide(now, query, attempt.shardIndex, run == Base::RunState::NotRun);
+    decide(now, query, attempt.shardIndex);
 }
 
 void RetrySystem::run(Base::Instant now, QueryRow &query)
@@ -45,13 +45,15 @@
         if (row.state != ShardState::Pending || !row.retryAt || *row.retryAt > now)
             continue;
         row.retryAt.reset();
-        decide(now, query, index, row.worst == Base::RunState::NotRun);
+        decide(now, query, index);
     }
 }
 
-void RetrySystem::decide(Base::Instant now, QueryRow &query, std::size_t shardIndex, bool free)
+void RetrySystem::decide(Base::Instant now, QueryRow &query, std::size_t shardIndex)
 {
     auto &row = query.shards[shardIndex];
+    // A retry is free only while no backend server may have worked on the shard.
+    const bool free = row.worst == Base::RunState::NotRun;
     const bool attemptsLeft =
         free ? row.freeRetries < MaxFreeRetries : row.chargedRetries < MaxChargedRetries;
     const bool allowed = free || query.caller.idempotent;
--- a/Libraries/LibQuery/RetrySystem.h
+++ b/Libraries/LibQuery/RetrySystem.h
@@ -24,7 +24,7 @@
     void run(Base::Instant now, QueryRow &query);
 
 private:
-    void decide(Base::Instant now, QueryRow &query, std::size_t shardIndex, bool free);
+    void decide(Base::Instant now, QueryRow &query, std::size_t shardIndex);
     void retryAfter(Base::Instant now, QueryRow &query, ShardRow &row, Base::Duration wait);
     bool usableReplica(Base::Instant now, const QueryRow &query, const ShardRow &row) const;
 
