Hedge no earlier than the budget can pay for

Hedging at p95 with a budget of 2% spent the budget on attempts that were about to be answered, so that stragglers found it empty. The quantile is now at least one minus the budget.

--- a/Libraries/LibQuery/HedgeSystem.cpp
+++ b/Libraries/LibQuery/HedgeSystem.cpp
@@ -16,7 +16,10 @@
 {
     if (!query.caller.idempotent)
         return std::nullopt;
-    return tables.latencyByIndex[query.caller.index].quantile(query.trafficClass->hedgeQuantile);
+    // Hedging earlier than the budget can pay for spends it on attempts that are about to be answered.
+    const auto &trafficClass = *query.trafficClass;
+    const auto quantile = std::max(trafficClass.hedgeQuantile, 1.0 - trafficClass.extraLoadBudget);
+    return tables.latencyByIndex[query.caller.index].quantile(quantile);
 }
 
 void HedgeSystem::run(Base::Instant now, QueryRow &query)
