Measure hedge delays without the owner's queue

Two thirds of the hedges that were postponed or denied concerned attempts that waited in a queue. The quantile is now taken over latencies without the queue, and the predicted wait of the chosen server is added to the delay.

--- a/Libraries/LibQuery/Planner.cpp
+++ b/Libraries/LibQuery/Planner.cpp
@@ -36,8 +36,6 @@
         query.shards[index].shard = &shards[index];
         startShard(now, query, index, delay);
     }
-    if (delay)
-        tables_.timers.schedule(now + *delay, query.id);
 }
 
 void Planner::startShard(Base::Instant now, QueryRow &query, std::size_t shardIndex,
@@ -60,8 +58,10 @@
         query.giveUp(row);
         return;
     }
-    if (hedgeDelay && query.caller.idempotent && row.shard->replicas.size() > 1)
-        row.hedgeAt = now + *hedgeDelay;
+    if (hedgeDelay && query.caller.idempotent && row.shard->replicas.size() > 1) {
+        row.hedgeAt = now + *hedgeDelay + tables_.servers.predictedWait(*server, query.typicalLatency);
+        tables_.timers.schedule(*row.hedgeAt, query.id);
+    }
     dispatcher_.send(now, query, shardIndex, *server, AttemptKind::First);
     ++tables_.statistics.firstAttempts;
     tables_.budgetByClass[query.caller.trafficClass].earn(query.trafficClass->extraLoadBudget);
--- a/Libraries/LibQuery/QueryCore.cpp
+++ b/Libraries/LibQuery/QueryCore.cpp
@@ -153,7 +153,7 @@
     const auto elapsed = now - attempt.sentAt;
     const auto queued = std::clamp(Base::Duration(reply.queueMicroseconds), Base::Duration {}, elapsed);
     tables_.servers.recordReply(attempt.server, elapsed - queued);
-    tables_.latencyByIndex[query.caller.index].add(elapsed);
+    tables_.latencyByIndex[query.caller.index].add(elapsed - queued);
     auto &row = query.shards[attempt.shardIndex];
     if (reply.indexVersion != query.indexVersion)
         return retries_.attemptFailed(now, query, attempt, Base::ErrorKind::VersionMismatch,
--- a/Libraries/LibQuery/ServerTable.cpp
+++ b/Libraries/LibQuery/ServerTable.cpp
@@ -147,17 +147,27 @@
     return (others + server.inFlight) / slots;
 }
 
-Base::Duration ServerTable::predictedAnswer(ServerKey key, Base::Duration typical) const
+double ServerTable::expectedLatency(const ServerRow &server, Base::Duration typical) const
+{
+    if (server.latencyMicroseconds > 0.0)
+        return server.latencyMicroseconds;
+    if (server.observation && server.observation->recentLatencyMicroseconds > 0)
+        return static_cast<double>(server.observation->recentLatencyMicroseconds);
+    return static_cast<double>(typical.count());
+}
+
+Base::Duration ServerTable::predictedWait(ServerKey key, Base::Duration typical) const
 {
     const auto &server = rows_[key];
-    auto latency = server.latencyMicroseconds;
-    if (latency <= 0.0 && server.observation)
-        latency = static_cast<double>(server.observation->recentLatencyMicroseconds);
-    if (latency <= 0.0)
-        latency = static_cast<double>(typical.count());
     const double slots = server.observation ? std::max<double>(1.0, server.observation->slots) : 1.0;
-    const double waiting = std::max(0.0, occupancy(key) + 1.0 / slots - 1.0);
-    return Base::Duration(static_cast<Base::Duration::rep>(latency * (1.0 + waiting)));
+    const double turns = std::max(0.0, occupancy(key) + 1.0 / slots - 1.0);
+    return Base::Duration(static_cast<Base::Duration::rep>(expectedLatency(server, typical) * turns));
+}
+
+Base::Duration ServerTable::predictedAnswer(ServerKey key, Base::Duration typical) const
+{
+    const auto latency = static_cast<Base::Duration::rep>(expectedLatency(rows_[key], typical));
+    return predictedWait(key, typical) + Base::Duration(latency);
 }
 
 } // namespace Query
--- a/Libraries/LibQuery/ServerTable.h
+++ b/Libraries/LibQuery/ServerTable.h
@@ -73,10 +73,14 @@
     Standing standing(Base::Instant now, ServerKey key) const;
     /// Requests ahead of a new one, per slot; below 1 while a slot is free.
     double occupancy(ServerKey key) const;
+    /// Part of predictedAnswer() that is spent in the owner's queue.
+    Base::Duration predictedWait(ServerKey key, Base::Duration typical) const;
     /// Time until the reply to an attempt that would be sent now; `typical` stands in for a missing estimate.
     Base::Duration predictedAnswer(ServerKey key, Base::Duration typical) const;
 
 private:
+    double expectedLatency(const ServerRow &server, Base::Duration typical) const;
+
     std::vector<ServerRow> rows_;
     std::unordered_map<std::string, ServerKey> keys_;
 };
