Link both services into one program

Services/Entry and Services/Control each had a class Services::EventQueue, so the program did not link once both were merged; control's is renamed. `status` now derives its problems from the control process's status body: isolation, members that are not heard, entry processes without a live lease, backend servers without an entry process, no leader.

--- a/Services/Cli/DocumentCommands.cpp
+++ b/Services/Cli/DocumentCommands.cpp
@@ -61,10 +61,10 @@
     const auto status = client.askLeader("GET", "/v1/status", {});
     if (!status)
         return tl::unexpected(status.error());
-    const auto accepted = parseBody(status->response).value("accepted", nlohmann::json::object());
-    const auto hash = accepted.value("hash", std::string());
-    if (hash.empty())
+    const auto body = parseBody(status->response);
+    if (!body.contains("production") || !body["production"].is_object())
         return Configuration::Document {};
+    const auto hash = body["production"].value("hash", std::string());
     const auto text = client.askLeader("GET", "/v1/documents/" + hash, {});
     if (!text)
         return tl::unexpected(text.error());
--- a/Services/Cli/ServiceCommands.cpp
+++ b/Services/Cli/ServiceCommands.cpp
@@ -11,12 +11,6 @@
 
 namespace Services {
 
-// FIXME: Remove these two declarations when both services are on main; they let the program link without
-// them.
-Base::Result<void> runControl(const ControlSettings &settings) __attribute__((weak));
-Base::Result<void> runEntry(const EntrySettings &settings) __attribute__((weak));
-// NOLINTEND(readability-redundant-declaration)
-
 namespace {
 
 constexpr Base::Log Log {"daisyroute"};
--- /dev/null
+++ b/Services/Cli/StatusReport.cpp
@@ -0,0 +1,135 @@
+#include "Services/Cli/StatusReport.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Services {
+
+namespace {
+
+using nlohmann::json;
+
+json listOf(const json &status, const char *key)
+{
+    const auto list = status.value(key, json());
+    return list.is_array() ? list : json::array();
+}
+
+std::string textOf(const json &object, const char *key)
+{
+    const auto value = object.value(key, json());
+    return value.is_string() ? value.get<std::string>() : value.dump();
+}
+
+std::size_t unassignedShares(const json &status)
+{
+    const auto shares = listOf(status, "shares");
+    return static_cast<std::size_t>(std::count_if(
+        shares.begin(), shares.end(), [](const json &share) { return textOf(share, "entry").empty(); }));
+}
+
+std::string describeRevision(const json &status, const char *key)
+{
+    const auto revision = status.value(key, json());
+    if (!revision.is_object())
+        return fmt::format("{}: none\n", key);
+    return fmt::format("{}: revision {} hash {} change {}\n", key, textOf(revision, "revision"),
+                       textOf(revision, "hash"), textOf(revision, "change_id"));
+}
+
+std::string describeEntry(const json &entry)
+{
+    return fmt::format("entry {} {} at {} in {}, lease {}\n", textOf(entry, "id"), textOf(entry, "state"),
+                       textOf(entry, "address"), textOf(entry, "data_centre"),
+                       entry.value("lease_live", false) ? "live" : "not live");
+}
+
+} // namespace
+
+void StatusReport::addSilent(const std::string &address, const std::string &reason)
+{
+    processes_.emplace_back(address, nullptr);
+    problems_.push_back(fmt::format("Control process at {} gives no status: {}", address, reason));
+}
+
+void StatusReport::add(const std::string &address, const json &status)
+{
+    processes_.emplace_back(address, status);
+    findMemberProblems(address, status);
+    if (status.value("leads", false)) {
+        leader_ = status;
+        findLeaderProblems(status);
+    }
+}
+
+void StatusReport::findMemberProblems(const std::string &address, const json &status)
+{
+    const auto before = problems_.size();
+    const auto node = fmt::format("{} at {}", textOf(status, "node"), address);
+    if (status.value("isolated", false))
+        problems_.push_back(fmt::format("{} is isolated since {} ms.", node, textOf(status, "isolated_ms")));
+    for (const auto &member : listOf(status, "members")) {
+        if (member.value("unheard", false))
+            problems_.push_back(fmt::format("{} has not heard from {} at {} for {} ms.", node,
+                                            textOf(member, "id"), textOf(member, "address"),
+                                            textOf(member, "silent_ms")));
+    }
+    if (problems_.size() == before && !status.value("healthy", false))
+        problems_.push_back(fmt::format("{} reports that it is not healthy.", node));
+}
+
+void StatusReport::findLeaderProblems(const json &status)
+{
+    for (const auto &entry : listOf(status, "entries")) {
+        if (!entry.value("lease_live", false))
+            problems_.push_back(fmt::format("Entry process {} has no live lease.", textOf(entry, "id")));
+    }
+    if (const auto count = unassignedShares(status); count > 0)
+        problems_.push_back(fmt::format("{} backend servers have no entry process.", count));
+}
+
+std::vector<std::string> StatusReport::problems() const
+{
+    auto all = problems_;
+    if (!leader_.is_object())
+        all.emplace_back("No control process leads.");
+    return all;
+}
+
+json StatusReport::toJson() const
+{
+    auto processes = json::array();
+    for (const auto &[address, status] : processes_)
+        processes.push_back({{"address", address}, {"status", status}});
+    return {{"healthy", isHealthy()}, {"problems", problems()}, {"processes", processes}};
+}
+
+std::string StatusReport::describeSystem() const
+{
+    auto text = describeRevision(leader_, "production") + describeRevision(leader_, "proposed");
+    for (const auto &entry : listOf(leader_, "entries"))
+        text += describeEntry(entry);
+    return text
+           + fmt::format("shares: {} backend servers, {} without entry process\n",
+                         listOf(leader_, "shares").size(), unassignedShares(leader_));
+}
+
+std::string StatusReport::toText() const
+{
+    std::string text;
+    for (const auto &[address, status] : processes_) {
+        if (status.is_null())
+            text += fmt::format("control at {} gives no status\n", address);
+        else
+            text += fmt::format("control {} at {}: {}, term {}, applied index {}\n", textOf(status, "node"),
+                                address, textOf(status, "role"), textOf(status, "term"),
+                                textOf(status, "applied_index"));
+    }
+    if (leader_.is_object())
+        text += describeSystem();
+    for (const auto &problem : problems())
+        text += fmt::format("problem: {}\n", problem);
+    return text + (isHealthy() ? "healthy\n" : "unhealthy\n");
+}
+
+} // namespace Services
--- a/Services/Control/EventQueue.cpp
+++ b/Services/Control/ControlEventQueue.cpp
@@ -1,10 +1,10 @@
-#include "Services/Control/EventQueue.h"
+#include "Services/Control/ControlEventQueue.h"
 
 #include <utility>
 
 namespace Services {
 
-bool EventQueue::post(Event event)
+bool ControlEventQueue::post(Event event)
 {
     {
         const std::lock_guard lock(mutex_);
@@ -16,14 +16,14 @@
     return true;
 }
 
-std::vector<EventQueue::Event> EventQueue::take(Base::Duration timeout)
+std::vector<ControlEventQueue::Event> ControlEventQueue::take(Base::Duration timeout)
 {
     std::unique_lock lock(mutex_);
     posted_.wait_for(lock, timeout, [this] { return !events_.empty(); });
     return std::exchange(events_, {});
 }
 
-void EventQueue::close()
+void ControlEventQueue::close()
 {
     const std::lock_guard lock(mutex_);
     closed_ = true;
--- a/Services/Control/EventQueue.h
+++ b/Services/Control/ControlEventQueue.h
@@ -10,7 +10,7 @@
 namespace Services {
 
 /// Work for the decision thread, posted by the threads of the transports.
-class EventQueue
+class ControlEventQueue
 {
 public:
     using Event = std::function<void()>;
--- a/Services/Control/ControlProcess.h
+++ b/Services/Control/ControlProcess.h
@@ -8,8 +8,8 @@
 #include "LibHttp/Server.h"
 #include "LibPeer/Endpoint.h"
 #include "Services/Control/AddressBook.h"
+#include "Services/Control/ControlEventQueue.h"
 #include "Services/Control/ControlSettings.h"
-#include "Services/Control/EventQueue.h"
 #include "Services/Control/OperatorInterface.h"
 #include "Services/Control/PeerInterface.h"
 
@@ -49,7 +49,7 @@
 
     ControlSettings settings_;
     Base::SystemClock clock_;
-    EventQueue events_;
+    ControlEventQueue events_;
     std::unique_ptr<Consensus::FileLogStore> store_;
     std::unique_ptr<Consensus::RaftNode> raft_;
     Control::ControlCore core_;
--- a/Services/Control/OperatorInterface.h
+++ b/Services/Control/OperatorInterface.h
@@ -4,8 +4,8 @@
 #include "LibConsensus/RaftNode.h"
 #include "LibControl/ControlCore.h"
 #include "LibHttp/Message.h"
+#include "Services/Control/ControlEventQueue.h"
 #include "Services/Control/ControlSettings.h"
-#include "Services/Control/EventQueue.h"
 
 namespace Services {
 
@@ -14,7 +14,7 @@
 class OperatorInterface
 {
 public:
-    OperatorInterface(const ControlSettings &settings, const Base::Clock &clock, EventQueue &events,
+    OperatorInterface(const ControlSettings &settings, const Base::Clock &clock, ControlEventQueue &events,
                       Control::ControlCore &core, Consensus::RaftNode &raft)
         : settings_(settings)
         , clock_(clock)
@@ -50,7 +50,7 @@
 
     const ControlSettings &settings_;
     const Base::Clock &clock_;
-    EventQueue &events_;
+    ControlEventQueue &events_;
     Control::ControlCore &core_;
     Consensus::RaftNode &raft_;
 };
--- a/Services/Control/PeerInterface.h
+++ b/Services/Control/PeerInterface.h
@@ -7,7 +7,7 @@
 #include "LibWire/IntroduceMessages.h"
 #include "LibWire/Method.h"
 #include "Services/Control/AddressBook.h"
-#include "Services/Control/EventQueue.h"
+#include "Services/Control/ControlEventQueue.h"
 
 #include <functional>
 #include <memory>
@@ -22,7 +22,7 @@
     using ResponderPointer = std::shared_ptr<Peer::Responder>;
 
     /// `identity` is what other control nodes are told about this one.
-    PeerInterface(const Base::Clock &clock, EventQueue &events, Control::ControlCore &core,
+    PeerInterface(const Base::Clock &clock, ControlEventQueue &events, Control::ControlCore &core,
                   Consensus::RaftNode &raft, AddressBook &addresses,
                   std::function<Wire::IntroduceNodeReply()> identity)
         : clock_(clock)
@@ -50,7 +50,7 @@
     void recordOutcome(const Wire::RecordOutcomeRequest &request, const ResponderPointer &responder);
 
     const Base::Clock &clock_;
-    EventQueue &events_;
+    ControlEventQueue &events_;
     AddressBook &addresses_;
     std::function<Wire::IntroduceNodeReply()> identity_;
     Control::ControlCore &core_;
