--- a/Tests/LibConsensus/TestRaftExplorer.cpp
+++ b/Tests/LibConsensus/TestRaftExplorer.cpp
@@ -10,9 +10,9 @@
 
 constexpr std::uint64_t FirstSeed = 20'261'204;
 constexpr unsigned Episodes = 120;
-constexpr unsigned StepsPerEpisode = 1500;
+constexpr unsigned StepsPerEpisode = 2500;
 constexpr std::size_t RequiredStates = 20'000;
-constexpr std::size_t MaxMessages = 48;
+constexpr std::size_t MaxMessages = 24;
 
 struct Totals
 {
@@ -54,27 +54,25 @@
     void stepOnce()
     {
         const auto roll = random_.below(1000);
-        if (roll < 600)
+        if (roll < 700)
             deliverOne();
-        else if (roll < 820)
+        else if (roll < 840)
             passTime();
-        else if (roll < 900)
+        else if (roll < 890)
             (void)cluster_.propose(anyNode(), fmt::format("{}", ++commands_));
-        else if (roll < 940)
+        else if (roll < 920)
             cluster_.repairStep();
-        else if (roll < 960)
+        else if (roll < 950)
             cluster_.restart(anyNode());
-        else if (roll < 970)
+        else if (roll < 965)
             crashOne();
-        else if (roll < 980)
+        else if (roll < 975)
             cluster_.compact(anyNode());
-        else if (roll < 992)
+        else if (roll < 985)
             changeMembers();
-        else if (roll < 995)
-            cut_ = {anyNode(), anyNode()};
-        else if (roll < 997)
-            cut_ = {};
-        else
+        else if (roll < 990)
+            changeCut();
+        else if (roll < 994)
             cluster_.advance(Base::milliseconds(300 + random_.below(1200)));
     }
 
@@ -97,8 +95,17 @@
 
     bool isCut(const Wire::RaftMessage &message) const
     {
-        return cut_.first != cut_.second && message.from == cluster_.member(cut_.first, true).nodeId
-               && message.to == cluster_.member(cut_.second, true).nodeId;
+        const auto cuts = [&](std::size_t from, std::size_t to) {
+            return message.from == cluster_.member(from, true).nodeId
+                   && message.to == cluster_.member(to, true).nodeId;
+        };
+        return cuts(cut_.first, cut_.second) || (cutBothWays_ && cuts(cut_.second, cut_.first));
+    }
+
+    void changeCut()
+    {
+        cut_ = {anyNode(), anyNode()};
+        cutBothWays_ = chance(50);
     }
 
     void passTime()
@@ -112,7 +119,9 @@
 
     void crashOne()
     {
-        cluster_.crash(anyNode());
+        // Leaders are hit more often, because their successors must find what they left.
+        const auto leader = cluster_.leader();
+        cluster_.crash(leader < cluster_.size() && chance(60) ? leader : anyNode());
         ++totals_.crashes;
     }
 
@@ -152,7 +161,9 @@
     SimulatedCluster cluster_;
     Totals &totals_;
     bool removesMembers_;
-    std::pair<std::size_t, std::size_t> cut_;
+    std::pair<std::size_t, std::size_t>
+        cut_; ///< The same node twice means no cut, because no node sends to itself.
+    bool cutBothWays_ = false;
     unsigned commands_ = 0;
 };
 
--- a/Tests/LibConsensus/TestRaftNode.cpp
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -53,3 +53,125 @@
     cluster.run(Base::seconds(1));
     EXPECT_EQ(cluster.applied(leader), "a,b,");
 }
+
+// A process that was frozen must not act as leader before its first tick, because a successor may exist.
+TEST_F(RaftNodeTest, FrozenLeaderLosesLeadershipWithoutTick)
+{
+    cluster.advance(Base::milliseconds(600));
+    EXPECT_FALSE(cluster.node(leader)->isLeader(cluster.now()));
+    EXPECT_EQ(cluster.node(leader)->propose(cluster.now(), {}).error().kind, Base::ErrorKind::NotLeader);
+}
+
+// A cut-off node must report itself, and the leader must name it; its return must not depose the leader.
+TEST_F(RaftNodeTest, ReportsIsolationAndReturnsQuietly)
+{
+    const auto term = status(leader).term;
+    cluster.run(Base::seconds(10), {follower});
+    EXPECT_TRUE(status(follower).isolated);
+    EXPECT_GT(status(follower).isolatedFor, Base::seconds(9));
+    EXPECT_FALSE(status(leader).isolated);
+    EXPECT_GT(status(leader).members[follower].silentFor, Base::seconds(9));
+    cluster.run(Settle);
+    EXPECT_FALSE(status(follower).isolated);
+    EXPECT_EQ(status(leader).term, term);
+    EXPECT_EQ(cluster.leader(), leader);
+}
+
+// A leader on the smaller side of a partition must step down and report itself.
+TEST_F(RaftNodeTest, IsolatedLeaderStepsDown)
+{
+    cluster.run(Base::seconds(5), {leader});
+    EXPECT_NE(status(leader).role, Consensus::Role::Leader);
+    EXPECT_TRUE(status(leader).isolated);
+    EXPECT_NE(cluster.leader(), leader);
+    EXPECT_LT(cluster.leader(), cluster.size());
+}
+
+// A removed node that still asks for votes must not get them from a node that hears a leader.
+TEST_F(RaftNodeTest, RefusesVoteWhileLeaderIsHeard)
+{
+    const auto term = status(follower).term;
+    Wire::RaftMessage request;
+    request.kind = Wire::RaftMessageKind::VoteRequest;
+    request.from = "removed";
+    request.to = cluster.member(follower, true).nodeId;
+    request.toIncarnation = cluster.member(follower, true).incarnation;
+    request.term = term + 5;
+    request.previousIndex = 1000;
+    request.previousTerm = term + 4;
+    cluster.node(follower)->receive(cluster.now(), request);
+    const auto ready = cluster.node(follower)->takeReady(cluster.now());
+    ASSERT_EQ(ready->messages.size(), 1U);
+    EXPECT_FALSE(ready->messages[0].granted);
+    EXPECT_EQ(status(follower).term, term);
+}
+
+// A follower whose missing entries were compacted must get them by snapshot.
+TEST_F(RaftNodeTest, SendsSnapshotToFollowerThatIsBehind)
+{
+    cluster.crash(follower);
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    cluster.compact(leader);
+    cluster.restart(follower);
+    cluster.run(Base::seconds(1));
+    ASSERT_TRUE(cluster.propose(leader, "b"));
+    cluster.run(Base::seconds(1));
+    EXPECT_EQ(cluster.applied(follower), "a,b,");
+    EXPECT_GT(cluster.store(follower).firstIndex(), 1U);
+}
+
+// An emptied disk must come back as a learner, and must not vote before it holds the synced log.
+TEST_F(RaftNodeTest, ReplacesEmptiedDiskByCaughtUpLearner)
+{
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    cluster.wipe(follower);
+    cluster.restart(follower);
+    cluster.run(Settle);
+    EXPECT_EQ(status(follower).role, Consensus::Role::Learner);
+    EXPECT_EQ(status(follower).lastIndex, 0U);
+    cluster.repairStep();
+    cluster.run(Base::seconds(1), {follower});
+    cluster.repairStep();
+    cluster.run(Base::seconds(1), {follower});
+    Wire::RaftMembership promoted;
+    for (const auto &listed : status(leader).members)
+        promoted.members.push_back(listed.member);
+    promoted.members.back().voter = true;
+    const auto early = cluster.node(leader)->proposeMembership(cluster.now(), promoted);
+    EXPECT_EQ(early.error().kind, Base::ErrorKind::InProgress);
+    cluster.run(Base::seconds(1));
+    EXPECT_TRUE(cluster.node(leader)->proposeMembership(cluster.now(), promoted).has_value());
+    cluster.run(Base::seconds(1));
+    EXPECT_TRUE(cluster.isFullyRepaired());
+    EXPECT_EQ(cluster.applied(follower), "a,");
+}
+
+// Two changes at once could form majorities that do not overlap.
+TEST_F(RaftNodeTest, RefusesUnsafeMembershipChanges)
+{
+    const auto propose = [&](const std::vector<Wire::RaftMember> &members) {
+        return cluster.node(leader)->proposeMembership(cluster.now(), {members});
+    };
+    const std::vector voters {cluster.member(0, true), cluster.member(1, true), cluster.member(2, true)};
+    const Wire::RaftMember other {"other", 99, "", false};
+    EXPECT_FALSE(propose(voters).has_value());
+    EXPECT_FALSE(propose({voters[leader]}).has_value());
+    EXPECT_FALSE(propose({voters[0], voters[1], other}).has_value());
+    EXPECT_FALSE(propose({voters[0], voters[1], voters[2], {"other", 99, "", true}}).has_value());
+    EXPECT_TRUE(propose({voters[0], voters[1], voters[2], other}).has_value());
+    EXPECT_EQ(propose(voters).error().kind, Base::ErrorKind::InProgress);
+}
+
+// A node whose directory was emptied must not start a new cluster under the old list of members.
+TEST(RaftNode, RefusesInitialMembersOfAnotherIncarnation)
+{
+    MemoryLogStore store(2);
+    Consensus::RaftOptions options;
+    options.nodeId = "node-0";
+    options.initialMembers = {{"node-0", 1, "", true}};
+    const auto node = Consensus::RaftNode::create(options, store, {});
+    ASSERT_FALSE(node.has_value());
+    EXPECT_EQ(node.error().kind, Base::ErrorKind::SettingInvalid);
+}
