Test silent cuts and unauthenticated calls; tighten the stop of entry processes

- A relay that stops forwarding shows that both ends of a peer connection notice a silent cut by PING after 3 s: the call fails as PeerReplyLost and the server cancels its request, although the call's own timeout is 120 s.
- A hand-made HTTP/2 request without authentication gets Unauthorized and never reaches the handler.
- A leaving entry process waits for the renewal on its way before it sends its last message; a renewal that came later would register it again.
- It no longer waits 10 s for control to take its shares when its lease has expired, because control then takes them by itself.
- An error that the leader itself gave no longer moves renewals on to another control process.

--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -410,17 +410,21 @@
 
 void EntryLoop::finishWhenIdle(Base::Instant deadline)
 {
-    const bool released = !ownsShares() || now() >= deadline;
+    // Without a lease, control takes the shares by itself.
+    const bool released = !ownsShares() || !context_.lease->isValid() || now() >= deadline;
     if (!query_.busy() && !owner_.hasWork() && released) {
-        sendFinished();
-        return;
+        leaseClient_.stop();
+        // A renewal that overtook the last message would register this process again.
+        if (!leaseClient_.isInFlight()) {
+            sendFinished();
+            return;
+        }
     }
     context_.events->postAt(now() + IdleCheckInterval, [this, deadline] { finishWhenIdle(deadline); });
 }
 
 void EntryLoop::sendFinished()
 {
-    leaseClient_.stop();
     auto request = describeRenewal();
     request.finished = true;
     control_.call(Wire::Method::RenewLease, Wire::encode(request), FinishedTimeout,
--- a/Services/Entry/LeaderClient.cpp
+++ b/Services/Entry/LeaderClient.cpp
@@ -20,6 +20,12 @@
            || kind == ErrorKind::Unauthorized || kind == ErrorKind::ShuttingDown;
 }
 
+/// Errors that another control process would not give. After any other, the leader itself has replied.
+bool concernsProcess(ErrorKind kind)
+{
+    return leaderDidNotGetIt(kind) || kind == ErrorKind::PeerReplyLost || kind == ErrorKind::OutcomeUnknown;
+}
+
 } // namespace
 
 struct LeaderClient::Pending
@@ -98,7 +104,7 @@
 void LeaderClient::moveOn(const std::string &from, const Base::Error &error)
 {
     // Several calls may fail on one process; only the first of them moves on.
-    if (addresses_[current_] != from)
+    if (addresses_[current_] != from || !concernsProcess(error.kind))
         return;
     const auto hinted = std::find(addresses_.begin(), addresses_.end(), error.detail);
     if (error.kind == ErrorKind::NotLeader && hinted != addresses_.end() && *hinted != from)
--- a/Services/Entry/LeaseClient.h
+++ b/Services/Entry/LeaseClient.h
@@ -30,6 +30,9 @@
     /// Ends the renewals.
     void stop() { stopped_ = true; }
 
+    /// True while a renewal is on its way.
+    bool isInFlight() const { return inFlight_; }
+
 private:
     void renew();
     void finished(Base::Instant sentAt, const Base::Result<Base::Bytes> &result);
--- a/Tests/LibPeer/TestEndpoint.cpp
+++ b/Tests/LibPeer/TestEndpoint.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/PeerFixture.h"
+#include "LibPeer/Relay.h"
 #include "Support/RawSocket.h"
 
 #include <gtest/gtest.h>
@@ -221,6 +222,43 @@
     stalled.receiveAll();
 }
 
+// Guards against calls that wait for their whole timeout after a silent cut of the network.
+TEST(Endpoint, NoticesSilentCut)
+{
+    const auto held = std::make_shared<HeldRequests>();
+    const auto server = makeEndpoint(holdIn(held));
+    const auto client = makeEndpoint();
+    Relay relay(server->listenAddress());
+    auto reply = startCall(*client, relay.address(), {1});
+    held->waitFor(1);
+    std::promise<void> cancelled;
+    held->requests.front().second->onCancelled([&] { cancelled.set_value(); });
+    relay.cut();
+    const auto result = reply.get();
+    ASSERT_FALSE(result);
+    EXPECT_EQ(result.error().kind, Base::ErrorKind::PeerReplyLost);
+    EXPECT_NE(result.error().detail.find("silent"), std::string::npos) << result.error().detail;
+    // The server notices it too, and stops working for a caller that is gone.
+    cancelled.get_future().wait();
+}
+
+// Guards against calls that are served without any proof of the secret.
+TEST(Endpoint, RefusesCallsBeforeAuthentication)
+{
+    std::atomic<int> handled {0};
+    const auto server = makeEndpoint(
+        [&](Wire::Method, const Base::Bytes &, const std::shared_ptr<Responder> &) { ++handled; });
+    const std::string path = "/peer/execute-subrequest";
+    // HPACK: POST and http from the static table, then literal :authority and :path.
+    const auto block = std::string("\x83\x86\x01\x01p\x04") + static_cast<char>(path.size()) + path;
+    const auto headers = std::string("\0\0", 2) + static_cast<char>(block.size())
+                         + std::string("\x01\x05\0\0\0\x01", 6) + block;
+    const auto socket = Support::RawSocket::connectTo(server->listenAddress());
+    socket.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + std::string("\0\0\0\x04\0\0\0\0\0", 9) + headers);
+    EXPECT_NE(socket.receiveUntil("not authenticated").find("not authenticated"), std::string::npos);
+    EXPECT_EQ(handled, 0);
+}
+
 // Guards against a planned stop that interrupts a request in flight.
 TEST(Endpoint, ShutdownWaitsForOpenRequests)
 {
