Count overdue attempts and the order of owners' queues in predictions

Traces of slow queries showed shards where two stragglers held half of the slots while their hedges were postponed behind a queue. An overdue attempt now counts as a lost slot of its server, and a hedge is predicted to wait only for a slot, since owners dispatch by deadline and its query is older.

--- a/Libraries/LibQuery/AttemptTable.h
+++ b/Libraries/LibQuery/AttemptTable.h
@@ -31,6 +31,7 @@
     std::string ownerEntryId;
     Base::Instant sentAt {};
     AttemptKind kind = AttemptKind::First;
+    bool overdue = false; ///< Counted in ServerRow::overdue.
 };
 
 /// Open attempts. An id names entry process, its incarnation and a counter, so it is unique in the system.
--- a/Libraries/LibQuery/Dispatcher.cpp
+++ b/Libraries/LibQuery/Dispatcher.cpp
@@ -18,7 +18,8 @@
 {
     auto &row = query.shards[shardIndex];
     const auto &target = tables_.servers.row(server);
-    const auto key = tables_.attempts.add({query.id, shardIndex, server, target.ownerEntryId, now, kind});
+    const auto key =
+        tables_.attempts.add({query.id, shardIndex, server, target.ownerEntryId, now, kind, false});
     row.openAttempts.push_back(key);
     row.tried.push_back(server);
     tables_.servers.attemptStarted(now, server);
@@ -51,7 +52,7 @@
         return std::nullopt;
     auto attempt = *found;
     tables_.attempts.erase(key);
-    tables_.servers.attemptEnded(attempt.server);
+    tables_.servers.attemptEnded(attempt.server, attempt.overdue);
     std::erase(tables_.queries.at(attempt.queryId).shards[attempt.shardIndex].openAttempts, key);
     return attempt;
 }
--- a/Libraries/LibQuery/HedgeSystem.cpp
+++ b/Libraries/LibQuery/HedgeSystem.cpp
@@ -35,7 +35,10 @@
 void HedgeSystem::hedge(Base::Instant now, QueryRow &query, std::size_t shardIndex)
 {
     auto &row = query.shards[shardIndex];
-    const auto *open = tables_.attempts.find(row.openAttempts.front());
+    auto *open = tables_.attempts.find(row.openAttempts.front());
+    if (!open->overdue)
+        tables_.servers.attemptOverdue(open->server);
+    open->overdue = true;
     const auto elapsed = now - open->sentAt;
     ReplicaRequest request;
     request.shard = row.shard;
@@ -49,7 +52,7 @@
         return postpone(now, query, row);
 
     // An attempt that is late already is expected to take at least as long again.
-    const auto predicted = tables_.servers.predictedAnswer(*server, query.typicalLatency);
+    const auto predicted = tables_.servers.predictedHedge(*server, query.typicalLatency);
     if (predicted >= elapsed || now + predicted >= query.deadline)
         return postpone(now, query, row);
     if (!tables_.budgetByClass[query.caller.trafficClass].take()) {
--- a/Libraries/LibQuery/ServerTable.cpp
+++ b/Libraries/LibQuery/ServerTable.cpp
@@ -13,6 +13,9 @@
 constexpr Base::Duration FirstEjection = Base::seconds(1);
 constexpr std::uint32_t MaxEjectionDoublings = 4;
 
+/// Slots assumed for a server that has an overdue attempt in each of them; the wait is then three turns.
+constexpr double MinFreeSlots = 0.25;
+
 constexpr double LatencyWeight = 0.1;
 /// A single sample counts as at most this multiple of the average, so that one straggler does not turn the
 /// choice away from a healthy server.
@@ -77,9 +80,10 @@
         server.probing = true;
 }
 
-void ServerTable::attemptEnded(ServerKey key)
+void ServerTable::attemptEnded(ServerKey key, bool overdue)
 {
     auto &server = rows_[key];
+    server.overdue -= overdue ? 1 : 0;
     server.inFlight -= server.inFlight > 0 ? 1 : 0;
     if (server.inFlight == 0)
         server.probing = false;
@@ -156,12 +160,25 @@
     return static_cast<double>(typical.count());
 }
 
-Base::Duration ServerTable::predictedWait(ServerKey key, Base::Duration typical) const
+double ServerTable::turnsUntilSlot(const ServerRow &server) const
+{
+    const double slots = server.observation ? std::max<double>(1.0, server.observation->slots) : 1.0;
+    // An overdue attempt is likely to hold its slot for much longer than one turn.
+    return 1.0 / std::max(slots - server.overdue, MinFreeSlots);
+}
+
+double ServerTable::turnsUntilDispatch(ServerKey key) const
 {
     const auto &server = rows_[key];
     const double slots = server.observation ? std::max<double>(1.0, server.observation->slots) : 1.0;
-    const double turns = std::max(0.0, occupancy(key) + 1.0 / slots - 1.0);
-    return Base::Duration(static_cast<Base::Duration::rep>(expectedLatency(server, typical) * turns));
+    const double ahead = std::max(0.0, occupancy(key) * slots - server.overdue);
+    return std::max(0.0, (ahead + 1.0) * turnsUntilSlot(server) - 1.0);
+}
+
+Base::Duration ServerTable::predictedWait(ServerKey key, Base::Duration typical) const
+{
+    const auto wait = expectedLatency(rows_[key], typical) * turnsUntilDispatch(key);
+    return Base::Duration(static_cast<Base::Duration::rep>(wait));
 }
 
 Base::Duration ServerTable::predictedAnswer(ServerKey key, Base::Duration typical) const
@@ -170,4 +187,11 @@
     return predictedWait(key, typical) + Base::Duration(latency);
 }
 
+Base::Duration ServerTable::predictedHedge(ServerKey key, Base::Duration typical) const
+{
+    const auto turns = std::min(turnsUntilDispatch(key), turnsUntilSlot(rows_[key]));
+    const auto answer = expectedLatency(rows_[key], typical) * (1.0 + turns);
+    return Base::Duration(static_cast<Base::Duration::rep>(answer));
+}
+
 } // namespace Query
--- a/Libraries/LibQuery/ServerTable.h
+++ b/Libraries/LibQuery/ServerTable.h
@@ -36,6 +36,7 @@
     Base::Instant observedAt {};
     std::uint32_t inFlight = 0; ///< Attempts of this process.
     std::uint32_t inFlightWhenObserved = 0;
+    std::uint32_t overdue = 0; ///< Attempts of this process in flight for longer than the hedge delay.
     double latencyMicroseconds = 0.0; ///< Own moving average without the owner's queue; 0 means none.
     std::uint32_t consecutiveFailures = 0;
     std::uint32_t consecutiveEjections = 0;
@@ -63,7 +64,8 @@
     void withdrawVersion(ServerKey key, std::uint64_t version);
 
     void attemptStarted(Base::Instant now, ServerKey key);
-    void attemptEnded(ServerKey key);
+    void attemptOverdue(ServerKey key) { ++rows_[key].overdue; }
+    void attemptEnded(ServerKey key, bool overdue);
     void recordReply(ServerKey key, Base::Duration latency);
     /// Counts a failure or a missing reply; returns true when it ejects the server.
     bool recordFailure(Base::Instant now, ServerKey key);
@@ -77,8 +79,13 @@
     Base::Duration predictedWait(ServerKey key, Base::Duration typical) const;
     /// Time until the reply to an attempt that would be sent now; `typical` stands in for a missing estimate.
     Base::Duration predictedAnswer(ServerKey key, Base::Duration typical) const;
+    /// The same for a hedge. Owners dispatch by deadline, so an older query passes what is queued and waits
+    /// only for a slot.
+    Base::Duration predictedHedge(ServerKey key, Base::Duration typical) const;
 
 private:
+    double turnsUntilSlot(const ServerRow &server) const;
+    double turnsUntilDispatch(ServerKey key) const;
     double expectedLatency(const ServerRow &server, Base::Duration typical) const;
 
     std::vector<ServerRow> rows_;
