Count the traffic between processes and publish metrics on control processes

Cause: the control overhead per node has a limit in bytes, and nothing counted it. Calls and payloads are counted by method at the calling process, socket bytes at both ends, so that framing is included. Control processes now serve /metrics, as docs/HTTP.md says; it was missing.

Ruled out: kernel counters per process, which do not exist without network namespaces.

--- a/Libraries/LibPeer/Connection.cpp
+++ b/Libraries/LibPeer/Connection.cpp
@@ -100,6 +100,8 @@
         if (count < 0)
             return fail(std::strerror(errno)); // NOLINT: glibc's strerror is thread-safe for known codes.
         lastReceived_ = now;
+        if (traffic_ != nullptr)
+            traffic_->countSocketBytesReceived(static_cast<std::size_t>(count));
         const auto used = nghttp2_session_mem_recv(session_, chunk.data(), static_cast<std::size_t>(count));
         if (used < 0)
             return fail(nghttp2_strerror(static_cast<int>(used)));
@@ -130,6 +132,8 @@
         if (count < 0)
             return fail(std::strerror(errno)); // NOLINT: glibc's strerror is thread-safe for known codes.
         outputOffset_ += static_cast<std::size_t>(count);
+        if (traffic_ != nullptr)
+            traffic_->countSocketBytesSent(static_cast<std::size_t>(count));
     }
     if (nghttp2_session_want_read(session_) == 0 && nghttp2_session_want_write(session_) == 0)
         return fail("session ended");
--- a/Libraries/LibPeer/Connection.h
+++ b/Libraries/LibPeer/Connection.h
@@ -3,6 +3,7 @@
 #include "LibBase/Bytes.h"
 #include "LibBase/Time.h"
 #include "LibPeer/FileDescriptor.h"
+#include "LibPeer/TrafficCounters.h"
 
 #include <cstdint>
 #include <map>
@@ -26,6 +27,9 @@
 
     int descriptor() const { return socket_.get(); }
 
+    /// Adds the bytes on the socket to `counters`, which must outlive the connection.
+    void countTraffic(TrafficCounters &counters) { traffic_ = &counters; }
+
     /// Reads what has arrived; returns false when the connection is finished.
     virtual bool receive(Base::Instant now);
 
@@ -95,6 +99,7 @@
 
     FileDescriptor socket_;
     nghttp2_session *session_ = nullptr;
+    TrafficCounters *traffic_ = nullptr;
     std::map<std::int32_t, OutgoingBody> outgoing_;
     Base::Bytes output_;
     std::size_t outputOffset_ = 0;
--- a/Libraries/LibPeer/Endpoint.cpp
+++ b/Libraries/LibPeer/Endpoint.cpp
@@ -97,10 +97,15 @@
     Call call;
     call.id = id;
     call.method = method;
+    loop.traffic().countCall(method, payload.size());
     call.payload = std::move(payload);
     call.deadline = loop.clock().now() + timeout;
     // Shared, so that the handler is still here when the mailbox is closed and drops the task.
-    call.done = std::move(done);
+    call.done = [&loop, method, done = std::move(done)](Base::Result<Base::Bytes> reply) {
+        if (reply)
+            loop.traffic().countReply(method, reply->size());
+        done(std::move(reply));
+    };
     auto shared = std::make_shared<Call>(std::move(call));
     const auto posted = loop.mailbox()->post(
         [&loop, shared, target = std::string(address)] { loop.startCall(target, std::move(*shared)); });
@@ -109,6 +114,11 @@
     return id;
 }
 
+const TrafficCounters &Endpoint::traffic() const
+{
+    return implementation_->loop.traffic();
+}
+
 void Endpoint::cancel(CallId id)
 {
     auto &loop = implementation_->loop;
--- a/Libraries/LibPeer/Endpoint.h
+++ b/Libraries/LibPeer/Endpoint.h
@@ -4,6 +4,7 @@
 #include "LibBase/Error.h"
 #include "LibBase/Time.h"
 #include "LibPeer/Responder.h"
+#include "LibPeer/TrafficCounters.h"
 #include "LibWire/Method.h"
 
 #include <cstdint>
@@ -51,6 +52,8 @@
     /// Resets the stream of a call; its handler runs with Cancelled unless it already ran. Thread-safe.
     void cancel(CallId id);
 
+    const TrafficCounters &traffic() const;
+
     /// Stops taking new calls, waits up to `timeout` for open streams, then stops the thread.
     void shutDown(Base::Duration timeout);
 
--- a/Libraries/LibPeer/EndpointLoop.cpp
+++ b/Libraries/LibPeer/EndpointLoop.cpp
@@ -151,6 +151,7 @@
 {
     watch(epoll_.get(), connection->descriptor(), id, EPOLLIN | EPOLLOUT, EPOLL_CTL_ADD);
     writeInterest_[id] = true;
+    connection->countTraffic(traffic_);
     connections_.emplace(id, std::move(connection));
 }
 
--- a/Libraries/LibPeer/EndpointLoop.h
+++ b/Libraries/LibPeer/EndpointLoop.h
@@ -37,6 +37,7 @@
     const std::shared_ptr<Mailbox> &mailbox() const { return mailbox_; }
     std::string listenAddress() const { return listenAddress_; }
     const Base::Clock &clock() const { return clock_; }
+    TrafficCounters &traffic() { return traffic_; }
 
 private:
     using ConnectionId = std::uint64_t;
@@ -73,6 +74,7 @@
     std::string listenAddress_;
     ServerContext context_;
     CallTable calls_;
+    TrafficCounters traffic_;
     std::unordered_map<ConnectionId, std::unique_ptr<Connection>> connections_;
     std::map<std::string, ConnectionId, std::less<>> clientConnections_;
     std::map<std::string, Backoff, std::less<>> backoffs_;
--- a/Services/Control/ControlProcess.cpp
+++ b/Services/Control/ControlProcess.cpp
@@ -123,7 +123,12 @@
 
     Http::ServerOptions httpOptions;
     httpOptions.listenAddress = settings_.httpAddress;
-    httpOptions.handler = [this](const Http::Request &request) { return operators_.handle(request); };
+    httpOptions.handler = [this](const Http::Request &request) {
+        // Monitoring needs no key and must work while the decision thread is busy.
+        if (request.method == "GET" && request.path == "/metrics")
+            return Http::Response {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_.text()};
+        return operators_.handle(request);
+    };
     auto server = Http::Server::create(std::move(httpOptions));
     if (!server)
         return tl::unexpected(server.error());
@@ -170,6 +175,7 @@
         core_.tick(now);
         const auto status = raft_->status(now);
         watch_.observe(status);
+        metrics_.update(status, core_, endpoint_->traffic());
         introduceToLearners(status);
     }
     auto stepped = step();
--- a/Services/Control/ControlProcess.h
+++ b/Services/Control/ControlProcess.h
@@ -9,6 +9,7 @@
 #include "LibPeer/Endpoint.h"
 #include "Services/Control/AddressBook.h"
 #include "Services/Control/ControlEventQueue.h"
+#include "Services/Control/ControlMetrics.h"
 #include "Services/Control/ControlSettings.h"
 #include "Services/Control/OperatorInterface.h"
 #include "Services/Control/PeerInterface.h"
@@ -57,6 +58,7 @@
     AddressBook addresses_;
     OperatorInterface operators_;
     PeerInterface peers_;
+    ControlMetrics metrics_;
     Base::Instant nextTick_;
     Base::Instant nextIntroduction_;
     std::uint64_t compactedIndex_ = 0;
--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -1,6 +1,7 @@
 #include "Services/Entry/EntryLoop.h"
 
 #include "LibBase/Log.h"
+#include "Services/Common/PeerMetrics.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -69,6 +70,7 @@
                     observe(owner, servers);
                 })
     , vmList_(settings.vmListFile)
+    , endpoint_(endpoint)
     , metrics_(context_.metrics)
 {
 }
@@ -128,6 +130,7 @@
     const auto observations = owner_.observations();
     for (const auto &observation : observations)
         metrics_.update(observation);
+    updatePeerMetrics(*context_.metrics, endpoint_.traffic());
     metrics_.updateProcess(context_.lease->until() - now(), configuration_.revision(), observations.size());
     context_.events->postAt(now() + PeriodicInterval, [this] { tickPeriodically(); });
 }
--- a/Services/Entry/EntryLoop.h
+++ b/Services/Entry/EntryLoop.h
@@ -114,6 +114,7 @@
     SubrequestClient subrequests_;
     Observer observer_;
     VmList vmList_;
+    Peer::Endpoint &endpoint_;
     EntryMetrics metrics_;
     SenderTable senders_;
     CallerTable callers_;
