--- a/Tests/LibConsensus/TestRaftNode.cpp
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -87,9 +87,12 @@
     EXPECT_LT(cluster.leader(), cluster.size());
 }
 
-// A removed node that still asks for votes must not get them from a node that hears a leader.
+// A removed node that still asks for votes must not get them from a node that hears a leader, nor from one
+// that has forgotten in a restart that it heard one.
 TEST_F(RaftNodeTest, RefusesVoteWhileLeaderIsHeard)
 {
+    cluster.crash(follower);
+    cluster.restart(follower);
     const auto term = status(follower).term;
     Wire::RaftMessage request;
     request.kind = Wire::RaftMessageKind::VoteRequest;
@@ -175,3 +178,41 @@
     ASSERT_FALSE(node.has_value());
     EXPECT_EQ(node.error().kind, Base::ErrorKind::SettingInvalid);
 }
+
+// An entry of an earlier term on a majority can still be replaced by a later leader, so it must not count as
+// committed before an entry of the leader's own term is (the paper's figure 8).
+TEST(RaftNode, CommitsEarlierTermsOnlyThroughItsOwn)
+{
+    MemoryLogStore store(1);
+    Consensus::RaftOptions options;
+    options.nodeId = "node-0";
+    options.initialMembers = {{"node-0", 1, "", true}, {"node-1", 2, "", true}, {"node-2", 3, "", true}};
+    auto node = *Consensus::RaftNode::create(options, store, {});
+    node.reset();
+    const Wire::RaftEntry earlier {2, 2, Wire::RaftEntryKind::Command, {}};
+    ASSERT_TRUE(store.append({&earlier, 1}).has_value());
+    ASSERT_TRUE(store.setHardState({3, {}, 0}).has_value());
+    node = *Consensus::RaftNode::create(options, store, {});
+    const Base::Instant now {Base::seconds(2)};
+    node->tick(now);
+    Wire::RaftMessage reply;
+    reply.from = "node-1";
+    reply.fromIncarnation = 2;
+    reply.to = "node-0";
+    reply.toIncarnation = 1;
+    reply.term = 4;
+    reply.granted = true;
+    reply.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const auto receive = [&](Wire::RaftMessageKind kind, std::uint64_t matchIndex) {
+        reply.kind = kind;
+        reply.matchIndex = matchIndex;
+        node->receive(now, reply);
+        EXPECT_TRUE(node->takeReady(now).has_value());
+        return node->status(now).commitIndex;
+    };
+    receive(Wire::RaftMessageKind::PreVoteReply, 0);
+    receive(Wire::RaftMessageKind::VoteReply, 0);
+    ASSERT_EQ(node->status(now).role, Consensus::Role::Leader);
+    EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 2), 0U);
+    EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 3), 3U);
+}
