Give up attempts that stay late while their hedge is open

Traces showed stragglers that held their slots for 75 ms because their hedges waited in a queue, and a burst on the halved capacity. An attempt that is two hedge delays old while its hedge is open is now cancelled, and the hedge can be hedged in turn, at most three times per shard and within the budget.

The model of the property test now counts an attempt that was cancelled as never proven not run, since the core does not hear of it any more.

--- a/Libraries/LibQuery/Dispatcher.cpp
+++ b/Libraries/LibQuery/Dispatcher.cpp
@@ -61,16 +61,23 @@
 {
     while (!row.openAttempts.empty()) {
         const auto key = row.openAttempts.back();
-        const auto loser = *tables_.attempts.find(key);
-        if (loser.sentAt < winner.sentAt) {
-            tables_.servers.recordSilence(loser.server, now - loser.sentAt);
-            tables_.latencyByIndex[query.caller.index].add(now - loser.sentAt);
-            tables_.statistics.ejections += tables_.servers.recordFailure(now, loser.server) ? 1 : 0;
-        }
-        cancel(key);
+        if (tables_.attempts.find(key)->sentAt < winner.sentAt)
+            abandon(now, query, key);
+        else
+            cancel(key);
     }
 }
 
+void Dispatcher::abandon(Base::Instant now, QueryRow &query, AttemptKey key)
+{
+    const auto attempt = *tables_.attempts.find(key);
+    query.shards[attempt.shardIndex].worsen(Base::RunState::MayHaveRun);
+    tables_.servers.recordSilence(attempt.server, now - attempt.sentAt);
+    tables_.latencyByIndex[query.caller.index].add(now - attempt.sentAt);
+    tables_.statistics.ejections += tables_.servers.recordFailure(now, attempt.server) ? 1 : 0;
+    cancel(key);
+}
+
 void Dispatcher::cancelAll(QueryRow &query)
 {
     for (auto &row : query.shards) {
--- a/Libraries/LibQuery/Dispatcher.h
+++ b/Libraries/LibQuery/Dispatcher.h
@@ -21,6 +21,8 @@
     std::optional<AttemptRow> settle(AttemptKey key);
     /// Cancels the attempts of a shard that is covered, and takes the silence of slower ones as a hint.
     void cancelLosers(Base::Instant now, QueryRow &query, ShardRow &row, const AttemptRow &winner);
+    /// Cancels one attempt that is much later than usual, and takes its silence as a hint.
+    void abandon(Base::Instant now, QueryRow &query, AttemptKey key);
     /// Cancels all attempts of a query; they count as maybe run.
     void cancelAll(QueryRow &query);
 
--- a/Libraries/LibQuery/HedgeSystem.cpp
+++ b/Libraries/LibQuery/HedgeSystem.cpp
@@ -8,6 +8,10 @@
 
 /// A hedge that could not be sent is considered again after this part of the hedge delay.
 constexpr int PostponeDivisor = 4;
+/// Per shard and plan.
+constexpr std::uint32_t MaxHedges = 3;
+/// An attempt that is this many hedge delays old while its hedge is open gives its slot back.
+constexpr int AbandonFactor = 2;
 constexpr Base::Duration MinPostponement = Base::milliseconds(1);
 
 } // namespace
@@ -27,8 +31,9 @@
     for (std::size_t index = 0; index < query.shards.size(); ++index) {
         const auto &row = query.shards[index];
         const bool waiting = row.state == ShardState::Pending && row.openAttempts.size() == 1;
-        if (waiting && !row.hedged && row.hedgeAt && *row.hedgeAt <= now)
+        if (waiting && row.hedges < MaxHedges && row.hedgeAt && *row.hedgeAt <= now)
             hedge(now, query, index);
+        abandon(now, query, index);
     }
 }
 
@@ -52,16 +57,36 @@
         return postpone(now, query, row);
 
     // An attempt that is late already is expected to take at least as long again.
-    const auto predicted = tables_.servers.predictedHedge(*server, query.typicalLatency);
+    const auto predicted = tables_.servers.predictedHedge(*server, query.typicalLatency, elapsed);
     if (predicted >= elapsed || now + predicted >= query.deadline)
         return postpone(now, query, row);
     if (!tables_.budgetByClass[query.caller.trafficClass].take()) {
         ++tables_.statistics.budgetDenials;
         return postpone(now, query, row);
     }
-    row.hedged = true;
+    ++row.hedges;
     ++tables_.statistics.hedges;
+    const auto sentAt = open->sentAt;
     dispatcher_.send(now, query, shardIndex, *server, AttemptKind::Hedge);
+    tables_.timers.schedule(sentAt + *hedgeDelay(tables_, query) * AbandonFactor, query.id);
+}
+
+void HedgeSystem::abandon(Base::Instant now, QueryRow &query, std::size_t shardIndex)
+{
+    auto &row = query.shards[shardIndex];
+    if (row.state != ShardState::Pending || row.openAttempts.size() < 2)
+        return;
+    const auto key = row.openAttempts.front();
+    const auto original = *tables_.attempts.find(key);
+    const auto delay = hedgeDelay(tables_, query);
+    if (!delay || !original.overdue || now - original.sentAt < *delay * AbandonFactor)
+        return;
+    dispatcher_.abandon(now, query, key);
+    // The hedge can be a straggler too; then the first replica is asked again.
+    const auto *hedge = tables_.attempts.find(row.openAttempts.front());
+    row.tried = {hedge->server};
+    row.hedgeAt = std::max(now, hedge->sentAt + *delay);
+    tables_.timers.schedule(*row.hedgeAt, query.id);
 }
 
 void HedgeSystem::postpone(Base::Instant now, QueryRow &query, ShardRow &row)
--- a/Libraries/LibQuery/HedgeSystem.h
+++ b/Libraries/LibQuery/HedgeSystem.h
@@ -25,6 +25,7 @@
 
 private:
     void hedge(Base::Instant now, QueryRow &query, std::size_t shardIndex);
+    void abandon(Base::Instant now, QueryRow &query, std::size_t shardIndex);
     void postpone(Base::Instant now, QueryRow &query, ShardRow &row);
 
     Tables &tables_;
--- a/Libraries/LibQuery/QueryRow.h
+++ b/Libraries/LibQuery/QueryRow.h
@@ -29,7 +29,7 @@
     Base::RunState earlierWorst = Base::RunState::NotRun; ///< Over all attempts of the plan before.
     std::uint32_t chargedRetries = 0;
     std::uint32_t freeRetries = 0;
-    bool hedged = false;
+    std::uint32_t hedges = 0;
     std::optional<Base::Instant> hedgeAt;
     std::optional<Base::Instant> retryAt;
 
--- a/Libraries/LibQuery/ServerTable.cpp
+++ b/Libraries/LibQuery/ServerTable.cpp
@@ -187,11 +187,14 @@
     return predictedWait(key, typical) + Base::Duration(latency);
 }
 
-Base::Duration ServerTable::predictedHedge(ServerKey key, Base::Duration typical) const
-{
-    const auto turns = std::min(turnsUntilDispatch(key), turnsUntilSlot(rows_[key]));
-    const auto answer = expectedLatency(rows_[key], typical) * (1.0 + turns);
-    return Base::Duration(static_cast<Base::Duration::rep>(answer));
+Base::Duration ServerTable::predictedHedge(ServerKey key, Base::Duration typical,
+                                           Base::Duration elapsed) const
+{
+    const double latency = expectedLatency(rows_[key], typical);
+    const double queue = latency * turnsUntilDispatch(key);
+    const double older = std::max(0.0, queue - static_cast<double>(elapsed.count()));
+    const double wait = std::min(queue, latency * turnsUntilSlot(rows_[key]) + older);
+    return Base::Duration(static_cast<Base::Duration::rep>(latency + wait));
 }
 
 } // namespace Query
--- a/Libraries/LibQuery/ServerTable.h
+++ b/Libraries/LibQuery/ServerTable.h
@@ -79,9 +79,9 @@
     Base::Duration predictedWait(ServerKey key, Base::Duration typical) const;
     /// Time until the reply to an attempt that would be sent now; `typical` stands in for a missing estimate.
     Base::Duration predictedAnswer(ServerKey key, Base::Duration typical) const;
-    /// The same for a hedge. Owners dispatch by deadline, so an older query passes what is queued and waits
-    /// only for a slot.
-    Base::Duration predictedHedge(ServerKey key, Base::Duration typical) const;
+    /// The same for a hedge of an attempt that is `elapsed` old. Owners dispatch by deadline, so the hedge
+    /// passes what was queued since then, but not what has waited for longer.
+    Base::Duration predictedHedge(ServerKey key, Base::Duration typical, Base::Duration elapsed) const;
 
 private:
     double turnsUntilSlot(const ServerRow &server) const;
--- a/Tests/LibQuery/SessionModel.cpp
+++ b/Tests/LibQuery/SessionModel.cpp
@@ -91,7 +91,7 @@
     const auto choice = word % 16;
     attempt.settled = choice != 1; // Choice 1 is a reply that will be duplicated.
     if (choice == 2 || choice == 3) {
-        attempt.provenNotRun = choice == 2;
+        attempt.provenNotRun = choice == 2 && !attempt.cancelled;
         const auto kind = choice == 2 ? Base::ErrorKind::PeerUnreachable : Base::ErrorKind::PeerReplyLost;
         core_.subrequestFailed(now_, id, {kind, ""});
         return drain();
@@ -100,7 +100,7 @@
     reply.attemptId = id;
     reply.ok = choice < 2 || choice > 7;
     reply.notRun = choice == 4 || choice == 5;
-    attempt.provenNotRun = reply.notRun;
+    attempt.provenNotRun = reply.notRun && !attempt.cancelled;
     reply.error = Wire::toMessage(
         {choice == 4 ? Base::ErrorKind::VersionNotOffered : Base::ErrorKind::BackendFailed, ""});
     reply.indexVersion = attempt.request.indexVersion + (choice == 15 ? 1 : 0);
--- a/Tests/LibQuery/SessionModel.h
+++ b/Tests/LibQuery/SessionModel.h
@@ -27,7 +27,8 @@
     struct Attempt
     {
         Wire::ExecuteSubrequestRequest request;
-        bool provenNotRun = false;
+        bool provenNotRun = false; ///< Told to the core while it waited for the attempt.
+        bool cancelled = false;
         bool settled = false; ///< A final reply or failure was given.
     };
 
@@ -47,7 +48,7 @@
     void advance(Base::Duration span);
     void drain();
     void take(const Query::SendSubrequest &action);
-    void take(const Query::CancelSubrequest &) { }
+    void take(const Query::CancelSubrequest &action) { attempts_.at(action.attemptId).cancelled = true; }
     void take(const Query::SendClaim &action) { claims_.push_back(action); }
     void take(const Query::SendRecordOutcome &action) { records_.push_back(action); }
     void take(const Query::CompleteQuery &action);
