--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -149,4 +149,5 @@
     echo "demo: wrong ${line#load: * }"
     exit 1
 fi
+grep '^load: reasons' "$folder/load.log" | sed 's/^load: reasons/demo: reasons of partial, refused and failed queries:/'
 echo "demo: ${line#load: }" | sed 's/ wrong=0//'
--- a/Tests/LoadGenerator/Main.cpp
+++ b/Tests/LoadGenerator/Main.cpp
@@ -65,7 +65,7 @@
         .run(static_cast<int>(arguments["--threads"].asLong()));
     if (arguments["--json"])
         std::ofstream(arguments["--json"].asString()) << report.toJson().dump(2) << '\n';
-    fmt::print("{}\n", report.toLine());
+    fmt::print("load: reasons {}\n{}\n", report.toJson()["reasons"].dump(), report.toLine());
     return report.hasWrongAnswers() ? 1 : 0;
 }
 
