Add and remove control nodes

Cause: nothing could add a repaired control node. Its incarnation is new and known to it alone, and it does not know where the leader is.

POST /v1/members makes the leader introduce itself to the node, learn its incarnation and add it as a learner. From there the leader goes on by itself: the learner becomes a voter when it holds the synced log, then the unheard voter with the same node id is removed. In this order no step leaves fewer copies of the log. DELETE /v1/members/{id} removes a member that is not heard.

RaftWatch now keeps node id and incarnation, because the two identities of one node made it report "heard" and "not heard" in turns.

--- /dev/null
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -0,0 +1,75 @@
+#include "LibControl/MembershipPlanner.h"
+
+#include "LibControl/RaftWatch.h"
+
+#include <algorithm>
+
+namespace Control {
+
+namespace {
+
+bool isHeard(const Consensus::MemberStatus &member)
+{
+    return member.silentFor < RaftWatch::UnheardAfter;
+}
+
+bool isReadyLearner(const Consensus::MemberStatus &member, std::uint64_t commitIndex)
+{
+    return !member.member.voter && isHeard(member) && member.matchIndex >= commitIndex;
+}
+
+/// Tells whether `member` is an earlier incarnation of a voter that is heard.
+bool isReplaced(const Consensus::RaftStatus &status, const Consensus::MemberStatus &member)
+{
+    if (isHeard(member))
+        return false;
+    return std::any_of(status.members.begin(), status.members.end(), [&](const auto &other) {
+        return other.member.nodeId == member.member.nodeId && other.member.voter && isHeard(other)
+               && other.member.incarnation != member.member.incarnation;
+    });
+}
+
+} // namespace
+
+std::optional<Wire::RaftMembership> MembershipPlanner::next(const Consensus::RaftStatus &status)
+{
+    auto membership = present(status);
+    for (std::size_t position = 0; position < status.members.size(); ++position) {
+        if (isReadyLearner(status.members[position], status.commitIndex)) {
+            membership.members[position].voter = true;
+            return membership;
+        }
+    }
+    for (const auto &member : status.members) {
+        if (isReplaced(status, member))
+            return without(std::move(membership), member.member);
+    }
+    return std::nullopt;
+}
+
+Wire::RaftMembership MembershipPlanner::present(const Consensus::RaftStatus &status)
+{
+    Wire::RaftMembership membership;
+    for (const auto &member : status.members)
+        membership.members.push_back(member.member);
+    return membership;
+}
+
+std::optional<Wire::RaftMember> MembershipPlanner::findUnheard(const Consensus::RaftStatus &status,
+                                                               const std::string &nodeId)
+{
+    for (const auto &member : status.members) {
+        if (member.member.nodeId == nodeId && !isHeard(member))
+            return member.member;
+    }
+    return std::nullopt;
+}
+
+Wire::RaftMembership MembershipPlanner::without(Wire::RaftMembership membership,
+                                                const Wire::RaftMember &member)
+{
+    std::erase(membership.members, member);
+    return membership;
+}
+
+} // namespace Control
--- /dev/null
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "LibConsensus/RaftNode.h"
+
+#include <optional>
+
+namespace Control {
+
+/// Decides the next step of a repair from what the leader sees. Pure.
+class MembershipPlanner
+{
+public:
+    /// Returns the membership to propose next: a learner that holds the log becomes a voter, and an unheard
+    /// voter whose node has another, heard voter is removed. The new copy comes first, so that no step leaves
+    /// fewer copies of the log.
+    static std::optional<Wire::RaftMembership> next(const Consensus::RaftStatus &status);
+
+    /// Returns the present membership.
+    static Wire::RaftMembership present(const Consensus::RaftStatus &status);
+
+    /// Returns the unheard member with this node id.
+    static std::optional<Wire::RaftMember> findUnheard(const Consensus::RaftStatus &status,
+                                                       const std::string &nodeId);
+
+    /// Returns `membership` without `member`.
+    static Wire::RaftMembership without(Wire::RaftMembership membership, const Wire::RaftMember &member);
+};
+
+} // namespace Control
--- a/Libraries/LibControl/RaftWatch.cpp
+++ b/Libraries/LibControl/RaftWatch.cpp
@@ -34,11 +34,12 @@
 void RaftWatch::observeMember(const Consensus::MemberStatus &member)
 {
     const auto &nodeId = member.member.nodeId;
+    const auto identity = std::make_pair(nodeId, member.member.incarnation);
     const bool isUnheard = member.silentFor >= UnheardAfter;
-    if (isUnheard && unheard_.insert(nodeId).second)
+    if (isUnheard && unheard_.insert(identity).second)
         onEvent_(LogLevel::Warning, "Control node is not heard.",
                  {{"node", nodeId}, {"silent_ms", Base::toMilliseconds(member.silentFor)}});
-    else if (!isUnheard && unheard_.erase(nodeId) > 0)
+    else if (!isUnheard && unheard_.erase(identity) > 0)
         onEvent_(LogLevel::Info, "Control node is heard again.", {{"node", nodeId}});
 }
 
--- a/Libraries/LibControl/RaftWatch.h
+++ b/Libraries/LibControl/RaftWatch.h
@@ -5,6 +5,7 @@
 
 #include <set>
 #include <string>
+#include <utility>
 
 namespace Control {
 
@@ -32,7 +33,7 @@
     std::string leaderId_;
     std::uint64_t term_ = 0;
     bool isolated_ = false;
-    std::set<std::string> unheard_; ///< Node ids.
+    std::set<std::pair<std::string, std::uint64_t>> unheard_; ///< Node ids and incarnations.
 };
 
 } // namespace Control
--- a/Libraries/LibWire/IntroduceMessages.h
+++ b/Libraries/LibWire/IntroduceMessages.h
@@ -12,9 +12,10 @@
 struct IntroduceNodeRequest
 {
     std::string nodeId;
+    std::uint64_t incarnation = 0;
     std::string peerAddress;
 
-    MSGPACK_DEFINE(nodeId, peerAddress)
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress)
 };
 
 struct IntroduceNodeReply
--- a/Services/Control/ClusterBootstrap.cpp
+++ b/Services/Control/ClusterBootstrap.cpp
@@ -92,7 +92,8 @@
 {
     const auto promise = std::make_shared<std::promise<Base::Result<Base::Bytes>>>();
     endpoint.call(peerAddress, Wire::Method::IntroduceNode,
-                  Wire::encode(Wire::IntroduceNodeRequest {settings_.nodeId, settings_.peerAddress}),
+                  Wire::encode(Wire::IntroduceNodeRequest {settings_.nodeId, store_.incarnation(),
+                                                           settings_.peerAddress}),
                   IntroduceTimeout,
                   [promise](Base::Result<Base::Bytes> result) { promise->set_value(std::move(result)); });
     const auto payload = promise->get_future().get();
--- a/Services/Control/ControlProcess.cpp
+++ b/Services/Control/ControlProcess.cpp
@@ -92,14 +92,17 @@
     , raft_(std::move(raft))
     , core_(coreOptions(settings_), *raft_)
     , watch_(&writeEvent)
-    , operators_(settings_, clock_, events_, core_, *raft_)
+    , membership_(*raft_, &writeEvent,
+                  [this](const std::string &peerAddress, const MembershipDesk::Identified &done) {
+                      identify(peerAddress, done);
+                  })
+    , operators_(settings_, clock_, events_, core_, *raft_, membership_)
     , peers_(clock_, events_, core_, *raft_, addresses_,
              [this] { return ClusterBootstrap::identity(settings_.nodeId, *store_); })
     , nextTick_(clock_.now())
     , nextIntroduction_(nextTick_)
+    , compactedIndex_(store_->firstIndex() - 1)
 {
-    for (const auto &member : settings_.members)
-        addresses_.add(member.nodeId, member.peerAddress);
 }
 
 ControlProcess::~ControlProcess()
@@ -137,6 +140,8 @@
                                                  {"incarnation", store_->incarnation()},
                                                  {"http", httpServer_->listenAddress()},
                                                  {"peer", endpoint_->listenAddress()}});
+    if (!ClusterBootstrap::identity(settings_.nodeId, *store_).holdsLog)
+        ControlLog.info("This node is no member yet; it waits until a cluster adds it.");
     auto result = runUntilStopped(shouldStop);
     stop();
     ControlLog.info("Control process stopped.", {{"node", settings_.nodeId}});
@@ -170,7 +175,8 @@
         core_.tick(now);
         const auto status = raft_->status(now);
         watch_.observe(status);
-        introduceToLearners(status);
+        introduceToNewMembers(status);
+        membership_.tick(now);
     }
     auto stepped = step();
     return stepped ? compactIfDue() : stepped;
@@ -208,9 +214,9 @@
     if (messages.empty())
         return;
     for (const auto &member : raft_->status(clock_.now()).members)
-        addresses_.add(member.member.nodeId, member.member.peerAddress);
+        addresses_.add(member.member.nodeId, member.member.incarnation, member.member.peerAddress);
     for (const auto &message : messages) {
-        const auto address = addresses_.find(message.to);
+        const auto address = addresses_.find(message.to, message.toIncarnation);
         // Raft repeats what gets lost, so the result of the call does not matter.
         if (!address.empty())
             endpoint_->call(address, Wire::Method::RaftMessage, Wire::encode(message), RaftMessageTimeout,
@@ -219,7 +225,7 @@
 }
 
 /// A node that has just been added does not know the membership, so it could not answer the leader.
-void ControlProcess::introduceToLearners(const Consensus::RaftStatus &status)
+void ControlProcess::introduceToNewMembers(const Consensus::RaftStatus &status)
 {
     const auto now = clock_.now();
     if (status.role != Consensus::Role::Leader || now < nextIntroduction_)
@@ -227,17 +233,37 @@
     nextIntroduction_ = now + IntroductionInterval;
     for (const auto &member : status.members) {
         if (member.matchIndex == 0)
-            endpoint_->call(
-                member.member.peerAddress, Wire::Method::IntroduceNode,
-                Wire::encode(Wire::IntroduceNodeRequest {settings_.nodeId, settings_.peerAddress}),
-                RaftMessageTimeout, [](const Base::Result<Base::Bytes> &) {});
+            endpoint_->call(member.member.peerAddress, Wire::Method::IntroduceNode, introduction(),
+                            RaftMessageTimeout, [](const Base::Result<Base::Bytes> &) {});
     }
 }
 
+Base::Bytes ControlProcess::introduction() const
+{
+    return Wire::encode(
+        Wire::IntroduceNodeRequest {settings_.nodeId, store_->incarnation(), settings_.peerAddress});
+}
+
+/// Asks the node for its identity; the reply continues on the decision thread.
+void ControlProcess::identify(const std::string &peerAddress, const MembershipDesk::Identified &done)
+{
+    endpoint_->call(peerAddress, Wire::Method::IntroduceNode, introduction(), RaftMessageTimeout,
+                    [this, done](Base::Result<Base::Bytes> payload) {
+                        const bool posted = events_.post([this, done, payload = std::move(payload)] {
+                            done(clock_.now(), payload.and_then([](const Base::Bytes &bytes) {
+                                return Wire::decode<Wire::IntroduceNodeReply>(bytes);
+                            }));
+                        });
+                        if (!posted)
+                            ControlLog.warning("Identity of a new member came too late.");
+                    });
+}
+
 void ControlProcess::stop()
 {
     events_.close();
     core_.beginShutDown();
+    membership_.abandon();
     // Requests that were waiting get their refusal before the transports close.
     for (const auto &event : events_.take(Base::Duration::zero()))
         event();
--- a/Services/Control/ControlProcess.h
+++ b/Services/Control/ControlProcess.h
@@ -10,6 +10,7 @@
 #include "Services/Control/AddressBook.h"
 #include "Services/Control/ControlSettings.h"
 #include "Services/Control/EventQueue.h"
+#include "Services/Control/MembershipDesk.h"
 #include "Services/Control/OperatorInterface.h"
 #include "Services/Control/PeerInterface.h"
 
@@ -44,7 +45,9 @@
     Base::Result<void> step();
     Base::Result<void> compactIfDue();
     void send(const std::vector<Wire::RaftMessage> &messages);
-    void introduceToLearners(const Consensus::RaftStatus &status);
+    void introduceToNewMembers(const Consensus::RaftStatus &status);
+    Base::Bytes introduction() const;
+    void identify(const std::string &peerAddress, const MembershipDesk::Identified &done);
     void stop();
 
     ControlSettings settings_;
@@ -55,6 +58,7 @@
     Control::ControlCore core_;
     Control::RaftWatch watch_;
     AddressBook addresses_;
+    MembershipDesk membership_;
     OperatorInterface operators_;
     PeerInterface peers_;
     Base::Instant nextTick_;
--- a/Services/Control/OperatorInterface.cpp
+++ b/Services/Control/OperatorInterface.cpp
@@ -18,6 +18,7 @@
 /// Exceeds the operator time limit of the decision logic, which normally answers first.
 constexpr auto AnswerTimeout = std::chrono::seconds(20);
 constexpr std::string_view DocumentsPath = "/v1/documents/";
+constexpr std::string_view MembersPath = "/v1/members/";
 constexpr std::size_t MaxChangeIdBytes = 256;
 
 json mistakesJson(const std::vector<Configuration::Mistake> &mistakes)
@@ -56,6 +57,20 @@
     return errorResponse({ErrorKind::OutcomeUnknown, "the promotion is still pending"});
 }
 
+Http::Response membershipResponse(const Base::Result<Wire::RaftMember> &result)
+{
+    if (!result)
+        return errorResponse(result.error());
+    return jsonResponse(200, {{"node_id", result->nodeId},
+                              {"incarnation", result->incarnation},
+                              {"peer_address", result->peerAddress}});
+}
+
+bool hasText(const json &body, const char *key)
+{
+    return body.is_object() && body.contains(key) && body[key].is_string();
+}
+
 Base::Result<Control::ProposePromotion> parsePromotion(const std::string &body)
 {
     const auto parsed = json::parse(body, nullptr, false);
@@ -98,11 +113,13 @@
 
 const OperatorInterface::Route *OperatorInterface::findRoute(const Http::Request &request)
 {
-    static constexpr std::array<Route, 5> Routes {{
+    static constexpr std::array<Route, 7> Routes {{
         {"POST", "/v1/documents", true, &OperatorInterface::submitDocument},
         {"GET", DocumentsPath, true, &OperatorInterface::readDocument},
         {"POST", "/v1/promotions", true, &OperatorInterface::promote},
         {"GET", "/v1/status", true, &OperatorInterface::readStatus},
+        {"POST", "/v1/members", true, &OperatorInterface::addMember},
+        {"DELETE", MembersPath, true, &OperatorInterface::removeMember},
         {"GET", "/v1/entries", false, &OperatorInterface::readEntries},
     }};
     for (const auto &route : Routes) {
@@ -148,6 +165,23 @@
     answer(jsonResponse(200, controlStatusJson(settings_.nodeId, core_, raft_.status(now), now)));
 }
 
+void OperatorInterface::addMember(const Http::Request &request, const Answer &answer)
+{
+    const auto parsed = json::parse(request.body, nullptr, false);
+    if (!hasText(parsed, "node_id") || !hasText(parsed, "peer_address"))
+        return answer(errorResponse(
+            {ErrorKind::InvalidRequest, "expected {\"node_id\": text, \"peer_address\": \"ip:port\"}"}));
+    membership_.add(clock_.now(), parsed["node_id"].get<std::string>(),
+                    parsed["peer_address"].get<std::string>(),
+                    [answer](const auto &result) { answer(membershipResponse(result)); });
+}
+
+void OperatorInterface::removeMember(const Http::Request &request, const Answer &answer)
+{
+    membership_.remove(clock_.now(), request.path.substr(MembersPath.size()),
+                       [answer](const auto &result) { answer(membershipResponse(result)); });
+}
+
 void OperatorInterface::readEntries(const Http::Request &, const Answer &answer)
 {
     // An isolated node may know a list of long ago.
--- a/Services/Control/OperatorInterface.h
+++ b/Services/Control/OperatorInterface.h
@@ -6,6 +6,7 @@
 #include "LibHttp/Message.h"
 #include "Services/Control/ControlSettings.h"
 #include "Services/Control/EventQueue.h"
+#include "Services/Control/MembershipDesk.h"
 
 namespace Services {
 
@@ -15,12 +16,13 @@
 {
 public:
     OperatorInterface(const ControlSettings &settings, const Base::Clock &clock, EventQueue &events,
-                      Control::ControlCore &core, Consensus::RaftNode &raft)
+                      Control::ControlCore &core, Consensus::RaftNode &raft, MembershipDesk &membership)
         : settings_(settings)
         , clock_(clock)
         , events_(events)
         , core_(core)
         , raft_(raft)
+        , membership_(membership)
     {
     }
 
@@ -46,6 +48,8 @@
     void readDocument(const Http::Request &request, const Answer &answer);
     void promote(const Http::Request &request, const Answer &answer);
     void readStatus(const Http::Request &request, const Answer &answer);
+    void addMember(const Http::Request &request, const Answer &answer);
+    void removeMember(const Http::Request &request, const Answer &answer);
     void readEntries(const Http::Request &request, const Answer &answer);
 
     const ControlSettings &settings_;
@@ -53,6 +57,7 @@
     EventQueue &events_;
     Control::ControlCore &core_;
     Consensus::RaftNode &raft_;
+    MembershipDesk &membership_;
 };
 
 } // namespace Services
--- a/Services/Control/PeerInterface.cpp
+++ b/Services/Control/PeerInterface.cpp
@@ -62,7 +62,7 @@
 
 void PeerInterface::introduce(const Wire::IntroduceNodeRequest &request, const ResponderPointer &responder)
 {
-    addresses_.add(request.nodeId, request.peerAddress);
+    addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
     responder->reply(Wire::encode(identity_()));
 }
 
--- a/Services/Control/StatusJson.cpp
+++ b/Services/Control/StatusJson.cpp
@@ -34,6 +34,7 @@
     auto members = json::array();
     for (const auto &member : raft.members) {
         members.push_back({{"id", member.member.nodeId},
+                           {"incarnation", member.member.incarnation},
                            {"address", member.member.peerAddress},
                            {"voter", member.member.voter},
                            {"match_index", member.matchIndex},
--- /dev/null
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -0,0 +1,48 @@
+#include "LibControl/MembershipPlanner.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using Base::milliseconds;
+using Control::MembershipPlanner;
+
+Consensus::MemberStatus member(const std::string &nodeId, std::uint64_t incarnation, bool voter,
+                               std::uint64_t matchIndex, Base::Duration silentFor = {})
+{
+    return {{nodeId, incarnation, nodeId + ":9", voter}, matchIndex, silentFor};
+}
+
+} // namespace
+
+// A learner that becomes a voter too early would count for a majority without holding the log; the lost voter
+// must leave only after its replacement counts.
+TEST(MembershipPlanner, RepairAddsBeforeItRemoves)
+{
+    Consensus::RaftStatus status;
+    status.commitIndex = 10;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, true, 10),
+                      member("c3", 1, true, 7, milliseconds(5000)), member("c3", 2, false, 9)};
+    EXPECT_FALSE(MembershipPlanner::next(status).has_value());
+    status.members[3].matchIndex = 10;
+    const auto promoted = MembershipPlanner::next(status);
+    ASSERT_TRUE(promoted.has_value());
+    EXPECT_EQ(promoted->members.size(), 4U);
+    EXPECT_TRUE(promoted->members[3].voter);
+    status.members[3].member.voter = true;
+    const auto removed = MembershipPlanner::next(status);
+    ASSERT_TRUE(removed.has_value());
+    EXPECT_EQ(removed->members.back().incarnation, 2U);
+    EXPECT_EQ(removed->members.size(), 3U);
+}
+
+// A voter that is only silent, or that is still heard beside a newer incarnation, must stay.
+TEST(MembershipPlanner, KeepsVotersWithoutReplacement)
+{
+    Consensus::RaftStatus status;
+    status.members = {member("c1", 1, true, 0), member("c2", 1, true, 0, milliseconds(60'000)),
+                      member("c3", 1, true, 0), member("c3", 2, true, 0)};
+    EXPECT_FALSE(MembershipPlanner::next(status).has_value());
+    EXPECT_FALSE(MembershipPlanner::findUnheard(status, "c1").has_value());
+    EXPECT_TRUE(MembershipPlanner::findUnheard(status, "c2").has_value());
+}
