--- a/Libraries/LibControl/ClaimTable.cpp
+++ b/Libraries/LibControl/ClaimTable.cpp
@@ -6,6 +6,15 @@
 
 namespace {
 
+/// Numbers, lengths and the second copy of the request id.
+constexpr std::size_t ClaimOverheadBytes = 64;
+
+std::size_t sizeOf(const Claim &claim)
+{
+    return 2 * claim.request.requestId.size() + claim.request.bodyDigest.size() + claim.request.entryId.size()
+           + claim.outcome.body.size() + ClaimOverheadBytes;
+}
+
 Wire::ClaimRequestReply answer(Wire::ClaimState state)
 {
     Wire::ClaimRequestReply reply;
@@ -60,7 +69,11 @@
     const auto found = claims_.find(request.requestId);
     if (found != claims_.end())
         return answerExisting(found->second, request);
-    claims_.emplace(request.requestId, Claim {request, claimId, ClaimPhase::Held, {}});
+    if (bytes_ >= MaxBytesForClaims)
+        return Base::fail(Base::ErrorKind::Overloaded, "the table of claims is full");
+    const auto &stored =
+        claims_.emplace(request.requestId, Claim {request, claimId, ClaimPhase::Held, {}}).first->second;
+    bytes_ += sizeOf(stored);
     auto reply = answer(Wire::ClaimState::Granted);
     reply.claimId = claimId;
     return reply;
@@ -78,9 +91,15 @@
     if (claim.phase == ClaimPhase::Recorded)
         return {!request.notRun && claim.outcome == request.outcome};
     if (request.notRun) {
+        bytes_ -= sizeOf(claim);
         claims_.erase(found);
         return {true};
     }
+    if (bytes_ + request.outcome.body.size() > MaxBytesForOutcomes) {
+        claim.phase = ClaimPhase::Orphaned;
+        return {false};
+    }
+    bytes_ += request.outcome.body.size();
     claim.phase = ClaimPhase::Recorded;
     claim.outcome = request.outcome;
     return {true};
@@ -101,8 +120,11 @@
     if (wallTime_ < lastSweep_ + SweepIntervalMilliseconds)
         return;
     lastSweep_ = wallTime_;
-    std::erase_if(claims_,
-                  [this](const auto &item) { return isExpired(item.second.request.createdAtMilliseconds); });
+    std::erase_if(claims_, [this](const auto &item) {
+        const bool expired = isExpired(item.second.request.createdAtMilliseconds);
+        bytes_ -= expired ? sizeOf(item.second) : 0;
+        return expired;
+    });
 }
 
 bool ClaimTable::isExpired(std::int64_t createdAtMilliseconds) const
--- a/Libraries/LibControl/ClaimTable.h
+++ b/Libraries/LibControl/ClaimTable.h
@@ -46,10 +46,18 @@
     /// Expired claims are removed this often.
     static constexpr std::int64_t SweepIntervalMilliseconds = std::int64_t {60} * 1000;
 
-    /// Decides a claim. `claimId` must be unique; the caller has checked that the claimant is registered.
+    // A snapshot travels in one message, so the claims may take only a part of its size.
+    // FIXME: Raise both limits when snapshots travel in parts; at 450 bytes a claim, the first one is reached
+    // after 4,600 claims in 24 h.
+    static constexpr std::size_t MaxBytesForClaims = Wire::MaxMessageBytes / 4;
+    static constexpr std::size_t MaxBytesForOutcomes = Wire::MaxMessageBytes / 8 * 3;
+
+    /// Decides a claim. Fails with Overloaded when the table is full. `claimId` must be unique; the caller
+    /// has checked that the claimant is registered.
     Base::Result<Wire::ClaimRequestReply> claim(const ClaimRequest &command, std::uint64_t claimId);
 
-    /// Stores an outcome, or removes the claim when the request was proven not run.
+    /// Stores an outcome, or removes the claim when the request was proven not run. An outcome that does not
+    /// fit is not recorded, and the claim ends as OutcomeUnknown.
     Wire::RecordOutcomeReply record(const Wire::RecordOutcomeRequest &request);
 
     /// Marks the open claims of a claimant whose lease ended.
@@ -58,13 +66,17 @@
     /// Number of claims held.
     std::size_t size() const { return claims_.size(); }
 
-    MSGPACK_DEFINE(claims_, wallTime_, lastSweep_)
+    /// Approximate encoded size.
+    std::size_t bytes() const { return bytes_; }
+
+    MSGPACK_DEFINE(claims_, wallTime_, lastSweep_, bytes_)
 
 private:
     void removeExpired();
     bool isExpired(std::int64_t createdAtMilliseconds) const;
 
     std::map<std::string, Claim> claims_;
+    std::size_t bytes_ = 0;
     std::int64_t wallTime_ = 0; ///< Latest stamp; never goes back when a leader with a slower clock follows.
     std::int64_t lastSweep_ = 0; ///< Wall time of the last removal of expired claims.
 };
--- a/Libraries/LibControl/ControlCore.cpp
+++ b/Libraries/LibControl/ControlCore.cpp
@@ -350,7 +350,8 @@
             leases_.remove(removal->entryId);
         tracker_.forget(removal->entryId);
     }
-    if (result && std::holds_alternative<PromotionResult>(*result)) {
+    // Followers and restarting nodes apply the same steps; one report of each is enough.
+    if (ready_ && result && std::holds_alternative<PromotionResult>(*result)) {
         const auto &promotion = std::get<PromotionResult>(*result);
         // A repeated request that gets its first result is not another acceptance.
         const bool hasEnded =
--- a/Libraries/LibControl/ControlState.h
+++ b/Libraries/LibControl/ControlState.h
@@ -20,7 +20,7 @@
     static constexpr std::size_t MaxChanges = 4096;
     /// Unreferenced documents beyond either limit are removed, oldest first, which bounds the snapshot.
     static constexpr std::size_t MaxDocuments = 64;
-    static constexpr std::size_t MaxDocumentBytesTotal = std::size_t {3} * 1024 * 1024;
+    static constexpr std::size_t MaxDocumentBytesTotal = Wire::MaxMessageBytes / 8 * 3;
 
     /// Applies the command of log entry `index`. A refused command leaves the state unchanged apart from
     /// its index.
--- a/Libraries/LibControl/SharePlanner.cpp
+++ b/Libraries/LibControl/SharePlanner.cpp
@@ -104,10 +104,13 @@
 
     void considerMove(const std::string &serverId, bool keepApart)
     {
-        const auto target = layout_.bestEntry(serverId);
         const auto &owner = layout_.owner(serverId);
-        if (target == owner
-            || !isImprovement(layout_.fit(serverId, owner), layout_.fit(serverId, target), keepApart))
+        const auto current = layout_.fit(serverId, owner);
+        // Most servers are well placed, and the search for a better owner visits all entry processes.
+        if (current.sameEntryReplicas == 0 && !current.overloaded && current.sameDataCentreReplicas == 0)
+            return;
+        const auto target = layout_.bestEntry(serverId);
+        if (target == owner || !isImprovement(current, layout_.fit(serverId, target), keepApart))
             return;
         plan_.releases.push_back({serverId, shares_.at(serverId).epoch});
         layout_.assign(serverId, target);
--- a/Tests/LibControl/TestClaimTable.cpp
+++ b/Tests/LibControl/TestClaimTable.cpp
@@ -68,3 +68,22 @@
     (void)claims.claim(claim("digest", 2, end + ClaimTable::SweepIntervalMilliseconds), 14);
     EXPECT_EQ(claims.size(), 0U);
 }
+
+// A table that outgrows the message limit would give snapshots that no node can load again.
+TEST(ClaimTable, RefusesClaimsWhenFull)
+{
+    ClaimTable claims;
+    const std::string body(ClaimTable::MaxBytesForClaims / 2, 'x');
+    std::uint64_t id = 0;
+    const auto add = [&](const std::string &requestId) {
+        ++id;
+        const auto reply = claims.claim({{requestId, "digest", "e1", 1, Now, id}, Now}, id);
+        return reply && claims.record({requestId, "e1", 1, false, {200, body}, id}).recorded;
+    };
+    EXPECT_TRUE(add("a") && add("b"));
+    EXPECT_EQ(claims.claim({{"c", "digest", "e1", 1, Now, 9}, Now}, 9).error().kind,
+              Base::ErrorKind::Overloaded);
+    EXPECT_LT(Wire::encode(claims).size(), Wire::MaxMessageBytes / 2);
+    (void)claims.claim(claim("digest", 1, Now + ClaimTable::WindowMilliseconds + 1), 10);
+    EXPECT_EQ(claims.bytes(), 0U);
+}
