--- a/Libraries/LibQuery/Dispatcher.cpp
+++ b/Libraries/LibQuery/Dispatcher.cpp
@@ -18,7 +18,8 @@
 {
     auto &row = query.shards[shardIndex];
     const auto &target = tables_.servers.row(server);
-    const auto key = tables_.attempts.add({query.id, shardIndex, server, target.ownerEntryId, now, kind});
+    const auto key =
+        tables_.attempts.add({query.id, shardIndex, server, target.ownerEntryId, now, kind, false});
     row.openAttempts.push_back(key);
     row.tried.push_back(server);
     tables_.servers.attemptStarted(now, server);
@@ -51,7 +52,7 @@
         return std::nullopt;
     auto attempt = *found;
     tables_.attempts.erase(key);
-    tables_.servers.attemptEnded(attempt.server);
+    tables_.servers.attemptEnded(attempt.server, attempt.overdue);
     std::erase(tables_.queries.at(attempt.queryId).shards[attempt.shardIndex].openAttempts, key);
     return attempt;
 }
@@ -60,16 +61,23 @@
 {
     while (!row.openAttempts.empty()) {
         const auto key = row.openAttempts.back();
-        const auto loser = *tables_.attempts.find(key);
-        if (loser.sentAt < winner.sentAt) {
-            tables_.servers.recordSilence(loser.server, now - loser.sentAt);
-            tables_.latencyByIndex[query.caller.index].add(now - loser.sentAt);
-            tables_.statistics.ejections += tables_.servers.recordFailure(now, loser.server) ? 1 : 0;
-        }
-        cancel(key);
+        if (tables_.attempts.find(key)->sentAt < winner.sentAt)
+            abandon(now, query, key);
+        else
+            cancel(key);
     }
 }
 
+void Dispatcher::abandon(Base::Instant now, QueryRow &query, AttemptKey key)
+{
+    const auto attempt = *tables_.attempts.find(key);
+    query.shards[attempt.shardIndex].worsen(Base::RunState::MayHaveRun);
+    tables_.servers.recordSilence(attempt.server, now - attempt.sentAt);
+    tables_.latencyByIndex[query.caller.index].add(now - attempt.sentAt);
+    tables_.statistics.ejections += tables_.servers.recordFailure(now, attempt.server) ? 1 : 0;
+    cancel(key);
+}
+
 void Dispatcher::cancelAll(QueryRow &query)
 {
     for (auto &row : query.shards) {
--- a/Services/Control/ControlProcess.h
+++ b/Services/Control/ControlProcess.h
@@ -8,8 +8,9 @@
 #include "LibHttp/Server.h"
 #include "LibPeer/Endpoint.h"
 #include "Services/Control/AddressBook.h"
+#include "Services/Control/ControlEventQueue.h"
+#include "Services/Control/ControlMetrics.h"
 #include "Services/Control/ControlSettings.h"
-#include "Services/Control/EventQueue.h"
 #include "Services/Control/MembershipDesk.h"
 #include "Services/Control/OperatorInterface.h"
 #include "Services/Control/PeerInterface.h"
@@ -52,7 +53,7 @@
 
     ControlSettings settings_;
     Base::SystemClock clock_;
-    EventQueue events_;
+    ControlEventQueue events_;
     std::unique_ptr<Consensus::FileLogStore> store_;
     std::unique_ptr<Consensus::RaftNode> raft_;
     Control::ControlCore core_;
@@ -61,6 +62,7 @@
     MembershipDesk membership_;
     OperatorInterface operators_;
     PeerInterface peers_;
+    ControlMetrics metrics_;
     Base::Instant nextTick_;
     Base::Instant nextIntroduction_;
     std::uint64_t compactedIndex_ = 0;
--- a/Services/Control/OperatorInterface.h
+++ b/Services/Control/OperatorInterface.h
@@ -4,8 +4,8 @@
 #include "LibConsensus/RaftNode.h"
 #include "LibControl/ControlCore.h"
 #include "LibHttp/Message.h"
+#include "Services/Control/ControlEventQueue.h"
 #include "Services/Control/ControlSettings.h"
-#include "Services/Control/EventQueue.h"
 #include "Services/Control/MembershipDesk.h"
 
 namespace Services {
@@ -15,7 +15,7 @@
 class OperatorInterface
 {
 public:
-    OperatorInterface(const ControlSettings &settings, const Base::Clock &clock, EventQueue &events,
+    OperatorInterface(const ControlSettings &settings, const Base::Clock &clock, ControlEventQueue &events,
                       Control::ControlCore &core, Consensus::RaftNode &raft, MembershipDesk &membership)
         : settings_(settings)
         , clock_(clock)
@@ -54,7 +54,7 @@
 
     const ControlSettings &settings_;
     const Base::Clock &clock_;
-    EventQueue &events_;
+    ControlEventQueue &events_;
     Control::ControlCore &core_;
     Consensus::RaftNode &raft_;
     MembershipDesk &membership_;
