--- a/Services/Control/ControlProcess.h
+++ b/Services/Control/ControlProcess.h
@@ -11,6 +11,7 @@
 #include "Services/Control/ControlEventQueue.h"
 #include "Services/Control/ControlMetrics.h"
 #include "Services/Control/ControlSettings.h"
+#include "Services/Control/MembershipDesk.h"
 #include "Services/Control/OperatorInterface.h"
 #include "Services/Control/PeerInterface.h"
 
@@ -45,7 +46,9 @@
     Base::Result<void> step();
     Base::Result<void> compactIfDue();
     void send(const std::vector<Wire::RaftMessage> &messages);
-    void introduceToLearners(const Consensus::RaftStatus &status);
+    void introduceToNewMembers(const Consensus::RaftStatus &status);
+    Base::Bytes introduction() const;
+    void identify(const std::string &peerAddress, const MembershipDesk::Identified &done);
     void stop();
 
     ControlSettings settings_;
@@ -56,6 +59,7 @@
     Control::ControlCore core_;
     Control::RaftWatch watch_;
     AddressBook addresses_;
+    MembershipDesk membership_;
     OperatorInterface operators_;
     PeerInterface peers_;
     ControlMetrics metrics_;
