--- a/Libraries/LibQuery/HedgeSystem.cpp
+++ b/Libraries/LibQuery/HedgeSystem.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A hedge that could not be sent is considered again after this part of the hedge delay.
-constexpr int PostponeDivisor = 4;
+constexpr int PostponeDivisor = 16;
 /// Per shard and plan.
 constexpr std::uint32_t MaxHedges = 3;
 /// An attempt that is this many hedge delays old while its hedge is open gives its slot back.
