Hedge less while hedges bring nothing

Without stragglers, hedges added 1.35% of attempts and nearly none answered first. A moving average of the share of hedges that answer first now scales the part of the budget that hedges aim to spend, down to a fifth.

--- a/Libraries/LibQuery/Dispatcher.cpp
+++ b/Libraries/LibQuery/Dispatcher.cpp
@@ -61,7 +61,10 @@
 {
     while (!row.openAttempts.empty()) {
         const auto key = row.openAttempts.back();
-        if (tables_.attempts.find(key)->sentAt < winner.sentAt)
+        const auto &loser = *tables_.attempts.find(key);
+        if (loser.kind == AttemptKind::Hedge)
+            tables_.benefitByClass[query.caller.trafficClass].record(false);
+        if (loser.sentAt < winner.sentAt)
             abandon(now, query, key);
         else
             cancel(key);
--- a/Libraries/LibQuery/HedgeSystem.cpp
+++ b/Libraries/LibQuery/HedgeSystem.cpp
@@ -22,7 +22,8 @@
         return std::nullopt;
     // Hedging earlier than the budget can pay for spends it on attempts that are about to be answered.
     const auto &trafficClass = *query.trafficClass;
-    const auto quantile = std::max(trafficClass.hedgeQuantile, 1.0 - trafficClass.extraLoadBudget);
+    const double spending = tables.benefitByClass[query.caller.trafficClass].spending();
+    const auto quantile = std::max(trafficClass.hedgeQuantile, 1.0 - spending * trafficClass.extraLoadBudget);
     return tables.latencyByIndex[query.caller.index].quantile(quantile);
 }
 
--- a/Libraries/LibQuery/QueryCore.cpp
+++ b/Libraries/LibQuery/QueryCore.cpp
@@ -164,7 +164,10 @@
     if (row.state != ShardState::Pending)
         return;
     query.cover(row, reply.body);
-    tables_.statistics.hedgesWon += attempt.kind == AttemptKind::Hedge ? 1 : 0;
+    if (attempt.kind == AttemptKind::Hedge) {
+        ++tables_.statistics.hedgesWon;
+        tables_.benefitByClass[query.caller.trafficClass].record(true);
+    }
     dispatcher_.cancelLosers(now, query, row, attempt);
 }
 
--- a/Libraries/LibQuery/Tables.h
+++ b/Libraries/LibQuery/Tables.h
@@ -3,6 +3,7 @@
 #include "LibQuery/AdmissionTable.h"
 #include "LibQuery/AttemptTable.h"
 #include "LibQuery/ExtraLoadBudget.h"
+#include "LibQuery/HedgeBenefit.h"
 #include "LibQuery/LatencyRecord.h"
 #include "LibQuery/QueryCore.h"
 #include "LibQuery/QueryRow.h"
@@ -41,6 +42,7 @@
     std::unordered_map<std::string, Base::Instant> dispatchedRequestIds;
     std::map<std::string, LatencyRecord> latencyByIndex;
     std::map<std::string, ExtraLoadBudget> budgetByClass;
+    std::map<std::string, HedgeBenefit> benefitByClass;
     AdmissionTable admission;
     TimerQueue timers;
     std::shared_ptr<const ShardMap> map; ///< In force; null before the first document.
