--- a/Tests/Sessions/Deployment.cpp
+++ b/Tests/Sessions/Deployment.cpp
@@ -198,6 +198,47 @@
         << output;
 }
 
+void Deployment::restartEntry(int number)
+{
+    processes_.erase(fmt::format("entry-{}", number));
+    startEntry(number);
+}
+
+void Deployment::restartControl(int number)
+{
+    processes_.erase(fmt::format("control-{}", number));
+    startControl(number);
+}
+
+nlohmann::json Deployment::readControl(int number, const std::string &controlPath) const
+{
+    Http::Request request;
+    request.path = controlPath;
+    request.headers = {{"Authorization", "Bearer a key that only this test uses"}};
+    int status = 0;
+    auto body = exchange(address(ControlHttpPort + number), request, status);
+    return status == 200 ? body : nlohmann::json::object();
+}
+
+std::optional<int> Deployment::leader() const
+{
+    for (int number = 0; number < Controls; ++number) {
+        if (readControl(number, "/v1/status").value("role", "") == "leader")
+            return number;
+    }
+    return std::nullopt;
+}
+
+std::size_t Deployment::listedEntries(int number) const
+{
+    return readControl(number, "/v1/entries").value("entries", nlohmann::json::array()).size();
+}
+
+std::uint64_t Deployment::revision(int number) const
+{
+    return readControl(number, "/v1/entries").value("revision", std::uint64_t {0});
+}
+
 bool Deployment::waitForEntries(std::size_t count) const
 {
     return waitUntil([&] {
--- a/Tests/Sessions/Deployment.h
+++ b/Tests/Sessions/Deployment.h
@@ -48,6 +48,20 @@
     nlohmann::json changeAdmin(const std::string &adminPath, const nlohmann::json &body) const;
 
     Process &entry(int number) { return processes_.at("entry-" + std::to_string(number)); }
+    Process &control(int number) { return processes_.at("control-" + std::to_string(number)); }
+
+    /// Starts a process that has ended again, with the same settings.
+    void restartEntry(int number);
+    void restartControl(int number);
+
+    /// Number of the control process that leads, or nothing while there is none.
+    std::optional<int> leader() const;
+
+    /// Entry addresses that control process `number` lists; empty when it does not answer.
+    std::size_t listedEntries(int number) const;
+
+    /// Revision in force as control process `number` reports it; 0 when it does not answer.
+    std::uint64_t revision(int number) const;
 
     /// Stops all processes in order by SIGTERM; returns the names of those that did not exit with 0.
     std::vector<std::string> stop(const std::vector<std::string> &alreadyEnded);
@@ -60,6 +74,7 @@
     void startEntry(int number);
     std::string address(int port) const;
     std::string controlHttpAddresses() const;
+    nlohmann::json readControl(int number, const std::string &controlPath) const;
 
     std::filesystem::path directory_;
     std::string ip_;
