Send non-idempotent requests of the load generator on new connections

In one demo run of 1000 queries a non-idempotent query ended as entry_reply_lost after 0.9 ms, 6 s after an entry process was killed: it was written to an idle connection to that process. A resend of it could run twice at a caller that knows less, so such requests now get a new connection, and all idle connections to an address are dropped when one fails. The report also lists when queries were not answered whole.

--- a/Tests/LoadGenerator/CallResult.h
+++ b/Tests/LoadGenerator/CallResult.h
@@ -22,6 +22,7 @@
     std::string reason; ///< Error name or fault; empty when there is none.
     int attempts = 0; ///< Entry processes that were tried.
     Base::Duration latency {}; ///< From the intended send time.
+    Base::Duration offset {}; ///< Intended send time from the start of the run.
 };
 
 } // namespace Load
--- a/Tests/LoadGenerator/Caller.cpp
+++ b/Tests/LoadGenerator/Caller.cpp
@@ -75,7 +75,10 @@
 
 Caller::Attempt Caller::tryEntry(const std::string &address, const nlohmann::json &query, bool idempotent)
 {
-    auto client = pool_.take(address, ConnectTimeout);
+    // An idle connection may have been closed by the other side, and then a request on it may or may not have
+    // been received. A request that must not run twice therefore gets a new connection.
+    auto client =
+        idempotent ? pool_.take(address, ConnectTimeout) : Http::Client::connect(address, ConnectTimeout);
     if (!client)
         return {{CallOutcome::Refused, {}, "entry_unreachable"}, true};
     Http::Request request;
@@ -84,6 +87,8 @@
     request.headers.emplace_back("Content-Type", "application/json");
     request.body = query.dump();
     const auto response = (*client)->exchange(request, timeout_);
+    if (!response)
+        pool_.drop(address);
     if (!response && response.error().sendState == Http::SendState::NotSent)
         return {{CallOutcome::Refused, {}, "entry_unreachable"}, true};
     if (!response)
--- a/Tests/LoadGenerator/ConnectionPool.cpp
+++ b/Tests/LoadGenerator/ConnectionPool.cpp
@@ -18,6 +18,12 @@
     return Http::Client::connect(address, timeout);
 }
 
+void ConnectionPool::drop(const std::string &address)
+{
+    const std::lock_guard lock(mutex_);
+    idle_.erase(address);
+}
+
 void ConnectionPool::give(const std::string &address, std::unique_ptr<Http::Client> client)
 {
     if (!client->isUsable())
--- a/Tests/LoadGenerator/ConnectionPool.h
+++ b/Tests/LoadGenerator/ConnectionPool.h
@@ -16,6 +16,9 @@
 public:
     Base::Result<std::unique_ptr<Http::Client>> take(const std::string &address, Base::Duration timeout);
 
+    /// Closes the idle connections to an address that failed.
+    void drop(const std::string &address);
+
     /// Keeps the connection for the next request when it is still usable.
     void give(const std::string &address, std::unique_ptr<Http::Client> client);
 
--- a/Tests/LoadGenerator/LoadRun.cpp
+++ b/Tests/LoadGenerator/LoadRun.cpp
@@ -18,6 +18,7 @@
         const auto intended = start_ + arrival.offset;
         std::this_thread::sleep_for(intended - clock_.now());
         auto result = caller_.call(arrival);
+        result.offset = arrival.offset;
         result.latency = clock_.now() - intended;
         report_.add(result);
     }
--- a/Tests/LoadGenerator/RunReport.cpp
+++ b/Tests/LoadGenerator/RunReport.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MostFaultsShown = 20;
+constexpr std::size_t MostIncidentsShown = 100;
 
 } // namespace
 
@@ -21,6 +22,11 @@
         ++reasons_[result.reason];
     if (result.outcome == CallOutcome::Wrong && faults_.size() < MostFaultsShown)
         faults_.push_back(result.requestId + ": " + result.reason);
+    if (result.outcome != CallOutcome::Whole && incidents_.size() < MostIncidentsShown)
+        incidents_.push_back({{"request_id", result.requestId},
+                              {"reason", result.reason},
+                              {"sent_at_ms", Base::toMilliseconds(result.offset)},
+                              {"latency_ms", Base::toMilliseconds(result.latency)}});
     if (result.outcome == CallOutcome::Whole || result.outcome == CallOutcome::Partial) {
         const double latency = Base::toMilliseconds(result.latency);
         answerLatencies_(std::clamp(latency, LowestMs, HighestMs));
@@ -63,6 +69,7 @@
             {"retried", retried_},
             {"reasons", reasons_},
             {"faults", faults_},
+            {"incidents", incidents_},
             {"latency_ms",
              {{"p50", quantile(0.5)},
               {"p90", quantile(0.9)},
--- a/Tests/LoadGenerator/RunReport.h
+++ b/Tests/LoadGenerator/RunReport.h
@@ -48,6 +48,7 @@
     std::uint64_t retried_ = 0;
     std::map<std::string, std::uint64_t> reasons_;
     std::vector<std::string> faults_;
+    nlohmann::json incidents_ = nlohmann::json::array(); ///< The first queries not answered whole.
 };
 
 } // namespace Load
