Shorten the explorer so that it fits the sanitizer time limit

Cause: under the address sanitizer, 200 episodes took 195 s of the 300 s that a test may take, mostly for copying logs that had not changed. Not run again under the sanitizers with 140 episodes.

--- a/Tests/LibConsensus/MemoryLogStore.h
+++ b/Tests/LibConsensus/MemoryLogStore.h
@@ -13,7 +13,13 @@
     }
 
     /// Loses all unsynced changes.
-    void crash() { image_ = durable_; }
+    void crash()
+    {
+        image_ = durable_;
+        ++logChanges_;
+    }
+    /// Grows with every change of the log, so that checks can skip an unchanged one.
+    std::uint64_t logChanges() const { return logChanges_; }
 
     std::uint64_t incarnation() const override { return incarnation_; }
     Consensus::HardState hardState() const override { return image_.hardState(); }
@@ -25,6 +31,7 @@
     std::optional<Wire::RaftSnapshot> snapshot() const override { return image_.snapshot(); }
     Base::Result<void> saveSnapshot(const Wire::RaftSnapshot &snapshot) override
     {
+        ++logChanges_;
         return image_.installSnapshot(snapshot);
     }
     std::uint64_t firstIndex() const override { return image_.firstIndex(); }
@@ -37,9 +44,14 @@
     }
     Base::Result<void> append(std::span<const Wire::RaftEntry> entries) override
     {
+        ++logChanges_;
         return image_.append(entries);
     }
-    Base::Result<void> truncateFrom(std::uint64_t index) override { return image_.truncateFrom(index); }
+    Base::Result<void> truncateFrom(std::uint64_t index) override
+    {
+        ++logChanges_;
+        return image_.truncateFrom(index);
+    }
     Base::Result<void> sync() override
     {
         durable_ = image_;
@@ -48,6 +60,7 @@
 
 private:
     std::uint64_t incarnation_;
+    std::uint64_t logChanges_ = 1;
     Consensus::LogImage image_;
     Consensus::LogImage durable_;
 };
--- a/Tests/LibConsensus/SimulatedCluster.cpp
+++ b/Tests/LibConsensus/SimulatedCluster.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/container_hash/hash.hpp>
 #include <fmt/format.h>
+#include <utility>
 
 namespace {
 
@@ -129,6 +130,7 @@
 {
     crash(index);
     nodes_[index].store = std::make_unique<MemoryLogStore>(nextIncarnation_++);
+    nodes_[index].checkedChanges = 0;
 }
 
 void SimulatedCluster::repairStep()
@@ -212,14 +214,15 @@
 {
     std::size_t hash = 0;
     for (const auto &node : nodes_) {
-        boost::hash_combine(hash, node.raft ? static_cast<int>(node.raft->status(now_).role) : -1);
-        boost::hash_combine(hash, node.raft ? node.raft->status(now_).commitIndex : 0);
+        const auto status = node.raft ? node.raft->status(now_) : Consensus::RaftStatus {};
+        boost::hash_combine(hash, node.raft ? static_cast<int>(status.role) : -1);
+        boost::hash_combine(hash, status.commitIndex);
         boost::hash_combine(hash, node.store->incarnation());
         boost::hash_combine(hash, node.store->hardState().term);
         boost::hash_combine(hash, node.store->hardState().votedFor);
         boost::hash_combine(hash, node.store->firstIndex());
-        for (const auto &entry : node.store->entries(0, UINT64_MAX, SIZE_MAX))
-            boost::hash_combine(hash, entry.term);
+        for (auto index = node.store->firstIndex(); index <= node.store->lastIndex(); ++index)
+            boost::hash_combine(hash, *node.store->termAt(index));
     }
     std::size_t pool = 0;
     for (const auto &message : messages_) {
@@ -290,8 +293,10 @@
     expect(leading <= 1, "one node with isLeader", node);
 }
 
-void SimulatedCluster::checkLog(const SimulatedNode &node)
+void SimulatedCluster::checkLog(SimulatedNode &node)
 {
+    if (std::exchange(node.checkedChanges, node.store->logChanges()) == node.store->logChanges())
+        return;
     for (const auto &entry : node.store->entries(0, UINT64_MAX, SIZE_MAX)) {
         const std::pair value {entry, node.store->termAt(entry.index - 1).value_or(0)};
         const auto &first = logged_.try_emplace({entry.index, entry.term}, value).first->second;
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -66,6 +66,7 @@
         std::unique_ptr<Consensus::RaftNode> raft;
         std::string applied;
         std::uint64_t appliedIndex = 0;
+        std::uint64_t checkedChanges = 0; ///< logChanges() of the store at the last check.
     };
 
     void start(std::size_t index, std::vector<Wire::RaftMember> initialMembers);
@@ -73,7 +74,7 @@
     void expect(bool holds, const std::string &property, const SimulatedNode &node);
     void checkVote(const SimulatedNode &node, const Wire::RaftMessage &message);
     void checkLeaders(const SimulatedNode &node);
-    void checkLog(const SimulatedNode &node);
+    void checkLog(SimulatedNode &node);
 
     std::uint64_t seed_;
     std::size_t maxBatchBytes_; ///< Odd seeds send one entry per message.
--- a/Tests/LibConsensus/TestRaftExplorer.cpp
+++ b/Tests/LibConsensus/TestRaftExplorer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::uint64_t FirstSeed = 20'261'204;
-constexpr unsigned Episodes = 200;
+constexpr unsigned Episodes = 140;
 constexpr unsigned StepsPerEpisode = 2500;
 constexpr std::size_t RequiredStates = 20'000;
 constexpr std::size_t MaxMessages = 24;
