Find another control process after any error but the leader's own

A trial with three control processes showed renewals staying with a process that answered control_unavailable, "the cluster is not founded yet": only a fixed list of transport errors moved on to the next address. Now only errors that the leader itself gives keep the address. ShuttingDown counts as open for claims, because a control process that stops also answers calls that it has proposed already.

--- a/Services/Entry/LeaderClient.cpp
+++ b/Services/Entry/LeaderClient.cpp
@@ -17,13 +17,22 @@
 bool leaderDidNotGetIt(ErrorKind kind)
 {
     return kind == ErrorKind::PeerUnreachable || kind == ErrorKind::NotLeader
-           || kind == ErrorKind::Unauthorized || kind == ErrorKind::ShuttingDown;
+           || kind == ErrorKind::Unauthorized || kind == ErrorKind::ControlUnavailable;
 }
 
-/// Errors that another control process would not give. After any other, the leader itself has replied.
-bool concernsProcess(ErrorKind kind)
+/// Errors that leave open whether the leader carries the call out. A leader that shuts down also answers
+/// calls that it has already proposed.
+bool leavesOpen(ErrorKind kind)
 {
-    return leaderDidNotGetIt(kind) || kind == ErrorKind::PeerReplyLost || kind == ErrorKind::OutcomeUnknown;
+    return kind == ErrorKind::PeerReplyLost || kind == ErrorKind::OutcomeUnknown
+           || kind == ErrorKind::ShuttingDown;
+}
+
+/// Errors that the leader itself gave; another control process would not give a better answer.
+bool isLeadersAnswer(ErrorKind kind)
+{
+    return kind == ErrorKind::LeaseExpired || kind == ErrorKind::InvalidRequest
+           || kind == ErrorKind::MalformedMessage || kind == ErrorKind::NotFound;
 }
 
 } // namespace
@@ -87,7 +96,7 @@
     }
     const auto &error = result.error();
     const bool unsent = leaderDidNotGetIt(error.kind);
-    const bool lost = error.kind == ErrorKind::PeerReplyLost || error.kind == ErrorKind::OutcomeUnknown;
+    const bool lost = leavesOpen(error.kind);
     pending->maybeReceived = pending->maybeReceived || lost;
     if (!unsent && !lost) {
         pending->done(std::move(result));
@@ -104,7 +113,7 @@
 void LeaderClient::moveOn(const std::string &from, const Base::Error &error)
 {
     // Several calls may fail on one process; only the first of them moves on.
-    if (addresses_[current_] != from || !concernsProcess(error.kind))
+    if (addresses_[current_] != from || isLeadersAnswer(error.kind))
         return;
     const auto hinted = std::find(addresses_.begin(), addresses_.end(), error.detail);
     if (error.kind == ErrorKind::NotLeader && hinted != addresses_.end() && *hinted != from)
--- a/Services/Entry/LeaderClient.h
+++ b/Services/Entry/LeaderClient.h
@@ -18,8 +18,8 @@
 public:
     /// Which failures allow another try with another control process.
     enum class Repeat {
-        OnlyUnsent, ///< PeerUnreachable, NotLeader and Unauthorized: the leader did not get the call.
-        Always ///< Any transport failure, for calls that may be carried out twice.
+        OnlyUnsent, ///< Errors that prove that the leader did not get the call, for example NotLeader.
+        Always ///< Also errors that leave it open, for calls that may be carried out twice.
     };
 
     LeaderClient(Peer::Endpoint &endpoint, EventQueue &events, const Base::Clock &clock,
