Wake each query once for timers that are due together

All shards of a query usually have the same hedge time, and each of these timers scanned all of its shards again. Also states the bound of the property test without a narrowing conversion, as the linter asks.

--- a/Libraries/LibQuery/Tables.h
+++ b/Libraries/LibQuery/Tables.h
@@ -39,6 +39,7 @@
     std::unordered_map<std::string, QueryId> openRequestIds; ///< Non-idempotent requests only.
     /// Non-idempotent requests that this process dispatched and whose outcome is not known to be recorded.
     /// A claim granted again for one of them must not lead to a second dispatch.
+    /// FIXME: Drop ids that are older than the retention window.
     std::unordered_map<std::string, Base::Instant> dispatchedRequestIds;
     std::map<std::string, LatencyRecord> latencyByIndex;
     std::map<std::string, ExtraLoadBudget> budgetByClass;
--- a/Libraries/LibQuery/TimerQueue.h
+++ b/Libraries/LibQuery/TimerQueue.h
@@ -23,14 +23,16 @@
         return timers_.empty() ? std::nullopt : std::optional(timers_.top().first);
     }
 
-    /// Removes and returns the query of the earliest timer that is due.
+    /// Removes and returns the query of the earliest timer that is due, with all equal timers: the shards of
+    /// a query are often due together.
     std::optional<std::uint64_t> popDue(Base::Instant now)
     {
         if (timers_.empty() || timers_.top().first > now)
             return std::nullopt;
-        const auto queryId = timers_.top().second;
-        timers_.pop();
-        return queryId;
+        const auto timer = timers_.top();
+        while (!timers_.empty() && timers_.top() == timer)
+            timers_.pop();
+        return timer.second;
     }
 
 private:
--- a/Tests/LibQuery/SessionModel.cpp
+++ b/Tests/LibQuery/SessionModel.cpp
@@ -182,7 +182,8 @@
     for (const auto &[token, caller] : callers_)
         require(caller.gone || caller.completions == 1, "an open caller is completed exactly once");
     const auto &counts = core_.statistics();
-    require(extraAttempts_ <= Budget * firstAttempts_ + RoundingSlack, "extra attempts stay in the budget");
+    const auto allowance = Budget * static_cast<double>(firstAttempts_) + RoundingSlack;
+    require(static_cast<double>(extraAttempts_) <= allowance, "extra attempts stay in the budget");
     require(extraAttempts_ == counts.hedges + counts.retries, "extra attempts are counted");
     require(shape_.replicas > 1 || counts.hedges == 0, "a single replica is never hedged");
 }
