--- /dev/null
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -0,0 +1,218 @@
+#include "LibConsensus/SimulatedCluster.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+constexpr auto Settle = Base::seconds(3);
+
+/// A cluster that has elected a leader.
+class RaftNodeTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        cluster.run(Settle);
+        leader = cluster.leader();
+        ASSERT_LT(leader, cluster.size());
+        follower = (leader + 1) % cluster.size();
+    }
+    void TearDown() override { EXPECT_TRUE(cluster.violations.empty()) << cluster.violations.front(); }
+
+    Consensus::RaftStatus status(std::size_t index) { return cluster.node(index)->status(cluster.now()); }
+
+    SimulatedCluster cluster {3, 42};
+    std::size_t leader = 0;
+    std::size_t follower = 0;
+};
+
+} // namespace
+
+// A command must reach every node exactly once and in order.
+TEST_F(RaftNodeTest, ReplicatesCommands)
+{
+    for (const auto *text : {"a", "b", "c"})
+        ASSERT_TRUE(cluster.propose(leader, text));
+    cluster.run(Base::seconds(1));
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        EXPECT_EQ(cluster.applied(index), "a,b,c,");
+}
+
+// The loss of the leader must not stop the cluster, and the successor must keep what was committed.
+TEST_F(RaftNodeTest, ElectsSuccessorOfLostLeader)
+{
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    cluster.crash(leader);
+    cluster.run(Settle);
+    const auto successor = cluster.leader();
+    ASSERT_LT(successor, cluster.size());
+    EXPECT_NE(successor, leader);
+    EXPECT_TRUE(cluster.propose(successor, "b"));
+    cluster.restart(leader);
+    cluster.run(Base::seconds(1));
+    EXPECT_EQ(cluster.applied(leader), "a,b,");
+}
+
+// A process that was frozen must not act as leader before its first tick, because a successor may exist.
+TEST_F(RaftNodeTest, FrozenLeaderLosesLeadershipWithoutTick)
+{
+    cluster.advance(Base::milliseconds(600));
+    EXPECT_FALSE(cluster.node(leader)->isLeader(cluster.now()));
+    EXPECT_EQ(cluster.node(leader)->propose(cluster.now(), {}).error().kind, Base::ErrorKind::NotLeader);
+}
+
+// A cut-off node must report itself, and the leader must name it; its return must not depose the leader.
+TEST_F(RaftNodeTest, ReportsIsolationAndReturnsQuietly)
+{
+    const auto term = status(leader).term;
+    cluster.run(Base::seconds(10), {follower});
+    EXPECT_TRUE(status(follower).isolated);
+    EXPECT_GT(status(follower).isolatedFor, Base::seconds(9));
+    EXPECT_FALSE(status(leader).isolated);
+    EXPECT_GT(status(leader).members[follower].silentFor, Base::seconds(9));
+    cluster.run(Settle);
+    EXPECT_FALSE(status(follower).isolated);
+    EXPECT_EQ(status(leader).term, term);
+    EXPECT_EQ(cluster.leader(), leader);
+}
+
+// A leader on the smaller side of a partition must step down and report itself.
+TEST_F(RaftNodeTest, IsolatedLeaderStepsDown)
+{
+    cluster.run(Base::seconds(5), {leader});
+    EXPECT_NE(status(leader).role, Consensus::Role::Leader);
+    EXPECT_TRUE(status(leader).isolated);
+    EXPECT_NE(cluster.leader(), leader);
+    EXPECT_LT(cluster.leader(), cluster.size());
+}
+
+// A removed node that still asks for votes must not get them from a node that hears a leader, nor from one
+// that has forgotten in a restart that it heard one.
+TEST_F(RaftNodeTest, RefusesVoteWhileLeaderIsHeard)
+{
+    cluster.crash(follower);
+    cluster.restart(follower);
+    const auto term = status(follower).term;
+    Wire::RaftMessage request;
+    request.kind = Wire::RaftMessageKind::VoteRequest;
+    request.from = "removed";
+    request.to = cluster.member(follower, true).nodeId;
+    request.toIncarnation = cluster.member(follower, true).incarnation;
+    request.term = term + 5;
+    request.previousIndex = 1000;
+    request.previousTerm = term + 4;
+    cluster.node(follower)->receive(cluster.now(), request);
+    const auto ready = cluster.node(follower)->takeReady(cluster.now());
+    ASSERT_EQ(ready->messages.size(), 1U);
+    EXPECT_FALSE(ready->messages[0].granted);
+    EXPECT_EQ(status(follower).term, term);
+}
+
+// A follower whose missing entries were compacted must get them by snapshot.
+TEST_F(RaftNodeTest, SendsSnapshotToFollowerThatIsBehind)
+{
+    cluster.crash(follower);
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    cluster.compact(leader);
+    cluster.restart(follower);
+    cluster.run(Base::seconds(1));
+    ASSERT_TRUE(cluster.propose(leader, "b"));
+    cluster.run(Base::seconds(1));
+    EXPECT_EQ(cluster.applied(follower), "a,b,");
+    EXPECT_GT(cluster.store(follower).firstIndex(), 1U);
+}
+
+// An emptied disk must come back as a learner, and must not vote before it holds the synced log.
+TEST_F(RaftNodeTest, ReplacesEmptiedDiskByCaughtUpLearner)
+{
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    cluster.wipe(follower);
+    cluster.restart(follower);
+    cluster.run(Settle);
+    EXPECT_EQ(status(follower).role, Consensus::Role::Learner);
+    EXPECT_EQ(status(follower).lastIndex, 0U);
+    cluster.repairStep();
+    cluster.run(Base::seconds(1), {follower});
+    cluster.repairStep();
+    cluster.run(Base::seconds(1), {follower});
+    Wire::RaftMembership promoted;
+    for (const auto &listed : status(leader).members)
+        promoted.members.push_back(listed.member);
+    promoted.members.back().voter = true;
+    const auto early = cluster.node(leader)->proposeMembership(cluster.now(), promoted);
+    EXPECT_EQ(early.error().kind, Base::ErrorKind::InProgress);
+    cluster.run(Base::seconds(1));
+    EXPECT_TRUE(cluster.node(leader)->proposeMembership(cluster.now(), promoted).has_value());
+    cluster.run(Base::seconds(1));
+    EXPECT_TRUE(cluster.isFullyRepaired());
+    EXPECT_EQ(cluster.applied(follower), "a,");
+}
+
+// Two changes at once could form majorities that do not overlap.
+TEST_F(RaftNodeTest, RefusesUnsafeMembershipChanges)
+{
+    const auto propose = [&](const std::vector<Wire::RaftMember> &members) {
+        return cluster.node(leader)->proposeMembership(cluster.now(), {members});
+    };
+    const std::vector voters {cluster.member(0, true), cluster.member(1, true), cluster.member(2, true)};
+    const Wire::RaftMember other {"other", 99, "", false};
+    EXPECT_FALSE(propose(voters).has_value());
+    EXPECT_FALSE(propose({voters[leader]}).has_value());
+    EXPECT_FALSE(propose({voters[0], voters[1], other}).has_value());
+    EXPECT_FALSE(propose({voters[0], voters[1], voters[2], {"other", 99, "", true}}).has_value());
+    EXPECT_TRUE(propose({voters[0], voters[1], voters[2], other}).has_value());
+    EXPECT_EQ(propose(voters).error().kind, Base::ErrorKind::InProgress);
+}
+
+// A node whose directory was emptied must not start a new cluster under the old list of members.
+TEST(RaftNode, RefusesInitialMembersOfAnotherIncarnation)
+{
+    MemoryLogStore store(2);
+    Consensus::RaftOptions options;
+    options.nodeId = "node-0";
+    options.initialMembers = {{"node-0", 1, "", true}};
+    const auto node = Consensus::RaftNode::create(options, store, {});
+    ASSERT_FALSE(node.has_value());
+    EXPECT_EQ(node.error().kind, Base::ErrorKind::SettingInvalid);
+}
+
+// An entry of an earlier term on a majority can still be replaced by a later leader, so it must not count as
+// committed before an entry of the leader's own term is (the paper's figure 8).
+TEST(RaftNode, CommitsEarlierTermsOnlyThroughItsOwn)
+{
+    MemoryLogStore store(1);
+    Consensus::RaftOptions options;
+    options.nodeId = "node-0";
+    options.initialMembers = {{"node-0", 1, "", true}, {"node-1", 2, "", true}, {"node-2", 3, "", true}};
+    auto node = *Consensus::RaftNode::create(options, store, {});
+    node.reset();
+    const Wire::RaftEntry earlier {2, 2, Wire::RaftEntryKind::Command, {}};
+    ASSERT_TRUE(store.append({&earlier, 1}).has_value());
+    ASSERT_TRUE(store.setHardState({3, {}, 0}).has_value());
+    node = *Consensus::RaftNode::create(options, store, {});
+    const Base::Instant now {Base::seconds(2)};
+    node->tick(now);
+    Wire::RaftMessage reply;
+    reply.from = "node-1";
+    reply.fromIncarnation = 2;
+    reply.to = "node-0";
+    reply.toIncarnation = 1;
+    reply.term = 4;
+    reply.granted = true;
+    reply.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+    const auto receive = [&](Wire::RaftMessageKind kind, std::uint64_t matchIndex) {
+        reply.kind = kind;
+        reply.matchIndex = matchIndex;
+        node->receive(now, reply);
+        EXPECT_TRUE(node->takeReady(now).has_value());
+        return node->status(now).commitIndex;
+    };
+    receive(Wire::RaftMessageKind::PreVoteReply, 0);
+    receive(Wire::RaftMessageKind::VoteReply, 0);
+    ASSERT_EQ(node->status(now).role, Consensus::Role::Leader);
+    EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 2), 0U);
+    EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 3), 3U);
+}
