Wire the repair of a damaged data directory and test a second loss after it

The error message named the option, but the command line refused it.

The new session damages one control node, checks that it refuses to start, repairs it and kills the leader as soon as the repaired node is a voter: the revision stays and a further promotion is accepted.

--- a/Services/Cli/CommandTable.cpp
+++ b/Services/Cli/CommandTable.cpp
@@ -35,6 +35,8 @@
              {"members", &Settings::MemberList,
               "All control nodes as id=peer address, this one included; not with --join."},
              {"join", &Settings::Switch, "Starts as a learner that an existing cluster adds."},
+             {"repair", &Settings::Switch,
+              "Sets the files of a damaged data directory aside first; only with --join."},
              KeyFile,
              LogLevel}};
 }
--- a/Services/Cli/ServiceCommands.cpp
+++ b/Services/Cli/ServiceCommands.cpp
@@ -54,6 +54,7 @@
     for (const auto &[id, address] : Settings::splitMembers(line.text("members")))
         settings.members.push_back({id, 0, address, true});
     settings.join = line.isOn("join");
+    settings.repair = line.isOn("repair");
     settings.sharedSecret = key;
     return settings;
 }
@@ -61,6 +62,9 @@
 /// Returns what is wrong with the member list, or an empty text.
 std::string memberMistake(const ControlSettings &settings)
 {
+    // A repaired directory has a new incarnation, which the member list of a new cluster must not contain.
+    if (settings.repair && !settings.join)
+        return "--repair: not accepted without --join; accepted: --repair --join";
     if (settings.join == !settings.members.empty())
         return settings.join ? "--members: not accepted together with --join; accepted: one of them"
                              : "--members: a value is missing; accepted: members id=ip:port, or --join";
--- a/Services/Control/ControlProcess.cpp
+++ b/Services/Control/ControlProcess.cpp
@@ -66,6 +66,11 @@
 Base::Result<std::unique_ptr<ControlProcess>> ControlProcess::create(const ControlSettings &settings,
                                                                      const std::function<bool()> &shouldStop)
 {
+    if (settings.repair) {
+        auto repaired = Consensus::FileLogStore::repair(settings.dataDirectory);
+        if (!repaired)
+            return tl::unexpected(repaired.error());
+    }
     auto store = Consensus::FileLogStore::create(settings.dataDirectory);
     if (!store)
         return tl::unexpected(store.error());
--- a/Services/Control/ControlSettings.h
+++ b/Services/Control/ControlSettings.h
@@ -18,6 +18,8 @@
     std::string peerAddress; ///< ip:port for other processes of the system.
     std::vector<Wire::RaftMember> members; ///< All control nodes of a new cluster, this one included.
     bool join = false; ///< Starts as a learner that an existing cluster adds.
+    bool repair =
+        false; ///< Sets the files of a damaged data directory aside before the start; only with `join`.
     std::string sharedSecret; ///< Read from the key file.
 };
 
--- a/Tests/Sessions/Deployment.cpp
+++ b/Tests/Sessions/Deployment.cpp
@@ -136,19 +136,25 @@
     processes_.emplace(name, Process(arguments, path(name + ".log")));
 }
 
-void Deployment::startControl(int number)
+void Deployment::startControl(int number, const std::vector<std::string> &extraArguments)
 {
     std::string members;
     for (int member = 0; member < Controls; ++member)
         members +=
             fmt::format("{}control-{}={}", member == 0 ? "" : ",", member, address(ControlPeerPort + member));
-    startProcess(fmt::format("control-{}", number),
-                 {"daisyroute", "control", fmt::format("--node-id=control-{}", number),
-                  fmt::format("--data-centre=dc-{}", number), "--environment=session",
-                  "--data-directory=" + path(fmt::format("control-{}", number)),
-                  "--http-address=" + address(ControlHttpPort + number),
-                  "--peer-address=" + address(ControlPeerPort + number), "--members=" + members,
-                  "--key-file=" + path("key")});
+    std::vector<std::string> arguments {"daisyroute",
+                                        "control",
+                                        fmt::format("--node-id=control-{}", number),
+                                        fmt::format("--data-centre=dc-{}", number),
+                                        "--environment=session",
+                                        "--data-directory=" + path(fmt::format("control-{}", number)),
+                                        "--http-address=" + address(ControlHttpPort + number),
+                                        "--peer-address=" + address(ControlPeerPort + number),
+                                        "--key-file=" + path("key")};
+    if (extraArguments.empty())
+        arguments.push_back("--members=" + members);
+    arguments.insert(arguments.end(), extraArguments.begin(), extraArguments.end());
+    startProcess(fmt::format("control-{}", number), arguments);
 }
 
 void Deployment::startEntry(int number)
@@ -210,6 +216,45 @@
     startControl(number);
 }
 
+bool Deployment::repairControl(int number)
+{
+    processes_.erase(fmt::format("control-{}", number));
+    startControl(number, {"--join", "--repair"});
+    return waitUntil([&] { return addMember(number); })
+           && waitUntil([&] { return isOnlyVoterOfItsName(number); });
+}
+
+bool Deployment::addMember(int number) const
+{
+    Http::Request request;
+    request.method = "POST";
+    request.path = "/v1/members";
+    request.headers = {{"Authorization", "Bearer a key that only this test uses"}};
+    request.body = nlohmann::json {{"node_id", fmt::format("control-{}", number)},
+                                   {"peer_address", address(ControlPeerPort + number)}}
+                       .dump();
+    const auto leading = leader();
+    int status = 0;
+    if (leading)
+        exchange(address(ControlHttpPort + *leading), request, status);
+    return status == 200;
+}
+
+bool Deployment::isOnlyVoterOfItsName(int number) const
+{
+    const auto leading = leader();
+    if (!leading)
+        return false;
+    int voters = 0;
+    int others = 0;
+    const auto status = readControl(*leading, "/v1/status");
+    for (const auto &member : status.value("members", nlohmann::json::array())) {
+        if (member["id"] == fmt::format("control-{}", number))
+            ++(member["voter"] == true ? voters : others);
+    }
+    return voters == 1 && others == 0;
+}
+
 nlohmann::json Deployment::readControl(int number, const std::string &controlPath) const
 {
     Http::Request request;
--- a/Tests/Sessions/Deployment.h
+++ b/Tests/Sessions/Deployment.h
@@ -54,6 +54,10 @@
     void restartEntry(int number);
     void restartControl(int number);
 
+    /// Starts an ended control process as a learner that sets its damaged files aside, and asks the leader to
+    /// add it. Returns whether it became a voter.
+    bool repairControl(int number);
+
     /// Number of the control process that leads, or nothing while there is none.
     std::optional<int> leader() const;
 
@@ -70,7 +74,9 @@
 
 private:
     void startProcess(const std::string &name, const std::vector<std::string> &arguments);
-    void startControl(int number);
+    void startControl(int number, const std::vector<std::string> &extraArguments = {});
+    bool addMember(int number) const;
+    bool isOnlyVoterOfItsName(int number) const;
     void startEntry(int number);
     std::string address(int port) const;
     std::string controlHttpAddresses() const;
--- a/Tests/Sessions/TestFaults.cpp
+++ b/Tests/Sessions/TestFaults.cpp
@@ -3,6 +3,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
 #include <gtest/gtest.h>
 
 namespace {
@@ -142,3 +143,37 @@
     EXPECT_EQ(deployment.revision(*deployment.leader()), 1U);
     EXPECT_EQ(deployment.stop({fmt::format("control-{}", emptied)}), std::vector<std::string> {});
 }
+
+// Guards the repair of a lost disk: once the new identity is a voter, the loss of a second VM must lose
+// nothing. The repaired directory is a damaged one, which must be refused before.
+TEST(Faults, SecondLossRightAfterRepairLosesNothing)
+{
+    Sessions::Deployment deployment;
+    ASSERT_NO_FATAL_FAILURE(startWithFirstRevision(deployment));
+    const auto leader = deployment.leader();
+    ASSERT_TRUE(leader.has_value());
+    const int damaged = (*leader + 1) % Controls;
+    deployment.control(damaged).signal(SIGKILL);
+    EXPECT_EQ(deployment.control(damaged).wait(), -SIGKILL);
+    for (const auto &file :
+         std::filesystem::directory_iterator(deployment.path(fmt::format("control-{}", damaged)))) {
+        std::fstream content(file.path(), std::ios::in | std::ios::out | std::ios::binary);
+        content.seekp(10);
+        content << "damage";
+    }
+    deployment.restartControl(damaged);
+    EXPECT_EQ(deployment.control(damaged).wait(), 1);
+    EXPECT_NE(Sessions::readText(deployment.path(fmt::format("control-{}.log", damaged))).find("--repair"),
+              std::string::npos);
+    ASSERT_TRUE(deployment.repairControl(damaged));
+
+    const auto leading = deployment.leader();
+    ASSERT_TRUE(leading.has_value());
+    deployment.control(*leading).signal(SIGKILL);
+    EXPECT_EQ(deployment.control(*leading).wait(), -SIGKILL);
+    ASSERT_TRUE(waitUntil([&] { return deployment.leader().has_value(); }));
+    EXPECT_EQ(deployment.revision(*deployment.leader()), 1U);
+    const auto second = deployment.writeDocument("second.toml", "s0a");
+    ASSERT_NO_FATAL_FAILURE(deployment.promote(second, 1, "change-2"));
+    EXPECT_EQ(deployment.stop({fmt::format("control-{}", *leading)}), std::vector<std::string> {});
+}
