Plan shares fast enough for the decision thread

Cause: for each candidate the planner looked up every load and every fellow replica by name. At the target size one plan held the decision thread longer than the election timeout of 600 ms, so the leader would have lost its leadership, and its successor as well.

The least load is now kept while shares are placed, and the owners of the fellow replicas are looked up once per server. The layouts are unchanged.

--- a/Libraries/LibControl/ShareLayout.cpp
+++ b/Libraries/LibControl/ShareLayout.cpp
@@ -1,7 +1,6 @@
 #include "LibControl/ShareLayout.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace Control {
 
@@ -10,6 +9,7 @@
 {
     for (const auto &entry : entries)
         entries_[entry.entryId] = {entry.dataCentre, 0};
+    loadCounts_[0] = entries_.size();
     for (const auto &index : document.indexes)
         addIndex(index);
     for (auto &[serverId, server] : servers_) {
@@ -42,7 +42,7 @@
 {
     unassign(serverId);
     owners_[serverId] = entryId;
-    ++entries_[entryId].load;
+    changeLoad(entries_.at(entryId), 1);
 }
 
 void ShareLayout::unassign(const std::string &serverId)
@@ -50,60 +50,65 @@
     const auto found = owners_.find(serverId);
     if (found == owners_.end())
         return;
-    --entries_[found->second].load;
+    changeLoad(entries_.at(found->second), -1);
     owners_.erase(found);
 }
 
-ShareLayout::Fit ShareLayout::fit(const std::string &serverId, const std::string &entryId) const
+void ShareLayout::changeLoad(Entry &entry, int change)
 {
-    return fitAgainst(minimumLoadWithout(serverId), serverId, entryId);
+    const auto counted = loadCounts_.find(entry.load);
+    if (--counted->second == 0)
+        loadCounts_.erase(counted);
+    entry.load = change > 0 ? entry.load + 1 : entry.load - 1;
+    ++loadCounts_[entry.load];
 }
 
-ShareLayout::Fit ShareLayout::fitAgainst(std::size_t minimumLoad, const std::string &serverId,
-                                         const std::string &entryId) const
+ShareLayout::Fit ShareLayout::fit(const std::string &serverId, const std::string &entryId) const
 {
-    const auto &server = servers_.at(serverId);
-    const auto &dataCentre = entries_.at(entryId).dataCentre;
-    Fit fit;
-    for (const auto &fellow : server.fellows) {
-        const auto &fellowOwner = owner(fellow);
-        if (fellowOwner.empty())
-            continue;
-        fit.sameEntryReplicas += fellowOwner == entryId ? 1 : 0;
-        fit.sameDataCentreReplicas += entries_.at(fellowOwner).dataCentre == dataCentre ? 1 : 0;
-    }
-    fit.load = loadWithout(entryId, serverId);
-    fit.overloaded = fit.load > minimumLoad + LoadSlack;
-    fit.remote = server.dataCentre != dataCentre;
-    return fit;
+    return fitAgainst(surroundings(serverId), entryId, entries_.at(entryId));
 }
 
 std::string ShareLayout::bestEntry(const std::string &serverId) const
 {
-    const auto minimumLoad = minimumLoadWithout(serverId);
-    std::string best;
+    const auto around = surroundings(serverId);
+    const std::string *best = nullptr;
     Fit bestFit;
     for (const auto &[entryId, entry] : entries_) {
-        const auto candidate = fitAgainst(minimumLoad, serverId, entryId);
-        if (best.empty() || candidate < bestFit) {
-            best = entryId;
+        const auto candidate = fitAgainst(around, entryId, entry);
+        if (best == nullptr || candidate < bestFit) {
+            best = &entryId;
             bestFit = candidate;
         }
     }
-    return best;
+    return best == nullptr ? std::string() : *best;
 }
 
-std::size_t ShareLayout::loadWithout(const std::string &entryId, const std::string &serverId) const
+ShareLayout::Surroundings ShareLayout::surroundings(const std::string &serverId) const
 {
-    return entries_.at(entryId).load - (owner(serverId) == entryId ? 1 : 0);
+    const auto &server = servers_.at(serverId);
+    Surroundings around {server.dataCentre, owner(serverId), loadCounts_.begin()->first, {}};
+    if (!around.owner.empty())
+        around.minimumLoad = std::min(around.minimumLoad, entries_.at(owner(serverId)).load - 1);
+    for (const auto &fellow : server.fellows) {
+        const auto &fellowOwner = owner(fellow);
+        if (!fellowOwner.empty())
+            around.fellowOwners.emplace_back(fellowOwner, entries_.at(fellowOwner).dataCentre);
+    }
+    return around;
 }
 
-std::size_t ShareLayout::minimumLoadWithout(const std::string &serverId) const
+ShareLayout::Fit ShareLayout::fitAgainst(const Surroundings &around, const std::string &entryId,
+                                         const Entry &entry)
 {
-    auto minimum = std::numeric_limits<std::size_t>::max();
-    for (const auto &[entryId, entry] : entries_)
-        minimum = std::min(minimum, loadWithout(entryId, serverId));
-    return minimum;
+    Fit fit;
+    for (const auto &[fellowOwner, dataCentre] : around.fellowOwners) {
+        fit.sameEntryReplicas += fellowOwner == entryId ? 1 : 0;
+        fit.sameDataCentreReplicas += dataCentre == entry.dataCentre ? 1 : 0;
+    }
+    fit.load = entry.load - (around.owner == entryId ? 1 : 0);
+    fit.overloaded = fit.load > around.minimumLoad + LoadSlack;
+    fit.remote = around.dataCentre != entry.dataCentre;
+    return fit;
 }
 
 } // namespace Control
--- a/Libraries/LibControl/ShareLayout.h
+++ b/Libraries/LibControl/ShareLayout.h
@@ -6,7 +6,9 @@
 #include <cstddef>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace Control {
@@ -67,12 +69,22 @@
     };
 
     void addIndex(const Configuration::Index &index);
-    std::size_t loadWithout(const std::string &entryId, const std::string &serverId) const;
-    std::size_t minimumLoadWithout(const std::string &serverId) const;
-    Fit fitAgainst(std::size_t minimumLoad, const std::string &serverId, const std::string &entryId) const;
+    /// What all entry processes are compared against for one server, the server itself left out.
+    struct Surroundings
+    {
+        std::string_view dataCentre;
+        std::string_view owner;
+        std::size_t minimumLoad = 0;
+        std::vector<std::pair<std::string_view, std::string_view>> fellowOwners; ///< With data centre.
+    };
+
+    void changeLoad(Entry &entry, int change);
+    Surroundings surroundings(const std::string &serverId) const;
+    static Fit fitAgainst(const Surroundings &around, const std::string &entryId, const Entry &entry);
 
     std::map<std::string, Server> servers_;
     std::map<std::string, Entry> entries_;
+    std::map<std::size_t, std::size_t> loadCounts_; ///< Number of entry processes with each load.
     std::map<std::string, std::string> owners_; ///< By server id; only entries that may own servers count.
 };
 
