Wait until every entry process of the session test answers whole

Under the address sanitizer the calm part failed once with refused=8 (no_eligible_replica 7, version_not_offered 1, within 0.3 s): the test had waited for a whole answer of entry-0 only, while the other entry processes had not observed any backend server yet. All three must now answer whole before the load starts; the demands on the load itself are unchanged.

That a listed entry process can refuse queries for its first moments is a fault of the entry process and is left to it: it should register as serving only after its first observation.

`submit` prints the mistakes of a document as sentences instead of JSON.

--- a/Services/Cli/CommandOutput.cpp
+++ b/Services/Cli/CommandOutput.cpp
@@ -1,5 +1,6 @@
 #include "Services/Cli/CommandOutput.h"
 
+#include "LibConfiguration/DocumentParser.h"
 #include "LibSettings/KeyFile.h"
 #include "Services/Cli/ServiceCommands.h"
 
@@ -29,7 +30,9 @@
     fmt::print(stderr, "{}: {} {}\n", body.value("error", fmt::format("status {}", response.status)),
                body.value("message", ""), body.value("detail", ""));
     for (const auto &mistake : body.value("mistakes", nlohmann::json::array()))
-        fmt::print(stderr, "{}\n", mistake.dump());
+        fmt::print(stderr, "{}\n",
+                   Configuration::describe({mistake.value("line", 0U), mistake.value("path", ""),
+                                            mistake.value("value", ""), mistake.value("accepted", "")}));
     if (body.contains("winner"))
         fmt::print(stderr, "The change that won: {}\n", body["winner"].dump());
     return ExitFailure;
--- a/Tests/Sessions/Deployment.cpp
+++ b/Tests/Sessions/Deployment.cpp
@@ -198,22 +198,31 @@
         << output;
 }
 
-bool Deployment::waitForEntries(std::size_t count) const
+bool Deployment::answersWhole(int number) const
+{
+    nlohmann::json answer;
+    const nlohmann::json probe {{"request_id", "probe"},
+                                {"index", "stock"},
+                                {"class", "desk"},
+                                {"tenant", "shops"},
+                                {"body", "probe"}};
+    return query(number, probe, answer) == 200 && answer["complete"] == true;
+}
+
+bool Deployment::waitForEntries(int count) const
 {
     return waitUntil([&] {
         Http::Request request;
         request.path = "/v1/entries";
         int status = 0;
         const auto body = exchange(address(ControlHttpPort), request, status);
-        if (status != 200 || body["entries"].size() != count)
+        if (status != 200 || body["entries"].size() != static_cast<std::size_t>(count))
             return false;
-        nlohmann::json answer;
-        const nlohmann::json probe {{"request_id", "probe"},
-                                    {"index", "stock"},
-                                    {"class", "desk"},
-                                    {"tenant", "shops"},
-                                    {"body", "probe"}};
-        return query(0, probe, answer) == 200 && answer["complete"] == true;
+        for (int number = 0; number < count; ++number) {
+            if (!answersWhole(number))
+                return false;
+        }
+        return true;
     });
 }
 
--- a/Tests/Sessions/Deployment.h
+++ b/Tests/Sessions/Deployment.h
@@ -34,8 +34,8 @@
     /// Submits and promotes a document; fails the test unless it becomes `baseRevision` + 1 or later.
     void promote(const std::string &path, std::uint64_t baseRevision, const std::string &changeId) const;
 
-    /// Waits until this many entry processes are listed and answer queries.
-    bool waitForEntries(std::size_t count) const;
+    /// Waits until this many entry processes are listed and each has answered a query whole.
+    bool waitForEntries(int count) const;
 
     /// Starts the load generator; its report appears at reportPath(runId).
     Process startLoad(const std::string &runId, int queries, int rate) const;
@@ -58,6 +58,7 @@
     void startProcess(const std::string &name, const std::vector<std::string> &arguments);
     void startControl(int number);
     void startEntry(int number);
+    bool answersWhole(int number) const;
     std::string address(int port) const;
     std::string controlHttpAddresses() const;
 
