--- a/Libraries/LibQuery/ClaimFlow.cpp
+++ b/Libraries/LibQuery/ClaimFlow.cpp
@@ -26,6 +26,12 @@
     return {query.caller.requestId, {kind, std::move(detail)}, run, {}};
 }
 
+/// Marks repeats of one claim, so that the log grants them again; never 0, which means "not repeated".
+std::uint64_t attemptNumber(const QueryRow &query)
+{
+    return query.id + 1;
+}
+
 Failure outcomeUnknown(const QueryRow &query, Base::RunState run)
 {
     return makeFailure(query, Base::ErrorKind::OutcomeUnknown, run);
@@ -57,8 +63,12 @@
     tables_.openRequestIds[query.caller.requestId] = query.id;
     SendClaim action;
     action.queryId = query.id;
-    action.request = {query.caller.requestId, query.bodyDigest, tables_.options.entryId,
-                      tables_.options.incarnation, query.caller.createdAtMilliseconds};
+    action.request = {query.caller.requestId,
+                      query.bodyDigest,
+                      tables_.options.entryId,
+                      tables_.options.incarnation,
+                      query.caller.createdAtMilliseconds,
+                      attemptNumber(query)};
     action.timeout = query.deadline - now;
     tables_.actions.emplace_back(std::move(action));
 }
@@ -67,6 +77,7 @@
 {
     switch (reply.state) {
     case Wire::ClaimState::Granted:
+        query.claimId = reply.claimId;
         return granted(now, query);
     case Wire::ClaimState::Recorded:
         completer_.reply(query, reply.outcome);
@@ -154,8 +165,9 @@
     // A record is sent without a valid lease too: it reports what has happened, and the log decides on it.
     SendRecordOutcome action;
     action.queryId = query.id;
-    action.request = {query.caller.requestId, tables_.options.entryId, tables_.options.incarnation, notRun,
-                      std::move(outcome)};
+    action.request = {query.caller.requestId,      tables_.options.entryId,
+                      tables_.options.incarnation, notRun,
+                      std::move(outcome),          query.claimId};
     action.timeout = std::max(query.deadline - now, MinRecordTimeout);
     tables_.actions.emplace_back(std::move(action));
 }
--- a/Libraries/LibQuery/QueryRow.h
+++ b/Libraries/LibQuery/QueryRow.h
@@ -66,6 +66,7 @@
 
     QueryStage stage = QueryStage::Running;
     std::string bodyDigest; ///< Of a non-idempotent request.
+    std::uint64_t claimId = 0; ///< Number of the granted claim; 0 while there is none.
     std::optional<Completion> held; ///< Given to the caller once the control log has confirmed.
     std::optional<Completion> heldOtherwise; ///< Given when it has not, or at the deadline.
 
--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -256,8 +256,9 @@
         else
             query_.claimFailed(now(), queryId, reply.error());
     };
+    // The attempt number in the claim makes a repeat recognisable, so a lost reply may be asked for again.
     control_.call(Wire::Method::ClaimRequest, Wire::encode(action.request), action.timeout,
-                  LeaderClient::Repeat::OnlyUnsent, done);
+                  LeaderClient::Repeat::Always, done);
 }
 
 void EntryLoop::perform(const Query::SendRecordOutcome &action)
--- a/Tests/Sessions/TestFaults.cpp
+++ b/Tests/Sessions/TestFaults.cpp
@@ -1,5 +1,6 @@
 #include "Sessions/Deployment.h"
 
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fmt/format.h>
@@ -177,3 +178,38 @@
     ASSERT_NO_FATAL_FAILURE(deployment.promote(second, 1, "change-2"));
     EXPECT_EQ(deployment.stop({fmt::format("control-{}", *leading)}), std::vector<std::string> {});
 }
+
+// Guards the release of claims: a non-idempotent request that was refused as not run may be sent again with
+// the same id, and runs exactly once. A claim that is never given back would answer in_progress for ever.
+TEST(Faults, RequestThatWasNotRunMayBeSentAgain)
+{
+    Sessions::Deployment deployment;
+    ASSERT_NO_FATAL_FAILURE(startWithFirstRevision(deployment));
+    for (const auto *server : {"s1a", "s1b"})
+        deployment.changeAdmin("/behaviour", {{"server", server}, {"set", {{"up", false}}}});
+    const auto wallNow = std::chrono::system_clock::now().time_since_epoch();
+    auto booking = sampleQuery("booking-1");
+    booking["idempotent"] = false;
+    booking["shard"] = "1";
+    booking["created_at_ms"] = std::chrono::duration_cast<std::chrono::milliseconds>(wallNow).count();
+    json answer;
+    // Until the owners notice the loss, a request may have been sent on a connection that was cut.
+    int probes = 0;
+    ASSERT_TRUE(waitUntil([&] {
+        auto probe = booking;
+        probe["request_id"] = fmt::format("probe-{}", ++probes);
+        return deployment.query(0, probe, answer) != 200 && answer.value("run", "") == "no";
+    }));
+    ASSERT_NE(deployment.query(0, booking, answer), 200);
+    ASSERT_EQ(answer.value("run", ""), "no") << answer.dump();
+    deployment.changeAdmin("/behaviour", {{"set", {{"up", true}}}});
+    ASSERT_TRUE(waitUntil([&] { return deployment.query(1, booking, answer) == 200; })) << answer.dump();
+    const auto first = answer;
+    EXPECT_EQ(deployment.query(2, booking, answer), 200) << answer.dump();
+    EXPECT_EQ(answer, first);
+    int runs = 0;
+    for (const auto &execution : deployment.readAdmin("/log?request_id=booking-1"))
+        runs += execution["ran"] == true ? 1 : 0;
+    EXPECT_EQ(runs, 1);
+    EXPECT_EQ(deployment.stop({}), std::vector<std::string> {});
+}
