Let queries wait for replicas that are expected back

Cause: while a share moves between entry processes, its server has no observed owner for up to a second, and the planner may move the other replica of the shard meanwhile. The coordinator gave such a shard up at once, long before the deadline, so classes that wait for coverage returned partial answers. A fresh entry process refused its first queries for the same reason.

Ruled out: listing entry processes only after their first observation, since shares are given to listed processes and a new cluster would never start.

A shard whose replica was usable, or changed its owner, in the last 5 s is now looked at every 20 ms until the deadline; a shard that is lost for longer is given up at once, as before.

--- a/Libraries/LibQuery/Planner.cpp
+++ b/Libraries/LibQuery/Planner.cpp
@@ -55,7 +55,7 @@
             });
         row.lastError =
             otherVersion ? Base::ErrorKind::VersionNotOffered : Base::ErrorKind::NoEligibleReplica;
-        query.giveUp(row);
+        waitOrGiveUp(now, query, row);
         return;
     }
     if (hedgeDelay && query.caller.idempotent && row.shard->replicas.size() > 1) {
@@ -67,6 +67,14 @@
     tables_.budgetByClass[query.caller.trafficClass].earn(query.trafficClass->extraLoadBudget);
 }
 
+void Planner::waitOrGiveUp(Base::Instant now, QueryRow &query, ShardRow &row)
+{
+    if (now + RecoveryPoll >= query.deadline || !isRecovering(now, tables_.servers, *row.shard))
+        return query.giveUp(row);
+    row.retryAt = now + RecoveryPoll;
+    tables_.timers.schedule(*row.retryAt, query.id);
+}
+
 bool Planner::replan(Base::Instant now, QueryRow &query)
 {
     if (query.replanned || !query.caller.idempotent || !tables_.leaseValid(now))
--- a/Libraries/LibQuery/Planner.h
+++ b/Libraries/LibQuery/Planner.h
@@ -17,12 +17,16 @@
     {
     }
 
-    /// Plans a query on the map in force. A shard without a server for the version is lacking at once.
+    /// Plans a query on the map in force. A shard without a server for the version is lacking at once, unless
+    /// one of its replicas is expected back.
     void plan(Base::Instant now, QueryRow &query);
     /// Plans the query again, once, when another version would cover more shards than the pinned one can.
     /// All replies so far are dropped. Returns whether it did.
     bool replan(Base::Instant now, QueryRow &query);
 
+    /// Looks at the shard again soon when a replica is expected back before the deadline, else gives it up.
+    void waitOrGiveUp(Base::Instant now, QueryRow &query, ShardRow &row);
+
 private:
     std::span<const MappedShard> shardsOf(const ShardMap &map, const QueryRow &query) const;
     std::size_t coverable(Base::Instant now, const QueryRow &query) const;
--- a/Libraries/LibQuery/QueryCore.cpp
+++ b/Libraries/LibQuery/QueryCore.cpp
@@ -278,7 +278,7 @@
         state_->tables().servers.observe(now, ownerEntryId, observation);
 }
 
-void QueryCore::directoryChanged(Base::Instant, const Wire::Directory &directory)
+void QueryCore::directoryChanged(Base::Instant now, const Wire::Directory &directory)
 {
     auto &tables = state_->tables();
     if (directory.version < tables.directoryVersion)
@@ -287,7 +287,7 @@
     tables.peerAddresses.clear();
     for (const auto &entry : directory.entries)
         tables.peerAddresses[entry.entryId] = entry.peerAddress;
-    tables.servers.assignShares(directory.shares);
+    tables.servers.assignShares(now, directory.shares);
 }
 
 void QueryCore::documentInForce(Base::Instant, std::uint64_t revision,
--- a/Libraries/LibQuery/RetrySystem.cpp
+++ b/Libraries/LibQuery/RetrySystem.cpp
@@ -45,6 +45,9 @@
         if (row.state != ShardState::Pending || !row.retryAt || *row.retryAt > now)
             continue;
         row.retryAt.reset();
+        // The version may have been pinned before its servers were observed.
+        if (!usableReplica(now, query, row) && planner_.replan(now, query))
+            return;
         decide(now, query, index);
     }
 }
@@ -57,8 +60,10 @@
     const bool attemptsLeft =
         free ? row.freeRetries < MaxFreeRetries : row.chargedRetries < MaxChargedRetries;
     const bool allowed = free || query.caller.idempotent;
-    if (!attemptsLeft || !allowed || !tables_.leaseValid(now) || !usableReplica(now, query, row))
+    if (!attemptsLeft || !allowed || !tables_.leaseValid(now))
         return query.giveUp(row);
+    if (!usableReplica(now, query, row))
+        return planner_.waitOrGiveUp(now, query, row);
 
     ReplicaRequest request;
     request.shard = row.shard;
--- a/Libraries/LibQuery/ServerTable.cpp
+++ b/Libraries/LibQuery/ServerTable.cpp
@@ -9,6 +9,10 @@
 /// Owners are polled every 500 ms; three lost polls mean that the owner is silent.
 constexpr Base::Duration ObservationLifetime = Base::milliseconds(1600);
 
+/// A share of a lost entry process is assigned anew after its lease (3.35 s), learnt with the next renewal
+/// (0.5 s) and observed with the next poll (0.5 s).
+constexpr Base::Duration RecoveryWindow = Base::seconds(5);
+
 constexpr std::uint32_t FailuresUntilEjection = 5;
 constexpr Base::Duration FirstEjection = Base::seconds(1);
 constexpr std::uint32_t MaxEjectionDoublings = 4;
@@ -40,7 +44,7 @@
     return entry->second;
 }
 
-void ServerTable::assignShares(std::span<const Wire::ShareRecord> shares)
+void ServerTable::assignShares(Base::Instant now, std::span<const Wire::ShareRecord> shares)
 {
     for (const auto &share : shares) {
         auto &server = rows_[intern(share.serverId)];
@@ -49,6 +53,7 @@
         server.ownerEntryId = share.entryId;
         server.shareEpoch = share.epoch;
         server.observation.reset();
+        server.recoverUntil = now + RecoveryWindow;
     }
 }
 
@@ -64,6 +69,8 @@
     server.observation = observation;
     server.observedAt = now;
     server.inFlightWhenObserved = server.inFlight;
+    if (observation.reachable && !observation.draining)
+        server.recoverUntil = now + RecoveryWindow;
 }
 
 void ServerTable::withdrawVersion(ServerKey key, std::uint64_t version)
@@ -138,6 +145,12 @@
     return Standing::Ready;
 }
 
+bool ServerTable::isRecovering(Base::Instant now, ServerKey key) const
+{
+    const auto &server = rows_[key];
+    return !server.leaving && now < server.recoverUntil && standing(now, key) == Standing::Unusable;
+}
+
 double ServerTable::occupancy(ServerKey key) const
 {
     const auto &server = rows_[key];
--- a/Libraries/LibQuery/ServerTable.h
+++ b/Libraries/LibQuery/ServerTable.h
@@ -34,6 +34,7 @@
     bool leaving = false;
     std::optional<Wire::ServerObservation> observation; ///< By the owner.
     Base::Instant observedAt {};
+    Base::Instant recoverUntil {}; ///< Until then, an unusable server is expected to come back.
     std::uint32_t inFlight = 0; ///< Attempts of this process.
     std::uint32_t inFlightWhenObserved = 0;
     std::uint32_t overdue = 0; ///< Attempts of this process in flight for longer than the hedge delay.
@@ -56,7 +57,7 @@
     const ServerRow &row(ServerKey key) const { return rows_[key]; }
 
     /// Applies the owners of a directory. A server with a new owner must be observed by it first.
-    void assignShares(std::span<const Wire::ShareRecord> shares);
+    void assignShares(Base::Instant now, std::span<const Wire::ShareRecord> shares);
     /// Applies an observation; ignored unless `ownerEntryId` owns the server.
     void observe(Base::Instant now, std::string_view ownerEntryId,
                  const Wire::ServerObservation &observation);
@@ -73,6 +74,9 @@
     void recordSilence(ServerKey key, Base::Duration elapsed);
 
     Standing standing(Base::Instant now, ServerKey key) const;
+    /// True for an unusable server that was usable or changed its owner a short time ago: its share may be on
+    /// the way to another entry process, or the new owner has not been observed yet.
+    bool isRecovering(Base::Instant now, ServerKey key) const;
     /// Requests ahead of a new one, per slot; below 1 while a slot is free.
     double occupancy(ServerKey key) const;
     /// Part of predictedAnswer() that is spent in the owner's queue.
--- a/Libraries/LibQuery/VersionChooser.cpp
+++ b/Libraries/LibQuery/VersionChooser.cpp
@@ -51,6 +51,12 @@
     return best;
 }
 
+bool isRecovering(Base::Instant now, const ServerTable &servers, const MappedShard &shard)
+{
+    return std::any_of(shard.replicas.begin(), shard.replicas.end(),
+                       [&](ServerKey key) { return servers.isRecovering(now, key); });
+}
+
 bool offersVersion(Base::Instant now, const ServerTable &servers, const MappedShard &shard,
                    std::uint64_t version)
 {
--- a/Libraries/LibQuery/VersionChooser.h
+++ b/Libraries/LibQuery/VersionChooser.h
@@ -23,4 +23,10 @@
 bool offersVersion(Base::Instant now, const ServerTable &servers, const MappedShard &shard,
                    std::uint64_t version);
 
+/// Returns whether no replica is usable now but one is expected to be soon.
+bool isRecovering(Base::Instant now, const ServerTable &servers, const MappedShard &shard);
+
+/// How often a shard whose replicas are recovering is looked at again.
+constexpr Base::Duration RecoveryPoll = Base::milliseconds(20);
+
 } // namespace Query
