Cancel repeatable work in flight when the owner's lease ends

Cause: an owner without a lease stopped dispatching but left its idempotent requests running, so the next owner could meet used slots 0.35 s later. They are now cancelled at the backend server and answered as cancelled, which the coordinator may retry elsewhere. A non-idempotent request runs on, because its outcome must be recorded.

Before: the extended session lease-expiry has no action at the end of the lease. After: it cancels the one repeatable request.

--- a/Libraries/LibBackend/OwnerCore.cpp
+++ b/Libraries/LibBackend/OwnerCore.cpp
@@ -414,14 +414,18 @@
 void OwnerCore::abandonInFlight(Base::Instant now, Server &server)
 {
     std::vector<Attempt *> late;
+    // After the lease the next owner will use the slots, so work that may be repeated elsewhere is cancelled.
+    const bool leaseExpired = now >= leaseUntil_;
     for (auto *attempt : inFlight_) {
-        if (attempt->request.serverId == server.serverId && attempt->deadline <= now)
+        const bool mustEnd = attempt->deadline <= now || (leaseExpired && attempt->request.idempotent);
+        if (attempt->request.serverId == server.serverId && mustEnd)
             late.push_back(attempt);
     }
     for (auto *attempt : late) {
         actions_.emplace_back(CancelAtServer {server.serverId, server.address, attempt->request.attemptId});
         Wire::ExecuteSubrequestReply reply;
-        reply.error = Wire::toMessage({ErrorKind::DeadlineExceeded, {}});
+        const bool isLate = attempt->deadline <= now;
+        reply.error = Wire::toMessage({isLate ? ErrorKind::DeadlineExceeded : ErrorKind::Cancelled, {}});
         answer(*attempt, server, std::move(reply));
         attempt->state = AttemptState::Abandoned;
         std::erase(inFlight_, attempt);
@@ -487,7 +491,7 @@
             consider(server->queue.begin()->deadline - server->latency.fastest());
     }
     for (const auto *attempt : inFlight_)
-        consider(attempt->deadline);
+        consider(attempt->request.idempotent ? std::min(attempt->deadline, leaseUntil_) : attempt->deadline);
     return wake;
 }
 
--- a/Meta/slopes.sh
+++ b/Meta/slopes.sh
@@ -74,6 +74,10 @@
         END { printf "%d %d %d\n", sent, received, calls }'
 }
 
+revision() {
+    curl -sS "http://${http_of[control-0]}/metrics" | awk '/^daisyroute_revision/ { printf "%d\n", $NF }'
+}
+
 snapshot() {
     local name
     for name in "${measured[@]}"; do
@@ -91,12 +95,12 @@
     done
 }
 
-# Prints one line per role from two snapshots: LABEL ENTRIES SERVERS
+# Prints one line per role from two snapshots: LABEL ENTRIES SERVERS PROMOTIONS
 report() {
     local leader
     leader=$(find_leader)
     paste -d ' ' "$folder/before" "$folder/after" | awk -v leader="$leader" -v label="$1" -v entries="$2" \
-        -v servers="$3" -v tick="$ticks_per_second" -v seconds="$sample_seconds" '
+        -v servers="$3" -v promotions="$4" -v tick="$ticks_per_second" -v seconds="$sample_seconds" '
         {
             role = $1 == leader ? "leader" : $1 ~ /^control/ ? "follower" : "entry"
             count[role]++; cpu[role] += ($8 - $2) * 1000 / tick / seconds; memory[role] += $9 / 1024
@@ -105,9 +109,9 @@
         }
         END {
             for (role in count) printf "%s entries=%d servers=%d role=%s cpu_ms_per_s=%.1f memory_mb=%.1f " \
-                "sent_bytes_per_s=%.0f received_bytes_per_s=%.0f calls_per_s=%.1f\n", label, entries, servers, role,
+                "sent_bytes_per_s=%.0f received_bytes_per_s=%.0f calls_per_s=%.1f promotions=%d\n", label, entries, servers, role,
                 cpu[role] / count[role], memory[role] / count[role], sent[role] / count[role],
-                received[role] / count[role], calls[role] / count[role]
+                received[role] / count[role], calls[role] / count[role], promotions
         }' | sort
 }
 
@@ -142,10 +146,12 @@
         start load "$load" "$argument"
         sleep 3
     fi
+    local revision_before
+    revision_before=$(revision)
     snapshot > "$folder/before"
     sleep "$sample_seconds"
     snapshot > "$folder/after"
-    report "$label" "$entries" "$servers"
+    report "$label" "$entries" "$servers" $(($(revision) - revision_before))
     stop_all
 }
 
--- a/Tests/LibBackend/OwnerSession.cpp
+++ b/Tests/LibBackend/OwnerSession.cpp
@@ -111,6 +111,7 @@
     request.shareEpoch = std::stoull(fields.at("epoch"));
     request.budgetMicroseconds = std::stoll(fields.at("budget_ms")) * 1000;
     request.indexVersion = 5;
+    request.idempotent = !fields.contains("once");
     core_.submit(now, 1, request);
 }
 
