--- a/Tests/LibSettings/TestKeyFile.cpp
+++ b/Tests/LibSettings/TestKeyFile.cpp
@@ -9,7 +9,7 @@
 std::string writeKey(const std::string &content)
 {
     const auto *test = testing::UnitTest::GetInstance()->current_test_info();
-    const auto path = testing::TempDir() + "daisyroute-key-" + test->name();
+    auto path = testing::TempDir() + "daisyroute-key-" + test->name();
     std::ofstream(path) << content;
     return path;
 }
