--- a/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
@@ -171,7 +171,7 @@
     const bool removedItself = !isVoter() && memberships_.latestIndex() <= commitIndex_;
     if (!removedItself)
         return;
-    // The others learn of the commit before this node falls silent.
+    // The others learn of the commit before this node stops sending.
     sendHeartbeats(now);
     becomeFollower(now, hardState_.term, {});
 }
--- a/Libraries/LibControl/SharePlanner.h
+++ b/Libraries/LibControl/SharePlanner.h
@@ -13,7 +13,7 @@
 ///
 /// Order of aims: no two replicas of a shard at one entry process; equal counts; replicas of a shard in
 /// different data centres; owner in the server's data centre. A move is planned only when it improves one aim
-/// and worsens none before it, so repeated plans come to rest.
+/// and worsens none before it, so repeated plans converge.
 class SharePlanner
 {
 public:
--- a/Libraries/LibHttp/CivetWebServer.cpp
+++ b/Libraries/LibHttp/CivetWebServer.cpp
@@ -153,7 +153,7 @@
 
 int CivetWebServer::dropLogMessage(const mg_connection * /*connection*/, const char *message)
 {
-    Log.debug("library message", {{"text", message}});
+    Log.debug("Message of the HTTP library.", {{"text", message}});
     return 1;
 }
 
@@ -221,7 +221,7 @@
     try {
         return options_.handler(request);
     } catch (const std::exception &exception) {
-        Log.error("handler failed", {{"path", request.path}, {"reason", exception.what()}});
+        Log.error("A request handler failed.", {{"path", request.path}, {"reason", exception.what()}});
         return errorResponse({Base::ErrorKind::Internal, "the handler failed"});
     }
 }
--- a/Libraries/LibPeer/EndpointLoop.cpp
+++ b/Libraries/LibPeer/EndpointLoop.cpp
@@ -204,7 +204,7 @@
     } else {
         --acceptedCount_;
     }
-    Log.debug("connection closed", {{"reason", connection->failure()}});
+    Log.debug("Connection closed.", {{"reason", connection->failure()}});
     connection->close();
 }
 
--- a/Services/Entry/ConfigurationState.cpp
+++ b/Services/Entry/ConfigurationState.cpp
@@ -50,13 +50,13 @@
     if (!outcome->document) {
         // Only possible with a build whose validation differs; the lease then runs out and queries are
         // refused.
-        Log.error("accepted document is not valid here", {{"revision", accepted.revision}});
+        Log.error("The accepted document is not valid here.", {{"revision", accepted.revision}});
         return;
     }
     document_ = std::make_shared<const Configuration::Document>(*outcome->document);
     revision_ = accepted.revision;
     staged_ = std::max(staged_, revision_);
-    Log.info("revision is in force", {{"revision", revision_}, {"hash", accepted.documentHash}});
+    Log.info("Revision is in force.", {{"revision", revision_}, {"hash", accepted.documentHash}});
 }
 
 void ConfigurationState::stage()
@@ -75,7 +75,7 @@
     else
         rejected_ = proposed.revision;
     Log.info(
-        rejectionDetail_.empty() ? "revision is staged" : "revision is rejected",
+        rejectionDetail_.empty() ? "Revision is staged." : "Revision is rejected.",
         {{"revision", proposed.revision}, {"hash", proposed.documentHash}, {"reason", rejectionDetail_}});
 }
 
--- a/Services/Entry/DocumentCache.cpp
+++ b/Services/Entry/DocumentCache.cpp
@@ -37,11 +37,11 @@
     const auto message = reply ? Wire::decode<Wire::FetchDocumentReply>(*reply)
                                : Base::Result<Wire::FetchDocumentReply>(tl::unexpect, reply.error());
     if (!message) {
-        Log.warning("could not fetch a document", {{"hash", hash}, {"reason", message.error().detail}});
+        Log.warning("Could not fetch a document.", {{"hash", hash}, {"reason", message.error().detail}});
         return;
     }
     if (Configuration::documentHash(message->text) != hash) {
-        Log.warning("fetched document has another hash", {{"hash", hash}});
+        Log.warning("The fetched document has another hash.", {{"hash", hash}});
         return;
     }
     documents_[hash] =
--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -21,7 +21,7 @@
 /// Longest sleep of the decision thread without any event.
 constexpr Base::Duration LongestWait = Base::milliseconds(500);
 
-/// Callers may use a cached address for its maximum age; the margin covers their clocks and the way here.
+/// Callers may use a cached address for its maximum age; the margin covers clock differences and the time to connect.
 constexpr Base::Duration AddressMargin = Base::seconds(1);
 
 /// A leaving process waits this long for control to take its shares; its lease covers the rest.
@@ -392,7 +392,7 @@
     leaseClient_.renewNow();
     const auto &document = configuration_.document();
     const auto serveOn = document ? document->addressMaxAge + AddressMargin : Base::Duration {};
-    Log.info("leaving", {{"serve_on_ms", Base::toMilliseconds(serveOn)}});
+    Log.info("Leaving; serving on for the address age.", {{"serve_on_ms", Base::toMilliseconds(serveOn)}});
     context_.events->postAt(now() + serveOn, [this] { stopServing(); });
 }
 
@@ -433,7 +433,7 @@
     request.finished = true;
     control_.call(Wire::Method::RenewLease, Wire::encode(request), FinishedTimeout,
                   LeaderClient::Repeat::Always, [this](const Base::Result<Base::Bytes> & /*result*/) {
-                      Log.info("finished");
+                      Log.info("Finished.");
                       phase_ = Phase::Stopped;
                   });
 }
--- a/Services/Entry/LeaseClient.cpp
+++ b/Services/Entry/LeaseClient.cpp
@@ -59,7 +59,7 @@
                         : Base::Result<Wire::RenewLeaseReply>(tl::unexpect, result.error());
     if (!reply) {
         if (!wasFailing_)
-            Log.warning("lease renewal failed",
+            Log.warning("Lease renewal failed.",
                         {{"error", Base::errorName(reply.error().kind)}, {"reason", reply.error().detail}});
         wasFailing_ = true;
         schedule(FailurePause);
--- a/Tests/LibControl/TestSharePlanner.cpp
+++ b/Tests/LibControl/TestSharePlanner.cpp
@@ -33,7 +33,7 @@
             shares.erase(release.serverId);
         moves += static_cast<int>(plan.releases.size());
     }
-    RC_FAIL("plans do not come to rest");
+    RC_FAIL("plans do not converge");
 }
 
 std::map<std::string, int> loads(const Entries &entries, const Shares &shares)
@@ -63,7 +63,7 @@
 
 // A join or leave must end in a balanced layout with replicas apart, after few moves; plans that undo each
 // other would move shares for ever.
-RC_GTEST_PROP(SharePlanner, JoinsAndLeavesComeToRest, ())
+RC_GTEST_PROP(SharePlanner, JoinsAndLeavesConverge, ())
 {
     const auto shards = *rc::gen::inRange(1, 30);
     const auto document = *Tests::FakeCluster::parse("two-by-" + std::to_string(shards)).document;
