--- a/Services/Entry/EntryLoop.cpp
+++ b/Services/Entry/EntryLoop.cpp
@@ -21,7 +21,8 @@
 /// Longest sleep of the decision thread without any event.
 constexpr Base::Duration LongestWait = Base::milliseconds(500);
 
-/// Callers may use a cached address for its maximum age; the margin covers clock differences and the time to connect.
+/// Callers may use a cached address for its maximum age; the margin covers clock differences and the time to
+/// connect.
 constexpr Base::Duration AddressMargin = Base::seconds(1);
 
 /// A leaving process waits this long for control to take its shares; its lease covers the rest.
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -79,7 +79,8 @@
     peerApi_.setLoop(loop_.get());
     callerApi_.setLoop(loop_.get());
     decisionThread_ = std::thread([this] { loop_->run(); });
-    Log.info("Entry process started.", {{"entry", settings.entryId}, {"http", httpAddress()}, {"peer", peerAddress()}});
+    Log.info("Entry process started.",
+             {{"entry", settings.entryId}, {"http", httpAddress()}, {"peer", peerAddress()}});
     return {};
 }
 
