Destroy the endpoints of the garbage tests before the process exits

Cause: the endpoints were function-local statics, so their threads ended after OpenSSL's exit handler and its per-thread generators were reported as leaks. Ruled out: a leak in the product; endpoints that are destroyed in the test free everything. The cases still share one server, as before.

--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -158,16 +158,18 @@
 }
 
 // Guards against garbage that terminates the process or the service of others.
-RC_GTEST_PROP(Server, SurvivesMalformedInput, ())
+TEST(Server, SurvivesMalformedInput)
 {
-    static auto server = makeServer(&echo);
-    const auto garbage = *rc::gen::arbitrary<std::string>();
-    const auto startsWell = *rc::gen::arbitrary<bool>();
-    const auto socket = Support::RawSocket::connectTo(server->listenAddress());
-    socket.send((startsWell ? "POST /a HTTP/1.1\r\n" : "") + garbage);
-    socket.finishSending();
-    socket.receiveAll();
-    RC_ASSERT(connectTo(*server)->exchange(post("/", "x"), LongTimeout).has_value());
+    const auto server = makeServer(&echo);
+    EXPECT_TRUE(rc::check([&] {
+        const auto garbage = *rc::gen::arbitrary<std::string>();
+        const auto startsWell = *rc::gen::arbitrary<bool>();
+        const auto socket = Support::RawSocket::connectTo(server->listenAddress());
+        socket.send((startsWell ? "POST /a HTTP/1.1\r\n" : "") + garbage);
+        socket.finishSending();
+        socket.receiveAll();
+        RC_ASSERT(connectTo(*server)->exchange(post("/", "x"), LongTimeout).has_value());
+    }));
 }
 
 // Guards against slow clients that hold up others or keep their thread for ever.
--- a/Tests/LibPeer/TestEndpoint.cpp
+++ b/Tests/LibPeer/TestEndpoint.cpp
@@ -197,18 +197,20 @@
 }
 
 // Guards against garbage that terminates the process or the service of others.
-RC_GTEST_PROP(Endpoint, SurvivesMalformedInput, ())
+TEST(Endpoint, SurvivesMalformedInput)
 {
-    static auto server = makeEndpoint(&echo);
-    static auto client = makeEndpoint();
-    const auto garbage = *rc::gen::arbitrary<std::string>();
-    const auto startsWell = *rc::gen::arbitrary<bool>();
-    const auto socket = Support::RawSocket::connectTo(server->listenAddress());
-    const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
-    socket.send((startsWell ? preface : std::string()) + garbage);
-    socket.finishSending();
-    socket.receiveAll();
-    RC_ASSERT(startCall(*client, server->listenAddress(), {1}).get().has_value());
+    const auto server = makeEndpoint(&echo);
+    const auto client = makeEndpoint();
+    EXPECT_TRUE(rc::check([&] {
+        const auto garbage = *rc::gen::arbitrary<std::string>();
+        const auto startsWell = *rc::gen::arbitrary<bool>();
+        const auto socket = Support::RawSocket::connectTo(server->listenAddress());
+        const std::string preface = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+        socket.send((startsWell ? preface : std::string()) + garbage);
+        socket.finishSending();
+        socket.receiveAll();
+        RC_ASSERT(startCall(*client, server->listenAddress(), {1}).get().has_value());
+    }));
 }
 
 // Guards against a peer that connects and stalls: it must not hold up others, and its connection must end.
