Keep room for a burst in the adaptive admission limit

Cause: after one overload signal the limit fell to 85% of the queries in flight, which is 1 at an entry process that gets 6 queries/s. The second of two queries that arrived together was then refused although the servers were at 40% load. Ruled out: the tenant shares; one tenant was active, and the kind was overloaded.

The limit no longer falls below 4, or a quarter of the class's declared limit where that is lower.

--- a/Libraries/LibQuery/AdmissionTable.cpp
+++ b/Libraries/LibQuery/AdmissionTable.cpp
@@ -13,6 +13,17 @@
 
 constexpr double DecreaseFactor = 0.85;
 constexpr double MinLimit = 1.0;
+/// Queries arrive in bursts: with a lower limit an entry process that gets few queries refuses the second of
+/// two that arrive together, although the backend servers are idle.
+constexpr double BurstLimit = 4.0;
+/// A class with a small declared limit is kept tight: the lowest limit is at most this part of it.
+constexpr double LargestFloorFraction = 0.25;
+
+double lowestLimit(double maxLimit)
+{
+    return std::max(MinLimit, std::min(BurstLimit, LargestFloorFraction * maxLimit));
+}
+
 /// The limit grows only while it is used, so that a quiet hour does not raise it beyond what was tested.
 constexpr double UsedFraction = 0.7;
 
@@ -60,7 +71,8 @@
     if (outcome.acceptedAt < gate.lastDecrease)
         return;
     // A limit that was never reached says nothing; the decrease starts from what was in flight.
-    gate.limit = std::max(MinLimit, std::min<double>(gate.limit, gate.peakInFlight) * DecreaseFactor);
+    const auto lowered = std::min<double>(gate.limit, gate.peakInFlight) * DecreaseFactor;
+    gate.limit = std::max(lowestLimit(gate.maxLimit), lowered);
     gate.peakInFlight = gate.inFlight;
     gate.lastDecrease = now;
 }
