--- /dev/null
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibRoute/Configuration.h"
+#include "LibWire/RegistryMessages.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Adapter {
+
+/// Names of the HTTP headers that the platform defines.
+struct HeaderNames
+{
+    std::string_view requestId; ///< Id of one attempt of a caller; echoed by backend servers.
+    std::string_view deadline; ///< Milliseconds that the sender will wait.
+    std::string_view targetServer; ///< Id of the only server that may run the request.
+    std::string_view serverProof; ///< Proof that a backend server made the response.
+    std::string_view serverLoad; ///< Running, waiting, slots; separated by commas.
+    std::string_view notExecuted; ///< The backend server has not run the request.
+    std::string_view partProofs; ///< Proofs of the parts in a gathered answer.
+    std::string_view missingParts; ///< Number of shards that a gathered answer lacks.
+};
+
+/// A backend server's own view of its work.
+struct ServerLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 1;
+    double slowdown = 1.0; ///< Duration of work on its VM now, relative to the usual.
+};
+
+/// One page of the platform's server list.
+struct ServerPage
+{
+    std::vector<Wire::ServerRecord> servers;
+    std::size_t unreadable = 0; ///< Entries that were left out because they make no sense.
+    std::string nextPage; ///< Token of the next page; empty on the last.
+};
+
+/// What a call to one of the system's own interfaces asks for.
+enum class Call : std::uint8_t { Unknown, LookUpGateways, CheckReadiness, ReplaceConfiguration, ReadConfiguration };
+
+/// Translates between the product and the platform that it runs on. Stateless.
+class PlatformAdapter
+{
+public:
+    virtual ~PlatformAdapter() = default;
+
+    virtual const HeaderNames &headers() const = 0;
+    virtual Call classify(std::string_view method, std::string_view path) const = 0;
+
+    /// Decodes and validates; DocumentInvalid lists every mistake.
+    virtual Base::Result<Route::Configuration> decodeConfiguration(std::string_view text) const = 0;
+
+    virtual std::optional<ServerLoad> decodeServerLoad(std::string_view text) const = 0;
+
+    /// Request target for one page of the server list; `page` is empty for the first.
+    virtual std::string serverListTarget(std::string_view page) const = 0;
+    virtual Base::Result<ServerPage> decodeServerPage(std::string_view text) const = 0;
+
+    /// Body that tells callers which gateways to use, and for how long.
+    virtual std::string encodeGateways(std::span<const std::string> callerAddresses,
+                                       Base::Duration maxAge) const = 0;
+
+    /// Data centre of the caller of a look-up, from the query string; empty when it is not given.
+    virtual std::string callerDataCentre(std::string_view query) const = 0;
+};
+
+} // namespace Adapter
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -49,17 +49,30 @@
 
 } // namespace
 
+void appendLogField(std::string &line, const LogField &field)
+{
+    fmt::format_to(std::back_inserter(line), " {}=", field.key);
+    if (needsQuotes(field.value))
+        appendQuoted(line, field.value);
+    else
+        line += field.value;
+}
+
+std::string logTimeStamp()
+{
+    const auto now =
+        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+    const auto milliseconds = now.time_since_epoch().count() % 1000;
+    return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
+                       milliseconds);
+}
+
 std::string formatLogLine(LogLevel level, std::string_view part, std::string_view sentence,
                           std::initializer_list<LogField> fields)
 {
     auto line = fmt::format("{} {}: {}", levelName(level), part, sentence);
-    for (const auto &field : fields) {
-        fmt::format_to(std::back_inserter(line), " {}=", field.key);
-        if (needsQuotes(field.value))
-            appendQuoted(line, field.value);
-        else
-            line += field.value;
-    }
+    for (const auto &field : fields)
+        appendLogField(line, field);
     return line;
 }
 
@@ -92,13 +105,8 @@
 {
     if (level < minimumLevel.load(std::memory_order_relaxed))
         return;
-    const auto now =
-        std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
-    const auto milliseconds = now.time_since_epoch().count() % 1000;
-    const auto stamp = fmt::gmtime(std::chrono::system_clock::to_time_t(now));
     // One write per line, so that lines of several threads do not mix.
-    const auto line = fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {}\n", stamp, milliseconds,
-                                  formatLogLine(level, part_, sentence, fields));
+    const auto line = fmt::format("{} {}\n", logTimeStamp(), formatLogLine(level, part_, sentence, fields));
     std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -47,6 +47,12 @@
     std::string_view part_;
 };
 
+/// Appends " key=value"; values with spaces, quotes or control characters are quoted.
+void appendLogField(std::string &line, const LogField &field);
+
+/// Returns the wall-clock time as "2026-12-04T04:03:07.123Z".
+std::string logTimeStamp();
+
 /// Formats one line without its time stamp. Values with spaces, quotes or control characters are quoted.
 std::string formatLogLine(LogLevel level, std::string_view part, std::string_view sentence,
                           std::initializer_list<LogField> fields);
--- a/Libraries/LibConfiguration/TableReader.cpp
+++ b/Libraries/LibConfiguration/TableReader.cpp
@@ -152,6 +152,17 @@
     return {*value, lineOf(*node), pathOf(key)};
 }
 
+std::string TableReader::optionalText(std::string_view key)
+{
+    const auto *node = find(key);
+    if (node == nullptr)
+        return {};
+    const auto value = node->value_exact<std::string>();
+    if (!value)
+        reportKey(key, "a string");
+    return value.value_or(std::string());
+}
+
 LocatedText TableReader::name(std::string_view key)
 {
     auto found = text(key, AcceptedName);
--- a/Libraries/LibConfiguration/TableReader.h
+++ b/Libraries/LibConfiguration/TableReader.h
@@ -45,6 +45,9 @@
     /// Reads a required string; an empty text is returned after a mistake.
     LocatedText text(std::string_view key, std::string_view accepted);
 
+    /// Reads a string that may be missing or empty.
+    std::string optionalText(std::string_view key);
+
     /// Reads a required name: lower-case letters, digits, '.', '_' and '-'.
     LocatedText name(std::string_view key);
 
--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -47,6 +47,20 @@
     return std::nullopt;
 }
 
+std::optional<Wire::RaftMembership> MembershipPlanner::withoutGone(const Consensus::RaftStatus &status,
+                                                                   std::size_t voterTarget,
+                                                                   Base::Duration goneAfter)
+{
+    const auto heardVoters = static_cast<std::size_t>(
+        std::count_if(status.members.begin(), status.members.end(),
+                      [](const auto &member) { return member.member.voter && isHeard(member); }));
+    for (const auto &member : status.members) {
+        if (member.silentFor >= goneAfter && (!member.member.voter || heardVoters >= voterTarget))
+            return without(present(status), member.member);
+    }
+    return std::nullopt;
+}
+
 Wire::RaftMembership MembershipPlanner::present(const Consensus::RaftStatus &status)
 {
     Wire::RaftMembership membership;
--- /dev/null
+++ b/Libraries/LibEdge/BackendConnection.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "LibBase/Clock.h"
+#include "LibEdge/Loop.h"
+#include "LibEdge/RequestMessage.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace Edge {
+
+/// How an exchange on a backend connection ended without a whole response.
+enum class ExchangeFailure : std::uint8_t {
+    NotSent, ///< No byte of the request left this process.
+    ReplyLost, ///< The connection ended or timed out after bytes were sent; the request may have run.
+    ReplyMalformed, ///< The bytes received are no response, or belong to another request.
+};
+
+std::string_view exchangeFailureName(ExchangeFailure failure);
+
+/// What a pool is told by one of its connections. Every send() is answered by exactly one of the first two,
+/// unless the connection is aborted.
+class BackendConnectionEvents
+{
+public:
+    virtual ~BackendConnectionEvents() = default;
+    virtual void replyArrived(ResponseMessage response) = 0;
+    virtual void exchangeFailed(ExchangeFailure failure, const std::string &detail) = 0;
+    /// The connection ended while it was idle.
+    virtual void idleConnectionEnded() = 0;
+};
+
+/// One client connection that carries one request at a time. Anything unexpected on it ends it, so that a
+/// stray response is never taken for the answer to a later request.
+class BackendConnection
+{
+public:
+    /// Starts connecting; a request may be sent at once and leaves when the connection is there.
+    BackendConnection(Loop &loop, const std::string &address, Base::Duration connectTimeout,
+                      BackendConnectionEvents &events);
+    ~BackendConnection();
+    BackendConnection(const BackendConnection &) = delete;
+    BackendConnection &operator=(const BackendConnection &) = delete;
+
+    /// Sends a formatted request. `headRequest`: its response has no body.
+    void send(std::string request, bool headRequest = false);
+
+    /// Ends the connection without further events.
+    void abort();
+
+    bool isOpen() const;
+    bool isConnected() const;
+    /// False once the server announced that it closes, or its idle timeout is near.
+    bool isReusable(Base::Instant now) const;
+    bool hasCarriedRequests() const;
+    Base::Instant idleSince() const;
+
+private:
+    class Implementation;
+    boost::intrusive_ptr<Implementation> implementation_;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/Libraries/LibEdge/CallerServer.cpp
@@ -0,0 +1,209 @@
+#include "LibEdge/CallerServer.h"
+
+#include "LibEdge/CallerConnection.h"
+#include "LibEdge/SocketAddress.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <fmt/format.h>
+
+namespace Edge {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+/// Interval of the timeout checks; timeouts are exact to this.
+constexpr Base::Duration SweepInterval = Base::milliseconds(250);
+/// Pause before accepting again after an error such as too many open descriptors.
+constexpr Base::Duration AcceptRetryDelay = Base::milliseconds(100);
+
+} // namespace
+
+class CallerServer::Implementation
+{
+public:
+    Implementation(Loop &loop, CallerHandler handler)
+        : acceptor_(loop.context())
+        , sweepTimer_(loop.context())
+        , retryTimer_(loop.context())
+    {
+        context_.handler = std::move(handler);
+    }
+
+    ~Implementation()
+    {
+        while (!connections_.empty())
+            connections_.front().detach();
+    }
+
+    Base::Result<void> open(const std::string &address)
+    {
+        const auto endpoint = parseEndpoint(address);
+        if (!endpoint)
+            return tl::unexpected(endpoint.error());
+        error_code error;
+        acceptor_.open(endpoint->protocol(), error);
+        if (!error)
+            acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+        if (!error)
+            acceptor_.bind(*endpoint, error);
+        if (!error)
+            acceptor_.listen(asio::socket_base::max_listen_connections, error);
+        if (!error)
+            acceptor_.non_blocking(true, error);
+        if (error)
+            return Base::fail(Base::ErrorKind::SettingInvalid,
+                              fmt::format("cannot listen on {}: {}", address, error.message()));
+        accept();
+        sweep();
+        return {};
+    }
+
+    void accept()
+    {
+        if (!acceptor_.is_open())
+            return;
+        acceptor_.async_accept([this](const error_code &error, asio::ip::tcp::socket socket) {
+            if (error == asio::error::operation_aborted)
+                return;
+            if (error)
+                return retryAccept();
+            add(std::move(socket));
+            accept();
+        });
+    }
+
+    void retryAccept()
+    {
+        retryTimer_.expires_after(AcceptRetryDelay);
+        retryTimer_.async_wait([this](const error_code &error) {
+            if (!error)
+                accept();
+        });
+    }
+
+    void add(asio::ip::tcp::socket socket)
+    {
+        if (connections_.size() >= context_.limits.maxConnections)
+            return; // The socket closes here; the caller tries another gateway.
+        const boost::intrusive_ptr<CallerConnection> connection(
+            new CallerConnection(std::move(socket), context_));
+        connections_.push_back(*connection);
+        connection->start();
+    }
+
+    void sweep()
+    {
+        sweepTimer_.expires_after(SweepInterval);
+        sweepTimer_.async_wait([this](const error_code &error) {
+            if (error)
+                return;
+            const auto now = context_.clock.now();
+            forEach([now](CallerConnection &connection) { connection.checkTimeouts(now); });
+            sweep();
+        });
+    }
+
+    /// `visit` may remove the connection that it is given.
+    template<typename Visit>
+    void forEach(Visit visit)
+    {
+        for (auto next = connections_.begin(); next != connections_.end();) {
+            auto &connection = *next;
+            ++next;
+            visit(connection);
+        }
+    }
+
+    using Connections =
+        boost::intrusive::list<CallerConnection, boost::intrusive::constant_time_size<false>>;
+
+    CallerServerContext context_;
+    asio::ip::tcp::acceptor acceptor_;
+    asio::steady_timer sweepTimer_;
+    asio::steady_timer retryTimer_;
+    Connections connections_;
+};
+
+Base::Result<std::unique_ptr<CallerServer>> CallerServer::create(Loop &loop, const std::string &address,
+                                                                 CallerHandler handler)
+{
+    auto implementation = std::make_unique<Implementation>(loop, std::move(handler));
+    if (auto opened = implementation->open(address); !opened)
+        return tl::unexpected(opened.error());
+    return std::unique_ptr<CallerServer>(new CallerServer(std::move(implementation)));
+}
+
+CallerServer::CallerServer(std::unique_ptr<Implementation> implementation)
+    : implementation_(std::move(implementation))
+{
+}
+
+CallerServer::~CallerServer() = default;
+
+std::string CallerServer::address() const
+{
+    error_code error;
+    const auto endpoint = implementation_->acceptor_.local_endpoint(error);
+    return error ? std::string() : fmt::format("{}:{}", endpoint.address().to_string(), endpoint.port());
+}
+
+void CallerServer::setLimits(const EdgeLimits &limits)
+{
+    implementation_->context_.limits = limits;
+}
+
+void CallerServer::beginDrain()
+{
+    implementation_->context_.draining = true;
+}
+
+void CallerServer::stopAccepting()
+{
+    beginDrain();
+    error_code ignored; // The listener is released whatever close() reports.
+    implementation_->acceptor_.close(ignored);
+    implementation_->forEach([](CallerConnection &connection) { connection.closeIfIdle(); });
+}
+
+std::size_t CallerServer::connectionCount() const
+{
+    return implementation_->connections_.size();
+}
+
+std::size_t CallerServer::requestsInFlight() const
+{
+    std::size_t count = 0;
+    for (const auto &connection : implementation_->connections_)
+        count += connection.hasRequest() ? 1 : 0;
+    return count;
+}
+
+CallerExchange::CallerExchange(boost::intrusive_ptr<CallerConnection> connection, std::uint64_t sequence)
+    : connection_(std::move(connection))
+    , sequence_(sequence)
+{
+}
+
+CallerExchange::CallerExchange() = default;
+CallerExchange::~CallerExchange() = default;
+CallerExchange::CallerExchange(const CallerExchange &) = default;
+CallerExchange::CallerExchange(CallerExchange &&) noexcept = default;
+CallerExchange &CallerExchange::operator=(const CallerExchange &) = default;
+CallerExchange &CallerExchange::operator=(CallerExchange &&) noexcept = default;
+
+void CallerExchange::respond(const ResponseMessage &response) const
+{
+    if (connection_)
+        connection_->respond(sequence_, response);
+}
+
+void CallerExchange::onCallerLeft(std::function<void()> left) const
+{
+    if (connection_)
+        connection_->onCallerLeft(sequence_, std::move(left));
+}
+
+} // namespace Edge
--- /dev/null
+++ b/Libraries/LibEdge/CallerServer.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "LibBase/Clock.h"
+#include "LibBase/Error.h"
+#include "LibEdge/Loop.h"
+#include "LibEdge/RequestMessage.h"
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Edge {
+
+class CallerConnection;
+
+/// The right to answer one request. The connection may be gone meanwhile; the answer is then dropped.
+class CallerExchange
+{
+public:
+    CallerExchange();
+    CallerExchange(boost::intrusive_ptr<CallerConnection> connection, std::uint64_t sequence);
+    ~CallerExchange();
+    CallerExchange(const CallerExchange &);
+    CallerExchange(CallerExchange &&) noexcept;
+    CallerExchange &operator=(const CallerExchange &);
+    CallerExchange &operator=(CallerExchange &&) noexcept;
+
+    /// Sends the answer; only the first one counts.
+    void respond(const ResponseMessage &response) const;
+
+    /// Calls `left` when the caller closes the connection before it is answered.
+    void onCallerLeft(std::function<void()> left) const;
+
+    /// True for the first request of its connection.
+    bool isFirstOnConnection() const { return sequence_ == 1; }
+
+private:
+    boost::intrusive_ptr<CallerConnection> connection_;
+    std::uint64_t sequence_ = 0;
+};
+
+/// What callers may send, and how long they may take.
+struct EdgeLimits
+{
+    std::uint32_t maxHeaderBytes = 16384;
+    std::uint64_t maxBodyBytes = std::uint64_t {256} * 1024;
+    Base::Duration headerTimeout = Base::seconds(3);
+    Base::Duration idleTimeout = Base::seconds(15);
+    std::size_t maxConnections = 2000; ///< Further ones are closed at once.
+};
+
+using CallerHandler = std::function<void(const RequestMessage &, CallerExchange)>;
+
+/// Accepts HTTP/1.1 connections on one address and serves one request at a time on each, on the loop's
+/// thread. Malformed requests are answered with 400, 408, 413 or 431 and a close.
+class CallerServer
+{
+public:
+    static Base::Result<std::unique_ptr<CallerServer>> create(Loop &loop, const std::string &address,
+                                                              CallerHandler handler);
+    ~CallerServer();
+    CallerServer(const CallerServer &) = delete;
+    CallerServer &operator=(const CallerServer &) = delete;
+
+    /// Address that the kernel bound, with the real port.
+    std::string address() const;
+    void setLimits(const EdgeLimits &limits);
+
+    /// Answers announce that their connection ends from now on.
+    void beginDrain();
+    /// Refuses new connections and closes those without a request.
+    void stopAccepting();
+    std::size_t connectionCount() const;
+    std::size_t requestsInFlight() const;
+
+private:
+    class Implementation;
+    explicit CallerServer(std::unique_ptr<Implementation> implementation);
+
+    std::unique_ptr<Implementation> implementation_;
+
+    friend class CallerConnection;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/Libraries/LibEdge/MessageParser.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "LibEdge/RequestMessage.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace Edge {
+
+/// Result of feeding bytes to a parser.
+struct Parsed
+{
+    std::size_t consumed = 0;
+    boost::beast::error_code error; ///< Set when the bytes are no message of the protocol.
+    bool done = false;
+};
+
+/// Parses one request. The grammar and the framing rules are Boost.Beast's: conflicting lengths, and a length
+/// beside chunks, are errors.
+class RequestParser final : private boost::beast::http::basic_parser<true>
+{
+public:
+    RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes);
+
+    /// Consumes bytes of at most one request; what is left belongs to the next one.
+    Parsed feed(std::string_view input);
+
+    bool hasHeader() const { return is_header_done(); }
+    bool expectsContinue() const { return expectsContinue_; }
+    /// Valid after feed() reported `done`.
+    RequestMessage take();
+
+private:
+    using Base = boost::beast::http::basic_parser<true>;
+    using Text = boost::beast::string_view;
+    using Error = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb, Text method, Text target, int version, Error &) override;
+    void on_response_impl(int, Text, int, Error &) override { }
+    void on_field_impl(boost::beast::http::field, Text name, Text value, Error &) override;
+    void on_header_impl(Error &) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &) override;
+    std::size_t on_body_impl(Text body, Error &) override;
+    void on_chunk_header_impl(std::uint64_t, Text, Error &) override { message_.hasBody = true; }
+    std::size_t on_chunk_body_impl(std::uint64_t, Text body, Error &) override;
+    void on_finish_impl(Error &) override { }
+
+    RequestMessage message_;
+    bool expectsContinue_ = false;
+};
+
+/// Parses one response; informational responses before it are skipped.
+class ResponseParser final : private boost::beast::http::basic_parser<false>
+{
+public:
+    /// `headRequest`: the response has no body whatever its headers say.
+    explicit ResponseParser(bool headRequest);
+
+    Parsed feed(std::string_view input);
+    /// The sender closed its side in an orderly way. Returns true when that completes the response.
+    bool finishAtEnd();
+
+    bool hasStarted() const { return got_some(); }
+    bool isInformational() const { return message_.status < 200; }
+    /// Valid after feed() reported `done` or finishAtEnd() returned true.
+    ResponseMessage take();
+
+private:
+    using Base = boost::beast::http::basic_parser<false>;
+    using Text = boost::beast::string_view;
+    using Error = boost::beast::error_code;
+
+    void on_request_impl(boost::beast::http::verb, Text, Text, int, Error &) override { }
+    void on_response_impl(int code, Text reason, int version, Error &) override;
+    void on_field_impl(boost::beast::http::field, Text name, Text value, Error &) override;
+    void on_header_impl(Error &) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) override { }
+    std::size_t on_body_impl(Text body, Error &) override;
+    void on_chunk_header_impl(std::uint64_t, Text, Error &) override { }
+    std::size_t on_chunk_body_impl(std::uint64_t, Text body, Error &) override;
+    void on_finish_impl(Error &) override { }
+
+    ResponseMessage message_;
+};
+
+} // namespace Edge
--- /dev/null
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -0,0 +1,199 @@
+#include "LibForward/BackendTable.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace Forward {
+
+namespace {
+
+/// Reads of the list in a row that must lack a server before it is given up.
+constexpr std::uint32_t AbsentReadsUntilGone = 2;
+/// An attempt open for this many times the expected latency shows a stall.
+constexpr double StallFactor = 3.0;
+/// A stall is not assumed earlier, because short services vary by more than their mean.
+constexpr double MinStallMs = 20.0;
+/// Half of a typical pause (120 to 150 ms): what an attempt on a stalled server is expected to wait.
+constexpr double StallPenaltyMs = 70.0;
+/// Cost of a failed attempt: noticing it and starting again elsewhere.
+constexpr double ErrorPenaltyMs = 200.0;
+/// Servers that are avoided are used only when no other is left.
+constexpr double AvoidPenaltyMs = 10'000.0;
+/// Slow start multiplies service times by about this.
+constexpr double ColdFactor = 1.6;
+/// Load reports change within tens of milliseconds; older ones say nothing.
+constexpr Base::Duration LoadReportAge = Base::milliseconds(150);
+/// Equal servers share the work when their estimates are drawn apart by up to this fraction.
+constexpr double TieSpread = 0.15;
+/// Weight of one attempt in the moving averages.
+constexpr double SlownessWeight = 0.15;
+constexpr double ErrorWeight = 0.25;
+/// Errors are forgotten by half in this time, so that a server that recovered gets work again.
+constexpr double ErrorHalfLifeMs = 2500.0;
+/// First and longest time without work after failures in a row.
+constexpr Base::Duration MinAvoidance = Base::milliseconds(250);
+constexpr Base::Duration MaxAvoidance = Base::seconds(2);
+/// One lost connection may be chance; two in a row are a pattern.
+constexpr std::uint32_t FailuresUntilAvoided = 2;
+
+double decayedErrorRate(Base::Instant now, const Backend &backend)
+{
+    const auto age = std::max(0.0, Base::toMilliseconds(now - backend.errorRateAt));
+    return backend.errorRate * std::exp2(-age / ErrorHalfLifeMs);
+}
+
+void addErrorSample(Base::Instant now, Backend &backend, double sample)
+{
+    const auto rate = decayedErrorRate(now, backend);
+    backend.errorRate = rate + ErrorWeight * (sample - rate);
+    backend.errorRateAt = now;
+}
+
+} // namespace
+
+void BackendTable::update(Base::Instant now, const Wire::ServerList &list)
+{
+    const auto readAt = now - Base::milliseconds(list.ageMs);
+    std::set<Identity> present;
+    for (const auto &record : list.servers) {
+        const Identity identity {record.id, record.bornAt};
+        present.insert(identity);
+        auto &backend = backends_[identity];
+        const bool isNew = !backend;
+        if (isNew)
+            backend.reset(new Backend);
+        // A server that changed its address or service is another one, whatever its id says.
+        else if (backend->record.address != record.address || backend->record.service != record.service) {
+            backend->listed = false;
+            backend.reset(new Backend);
+        }
+        backend->record = record;
+        backend->listed = true;
+        backend->absentReads = 0;
+        backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
+    }
+    for (auto next = backends_.begin(); next != backends_.end();) {
+        auto &backend = *next->second;
+        const bool gone = present.find(next->first) == present.end()
+                          && ++backend.absentReads >= AbsentReadsUntilGone;
+        if (gone)
+            backend.listed = false;
+        next = gone ? backends_.erase(next) : std::next(next);
+    }
+    loaded_ = true;
+    index();
+}
+
+void BackendTable::index()
+{
+    byService_.clear();
+    for (const auto &[identity, backend] : backends_)
+        byService_[backend->record.service].push_back(backend);
+}
+
+std::size_t BackendTable::eligibleCount(std::string_view service) const
+{
+    const auto found = byService_.find(std::string(service));
+    if (found == byService_.end())
+        return 0;
+    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(),
+                                                  [](const auto &backend) { return backend->acceptsWork(); }));
+}
+
+BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
+                                    std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
+                                    Base::Duration meanLatency)
+{
+    const auto found = byService_.find(std::string(service));
+    if (found == byService_.end())
+        return nullptr;
+    BackendPointer best;
+    double bestEstimate = 0.0;
+    for (const auto &backend : found->second) {
+        if (!backend->acceptsWork() || backend->openSince.size() >= connectionShare
+            || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
+            continue;
+        const auto estimate =
+            expectedMilliseconds(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit());
+        if (!best || estimate < bestEstimate) {
+            best = backend;
+            bestEstimate = estimate;
+        }
+    }
+    return best;
+}
+
+double BackendTable::expectedMilliseconds(Base::Instant now, const Backend &backend,
+                                          Base::Duration meanLatency)
+{
+    const auto mean = Base::toMilliseconds(meanLatency) * backend.slowness;
+    const bool loadIsFresh = backend.loadKnown && now - backend.loadAt < LoadReportAge;
+    const double own = static_cast<double>(backend.openSince.size());
+    const double work = loadIsFresh
+                            ? std::max(own, static_cast<double>(backend.load.running + backend.load.waiting))
+                            : own;
+    const double slots = std::max(1U, backend.record.slots);
+    auto estimate = mean * (1.0 + std::max(0.0, work + 1.0 - slots) / slots);
+    if (loadIsFresh)
+        estimate *= std::max(1.0, backend.load.slowdown);
+    if (now < backend.warmAt)
+        estimate *= ColdFactor;
+    if (!backend.openSince.empty()) {
+        const auto openFor = Base::toMilliseconds(now - backend.openSince.front());
+        if (openFor > std::max(MinStallMs, StallFactor * mean))
+            estimate += StallPenaltyMs;
+    }
+    estimate += ErrorPenaltyMs * decayedErrorRate(now, backend);
+    if (now < backend.avoidUntil)
+        estimate += AvoidPenaltyMs;
+    return estimate;
+}
+
+void BackendTable::noteSent(Backend &backend, Base::Instant now)
+{
+    backend.openSince.push_back(now);
+}
+
+void BackendTable::noteEnded(Backend &backend, Base::Instant sentAt)
+{
+    const auto open = std::find(backend.openSince.begin(), backend.openSince.end(), sentAt);
+    if (open != backend.openSince.end())
+        backend.openSince.erase(open);
+}
+
+void BackendTable::noteReply(Base::Instant now, Backend &backend, Base::Duration latency,
+                             Base::Duration meanLatency)
+{
+    const auto mean = std::max(0.1, Base::toMilliseconds(meanLatency));
+    const auto ratio = std::clamp(Base::toMilliseconds(latency) / mean, 0.2, 10.0);
+    backend.slowness += SlownessWeight * (ratio - backend.slowness);
+    backend.failuresInRow = 0;
+    backend.avoidUntil = now;
+    addErrorSample(now, backend, 0.0);
+}
+
+void BackendTable::noteError(Base::Instant now, Backend &backend)
+{
+    backend.failuresInRow = 0;
+    addErrorSample(now, backend, 1.0);
+}
+
+void BackendTable::noteUnreachable(Base::Instant now, Backend &backend)
+{
+    addErrorSample(now, backend, 1.0);
+    ++backend.failuresInRow;
+    if (backend.failuresInRow < FailuresUntilAvoided)
+        return;
+    const auto doublings = std::min(backend.failuresInRow - FailuresUntilAvoided, 4U);
+    backend.avoidUntil = now + std::min(MaxAvoidance, MinAvoidance * (1 << doublings));
+}
+
+void BackendTable::noteLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load)
+{
+    backend.load = load;
+    backend.loadAt = now;
+    backend.loadKnown = true;
+}
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/BackendTable.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "LibBase/RandomSource.h"
+#include "LibForward/Backend.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace Forward {
+
+/// All backend servers by service, and the choice among those of one service. Performs no I/O.
+class BackendTable
+{
+public:
+    explicit BackendTable(std::uint64_t seed)
+        : random_(seed)
+    {
+    }
+
+    /// Takes over a new read of the platform's list. Servers that it lacks accept no more work once two reads
+    /// in a row lack them, because a list that is read page by page may miss one that moved between pages.
+    void update(Base::Instant now, const Wire::ServerList &list);
+
+    /// Placing under load: returns the server of the service that is expected to answer first and has fewer
+    /// than `connectionShare` attempts open, or null. Work goes round servers that stall (pause), fail part of
+    /// their requests, are cold, or report a queue. Servers in `excluded` are left out.
+    BackendPointer choose(Base::Instant now, std::string_view service, std::span<const BackendPointer> excluded,
+                          std::uint32_t connectionShare, Base::Duration meanLatency);
+
+    /// Number of servers that may take work.
+    std::size_t eligibleCount(std::string_view service) const;
+    /// True once a list has been taken over.
+    bool isLoaded() const { return loaded_; }
+    std::size_t size() const { return backends_.size(); }
+
+    static void noteSent(Backend &backend, Base::Instant now);
+    static void noteEnded(Backend &backend, Base::Instant sentAt);
+    static void noteReply(Base::Instant now, Backend &backend, Base::Duration latency,
+                          Base::Duration meanLatency);
+    /// The server answered with an error or with bytes that make no sense.
+    static void noteError(Base::Instant now, Backend &backend);
+    /// The server could not be reached, or the connection ended without a reply.
+    static void noteUnreachable(Base::Instant now, Backend &backend);
+    static void noteLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
+
+    /// Expected time to a reply in milliseconds, with penalties; the measure of choose().
+    static double expectedMilliseconds(Base::Instant now, const Backend &backend, Base::Duration meanLatency);
+
+private:
+    using Identity = std::pair<std::string, std::int64_t>; ///< Id and start.
+
+    void index();
+
+    std::map<Identity, BackendPointer> backends_;
+    std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
+    Base::RandomSource random_;
+    bool loaded_ = false;
+};
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -0,0 +1,331 @@
+#include "LibForward/ForwardCore.h"
+
+#include "LibForward/GatherPolicy.h"
+
+#include <algorithm>
+
+namespace Forward {
+
+namespace {
+
+/// Work for a caller who left may end by itself within this time; then it is cut off.
+constexpr Base::Duration AbandonedGrace = Base::milliseconds(300);
+/// Work that an answer did not wait for usually ends soon, and ending it early would cost a connection.
+constexpr Base::Duration AnsweredGrace = Base::milliseconds(1000);
+
+} // namespace
+
+ForwardCore::ForwardCore(const ForwardOptions &options)
+    : options_(options)
+    , backends_(options.seed)
+    , random_(options.seed + 1)
+{
+}
+
+void ForwardCore::setOptions(const ForwardOptions &options)
+{
+    options_ = options;
+    for (auto &[service, budget] : budgets_)
+        budget.setMaxTokens(maxExtraTokens());
+}
+
+void ForwardCore::setServers(Base::Instant now, const Wire::ServerList &list)
+{
+    backends_.update(now, list);
+    dispatchWaiting(now);
+}
+
+void ForwardCore::setGatewayCount(std::size_t count)
+{
+    gatewayCount_ = std::max<std::size_t>(1, count);
+    for (auto &[service, budget] : budgets_)
+        budget.setMaxTokens(maxExtraTokens());
+}
+
+ExchangeId ForwardCore::begin(Base::Instant now, RequestFacts facts)
+{
+    const auto id = ++lastId_;
+    auto &exchange = exchanges_[id];
+    exchange.facts = std::move(facts);
+    const auto &route = *exchange.facts.route;
+    exchange.arrivedAt = now;
+    exchange.deadline = now + std::min(route.timeout, exchange.facts.callerDeadline.value_or(route.timeout));
+    exchange.answerBy = now + std::max(route.latencyTarget - exchange.facts.callerDelay, Base::Duration::zero());
+    if (route.gather) {
+        for (const auto &shard : route.gather->shards)
+            exchange.legs.emplace_back().service = shard;
+    } else {
+        exchange.legs.emplace_back().service = pickTarget(route);
+    }
+    for (const auto &leg : exchange.legs)
+        budgetOf(leg.service).earn(options_.extraLoadRatio);
+    if (auto refusal = refuseHopeless(exchange)) {
+        finish(now, id, exchange, std::move(*refusal));
+        return id;
+    }
+    for (std::size_t index = 0; index < exchange.legs.size(); ++index)
+        dispatch(now, id, exchange, index);
+    if (!concludeIfDecided(now, id, exchange))
+        scheduleReview(id, exchange);
+    return id;
+}
+
+// Smooth weighted round robin: each request adds the weights and the highest credit is taken, so that even a
+// few requests keep close to the weights. The random start keeps the gateways from taking turns together.
+std::string_view ForwardCore::pickTarget(const Route::RouteRule &route)
+{
+    if (route.targets.size() == 1)
+        return route.targets.front().service;
+    auto &credits = splitCredits_[route.name];
+    double total = 0.0;
+    for (const auto &target : route.targets)
+        total += target.weight;
+    if (credits.size() != route.targets.size()) {
+        credits.clear();
+        for (std::size_t index = 0; index < route.targets.size(); ++index)
+            credits.push_back(random_.unit() * total / 2);
+    }
+    std::size_t best = 0;
+    bool found = false;
+    for (std::size_t index = 0; index < route.targets.size(); ++index) {
+        credits[index] += route.targets[index].weight;
+        // A weight of 0 takes a service out of use, whatever credit it had.
+        if (route.targets[index].weight > 0.0 && (!found || credits[index] > credits[best])) {
+            best = index;
+            found = true;
+        }
+    }
+    credits[best] -= total;
+    return route.targets[best].service;
+}
+
+/// Refuses at once what cannot become a success, while nothing of it has run.
+std::optional<Outcome> ForwardCore::refuseHopeless(const Exchange &exchange)
+{
+    const auto timeLeft = exchange.deadline - exchange.arrivedAt;
+    std::size_t reachable = 0;
+    std::size_t inTime = 0;
+    for (const auto &leg : exchange.legs) {
+        if (backends_.eligibleCount(leg.service) == 0)
+            continue;
+        ++reachable;
+        inTime += expectedWait(exchange, leg.service) < timeLeft ? 1 : 0;
+    }
+    const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
+    const auto needed = share * static_cast<double>(exchange.legs.size()) - 1e-9;
+    if (static_cast<double>(reachable) < needed)
+        return failedOutcome(exchange, Base::ErrorKind::NoEligibleReplica,
+                             backends_.isLoaded() ? "too few services have a server that takes work"
+                                                  : "the list of servers is not known yet");
+    if (static_cast<double>(inTime) < needed)
+        return failedOutcome(exchange, Base::ErrorKind::Overloaded,
+                             "the work that waits already takes longer than the caller will");
+    return std::nullopt;
+}
+
+void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
+{
+    const auto found = attempts_.find(attemptId);
+    if (found == attempts_.end())
+        return;
+    const auto attempt = std::move(found->second);
+    attempts_.erase(found);
+    BackendTable::noteEnded(*attempt.backend, attempt.sentAt);
+    if (reply.load)
+        BackendTable::noteLoad(now, *attempt.backend, *reply.load);
+    const bool succeeded =
+        reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
+    const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
+    if (succeeded) {
+        const auto times = routeTimes_.find(attempt.routeName);
+        if (times != routeTimes_.end()) {
+            times->second.add(now - attempt.sentAt);
+            BackendTable::noteReply(now, *attempt.backend, now - attempt.sentAt, times->second.mean());
+        }
+    } else if (serverFault || reply.notExecuted) {
+        BackendTable::noteError(now, *attempt.backend);
+    }
+    const auto owner = exchanges_.find(attempt.exchange);
+    if (owner == exchanges_.end())
+        return dispatchWaiting(now);
+    auto &exchange = owner->second;
+    auto &leg = exchange.legs[attempt.leg];
+    --leg.open;
+    if (leg.state == LegState::Present)
+        return dispatchWaiting(now);
+    if (succeeded) {
+        takeSuccess(now, attempt.exchange, exchange, attempt.leg, reply);
+        return dispatchWaiting(now);
+    }
+    const bool notRun = reply.notExecuted || reply.response.status == 421;
+    leg.mayHaveRun = leg.mayHaveRun || !notRun;
+    leg.failure = notRun ? "not_executed" : !reply.isWhole ? "malformed" : "server_error";
+    if (!notRun && reply.isWhole && !reply.proof.empty())
+        exchange.fallback = std::move(reply.response);
+    // The server decided about the request itself; another one would say the same.
+    const bool isFinal = exchange.fallback && exchange.fallback->status / 100 != 5 && !notRun && reply.isWhole;
+    if (isFinal)
+        leg.state = LegState::Closed;
+    else
+        retryOrClose(now, attempt.exchange, exchange, attempt.leg);
+    if (!concludeIfDecided(now, attempt.exchange, exchange))
+        scheduleReview(attempt.exchange, exchange);
+    dispatchWaiting(now);
+}
+
+void ForwardCore::takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
+                              AttemptReply &reply)
+{
+    auto &leg = exchange.legs[legIndex];
+    leg.state = LegState::Present;
+    leg.proof = std::move(reply.proof);
+    if (exchange.isGather()) {
+        leg.body = std::move(reply.response.body);
+        if (!concludeIfDecided(now, id, exchange))
+            scheduleReview(id, exchange);
+        return;
+    }
+    Outcome outcome;
+    outcome.kind = Outcome::Kind::Relay;
+    outcome.response = std::move(reply.response);
+    finish(now, id, exchange, std::move(outcome));
+}
+
+void ForwardCore::attemptFailed(Base::Instant now, AttemptId attemptId, Edge::ExchangeFailure failure)
+{
+    const auto found = attempts_.find(attemptId);
+    if (found == attempts_.end())
+        return;
+    const auto attempt = std::move(found->second);
+    attempts_.erase(found);
+    BackendTable::noteEnded(*attempt.backend, attempt.sentAt);
+    if (failure == Edge::ExchangeFailure::ReplyMalformed)
+        BackendTable::noteError(now, *attempt.backend);
+    else
+        BackendTable::noteUnreachable(now, *attempt.backend);
+    const auto owner = exchanges_.find(attempt.exchange);
+    if (owner == exchanges_.end())
+        return dispatchWaiting(now);
+    auto &exchange = owner->second;
+    auto &leg = exchange.legs[attempt.leg];
+    --leg.open;
+    if (leg.state != LegState::Present) {
+        leg.failure = Edge::exchangeFailureName(failure);
+        if (failure == Edge::ExchangeFailure::NotSent) {
+            // Nothing reached the server, so neither the attempts nor the budget are used up.
+            --leg.sends;
+            if (attempt.extra)
+                budgetOf(leg.service).earn(1.0);
+        } else {
+            leg.mayHaveRun = true;
+        }
+        retryOrClose(now, attempt.exchange, exchange, attempt.leg);
+        if (!concludeIfDecided(now, attempt.exchange, exchange))
+            scheduleReview(attempt.exchange, exchange);
+    }
+    dispatchWaiting(now);
+}
+
+void ForwardCore::callerLeft(Base::Instant now, ExchangeId id)
+{
+    if (exchanges_.erase(id) == 0)
+        return;
+    std::erase_if(waiting_, [id](const WaitingLeg &waiting) { return waiting.exchange == id; });
+    for (auto &[attemptId, attempt] : attempts_) {
+        if (attempt.exchange != id)
+            continue;
+        attempt.exchange = 0;
+        aborts_.schedule(now + AbandonedGrace, attemptId);
+    }
+}
+
+void ForwardCore::runTimers(Base::Instant now)
+{
+    while (const auto id = reviews_.popDue(now))
+        review(now, *id);
+    while (const auto attemptId = aborts_.popDue(now)) {
+        const auto found = attempts_.find(*attemptId);
+        if (found == attempts_.end())
+            continue;
+        BackendTable::noteEnded(*found->second.backend, found->second.sentAt);
+        attempts_.erase(found);
+        actions_.emplace_back(AbortAttempt {*attemptId});
+    }
+    dispatchWaiting(now);
+}
+
+std::optional<Base::Instant> ForwardCore::nextTimer() const
+{
+    const auto review = reviews_.next();
+    const auto abort = aborts_.next();
+    if (!review || !abort)
+        return review ? review : abort;
+    return std::min(*review, *abort);
+}
+
+std::vector<Action> ForwardCore::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+void ForwardCore::review(Base::Instant now, ExchangeId id)
+{
+    const auto found = exchanges_.find(id);
+    if (found == exchanges_.end())
+        return;
+    auto &exchange = found->second;
+    exchange.nextReview = Base::Instant::max();
+    exchange.answerByPassed = exchange.answerByPassed || now >= exchange.answerBy;
+    if (concludeIfDecided(now, id, exchange))
+        return;
+    hedgeDueLegs(now, id, exchange);
+    if (!concludeIfDecided(now, id, exchange))
+        scheduleReview(id, exchange);
+}
+
+void ForwardCore::scheduleReview(ExchangeId id, Exchange &exchange)
+{
+    auto next = exchange.deadline;
+    bool undecided = false;
+    for (const auto &leg : exchange.legs) {
+        if (leg.state == LegState::Open) {
+            next = std::min(next, leg.hedgeAt);
+            undecided = true;
+        }
+        undecided = undecided || leg.state == LegState::Waiting;
+    }
+    // At this moment a gather answers with what it has.
+    if (exchange.isGather() && undecided && !exchange.answerByPassed)
+        next = std::min(next, exchange.answerBy);
+    if (next < exchange.nextReview) {
+        exchange.nextReview = next;
+        reviews_.schedule(next, id);
+    }
+}
+
+void ForwardCore::finish(Base::Instant now, ExchangeId id, Exchange &exchange, Outcome outcome)
+{
+    outcome.attempts = exchange.sends;
+    outcome.extraAttempts = exchange.extraSends;
+    actions_.emplace_back(AnswerCaller {id, std::move(outcome)});
+    std::erase_if(waiting_, [id](const WaitingLeg &waiting) { return waiting.exchange == id; });
+    abandonAttempts(now, id);
+    exchanges_.erase(id);
+}
+
+void ForwardCore::abandonAttempts(Base::Instant now, ExchangeId id)
+{
+    for (auto &[attemptId, attempt] : attempts_) {
+        if (attempt.exchange != id)
+            continue;
+        attempt.exchange = 0;
+        aborts_.schedule(now + AnsweredGrace, attemptId);
+    }
+}
+
+RouteTimes &ForwardCore::timesOf(const Route::RouteRule &route)
+{
+    return routeTimes_.try_emplace(route.name, route.latencyTarget).first->second;
+}
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -0,0 +1,117 @@
+// Answering: when an exchange is over, and what its caller is told.
+
+#include "LibForward/ForwardCore.h"
+#include "LibForward/GatherPolicy.h"
+#include "LibForward/TopRecords.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Forward {
+
+namespace {
+
+/// Callers come back after this time and up to as much again, so that those refused together do not return
+/// together. Short enough for a second attempt within the usual latency targets.
+constexpr Base::Duration MinRetryAfter = Base::milliseconds(100);
+/// Shards named in one log line.
+constexpr std::size_t MaxShardsLogged = 6;
+
+} // namespace
+
+/// Ends the exchange when nothing more can or should be waited for. Returns true when it ended.
+bool ForwardCore::concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange)
+{
+    return exchange.isGather() ? concludeGather(now, id, exchange) : concludeSingle(now, id, exchange);
+}
+
+bool ForwardCore::concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange)
+{
+    GatherProgress progress;
+    progress.total = exchange.legs.size();
+    progress.minimumCoverage = exchange.facts.route->gather->minimumCoverage;
+    progress.answerBy = exchange.answerBy;
+    for (const auto &leg : exchange.legs) {
+        progress.present += leg.state == LegState::Present ? 1 : 0;
+        progress.pending += leg.state == LegState::Open || leg.state == LegState::Waiting ? 1 : 0;
+    }
+    const bool expired = now >= exchange.deadline;
+    if (expired)
+        progress.pending = 0;
+    const auto decision = decideGather(progress, now);
+    if (decision == GatherDecision::Wait)
+        return false;
+    if (decision == GatherDecision::Answer) {
+        finish(now, id, exchange, gatheredOutcome(exchange));
+        return true;
+    }
+    const auto kind = exchange.sends == 0 ? Base::ErrorKind::Overloaded
+                      : expired           ? Base::ErrorKind::DeadlineExceeded
+                                          : Base::ErrorKind::BackendFailed;
+    finish(now, id, exchange,
+           failedOutcome(exchange, kind,
+                         fmt::format("{} of {} parts arrived", progress.present, progress.total)));
+    return true;
+}
+
+bool ForwardCore::concludeSingle(Base::Instant now, ExchangeId id, Exchange &exchange)
+{
+    const auto &leg = exchange.legs.front();
+    const bool expired = now >= exchange.deadline;
+    if (leg.state != LegState::Closed && !expired)
+        return false;
+    if (exchange.fallback && leg.state == LegState::Closed) {
+        Outcome outcome;
+        outcome.kind = Outcome::Kind::Relay;
+        outcome.response = std::move(*exchange.fallback);
+        outcome.cause = "the server answered with a failure";
+        finish(now, id, exchange, std::move(outcome));
+        return true;
+    }
+    auto kind = Base::ErrorKind::Overloaded;
+    if (leg.mayHaveRun || leg.open > 0)
+        kind = expired ? Base::ErrorKind::DeadlineExceeded : Base::ErrorKind::BackendReplyLost;
+    finish(now, id, exchange, failedOutcome(exchange, kind, std::string(leg.failure)));
+    return true;
+}
+
+Outcome ForwardCore::gatheredOutcome(Exchange &exchange) const
+{
+    Outcome outcome;
+    outcome.kind = Outcome::Kind::Gathered;
+    std::vector<std::string_view> parts;
+    for (auto &leg : exchange.legs) {
+        if (leg.state != LegState::Present) {
+            ++outcome.missingParts;
+            if (outcome.missingParts <= MaxShardsLogged)
+                outcome.lackingShards += fmt::format("{}:{},", leg.service, leg.failure);
+            continue;
+        }
+        parts.push_back(leg.body);
+        outcome.partProofs.push_back(leg.proof);
+    }
+    outcome.response.status = 200;
+    outcome.response.body = mergeTopRecords(parts, exchange.facts.route->gather->recordLimit);
+    return outcome;
+}
+
+Outcome ForwardCore::failedOutcome(const Exchange &exchange, Base::ErrorKind kind, std::string cause)
+{
+    Outcome outcome;
+    outcome.error = kind;
+    outcome.cause = std::move(cause);
+    if (Base::errorAnswer(kind).runState == Base::RunState::NotRun) {
+        outcome.retryAfter =
+            MinRetryAfter
+            + Base::Duration(static_cast<Base::Duration::rep>(random_.below(
+                static_cast<std::uint64_t>(MinRetryAfter.count()))));
+    }
+    std::size_t named = 0;
+    for (const auto &leg : exchange.legs) {
+        if (leg.state != LegState::Present && ++named <= MaxShardsLogged)
+            outcome.lackingShards += fmt::format("{}:{},", leg.service, leg.failure);
+    }
+    return outcome;
+}
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -0,0 +1,208 @@
+// Placing: which server gets a leg, when it is sent a second time, and what waits.
+
+#include "LibForward/ForwardCore.h"
+
+#include <algorithm>
+
+namespace Forward {
+
+namespace {
+
+/// Connections that the gateways hold together, as a fraction of what a server accepts. The rest is left to
+/// gateways that have just started and are not counted yet.
+constexpr double ConnectionUse = 0.85;
+/// Fraction of the deployment's budget for extra arrivals that the gateways plan with. The rest covers
+/// gateways that restart within one window.
+constexpr double BudgetUse = 0.8;
+/// Attempts that are slower than this fraction of all are sent a second time.
+constexpr double GatherHedgeQuantile = 0.92;
+constexpr double SingleHedgeQuantile = 0.95;
+/// Time until a second attempt is considered again when budget or connections were lacking.
+constexpr Base::Duration RetryPause = Base::milliseconds(15);
+/// A second attempt that has less time than this fraction of the mean latency cannot help.
+constexpr double LeastUsefulTime = 0.7;
+
+} // namespace
+
+std::uint32_t ForwardCore::connectionShare(const Route::Configuration &configuration,
+                                           std::string_view service) const
+{
+    const auto found = configuration.services.find(service);
+    const double limit = found == configuration.services.end() ? 1.0 : found->second.maxConnections;
+    const auto share = ConnectionUse * limit / static_cast<double>(gatewayCount_);
+    return std::max(1U, static_cast<std::uint32_t>(share));
+}
+
+double ForwardCore::maxExtraTokens() const
+{
+    return std::max(1.0, BudgetUse * options_.extraLoadSlack / static_cast<double>(gatewayCount_));
+}
+
+Query::ExtraLoadBudget &ForwardCore::budgetOf(std::string_view service)
+{
+    // A new process starts with half: the one that it replaces may have spent the rest in this window.
+    return budgets_
+        .try_emplace(std::string(service), Query::ExtraLoadBudget(maxExtraTokens(), maxExtraTokens() / 2))
+        .first->second;
+}
+
+Base::Duration ForwardCore::expectedWait(const Exchange &exchange, std::string_view service) const
+{
+    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &waiting) {
+        const auto &other = exchanges_.at(waiting.exchange);
+        return other.legs[waiting.leg].service == service
+               && other.facts.route->rank <= exchange.facts.route->rank;
+    });
+    if (ahead == 0)
+        return {};
+    const auto times = routeTimes_.find(exchange.facts.route->name);
+    const auto mean = times == routeTimes_.end() ? exchange.facts.route->latencyTarget : times->second.mean();
+    const auto lanes = backends_.eligibleCount(service)
+                       * connectionShare(exchange.facts.table->configuration(), service);
+    return mean * ahead / static_cast<Base::Duration::rep>(std::max<std::size_t>(1, lanes));
+}
+
+/// Sends the first attempt of a leg, or lets it wait for a connection. Returns true when it was sent.
+bool ForwardCore::dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
+{
+    auto &leg = exchange.legs[legIndex];
+    const auto backend =
+        backends_.choose(now, leg.service, leg.tried,
+                         connectionShare(exchange.facts.table->configuration(), leg.service),
+                         timesOf(*exchange.facts.route).mean());
+    if (backend) {
+        send(now, id, exchange, legIndex, backend, false);
+        return true;
+    }
+    if (backends_.eligibleCount(leg.service) == 0) {
+        leg.state = LegState::Closed;
+        return false;
+    }
+    if (leg.state != LegState::Waiting || !isQueued(id, legIndex))
+        waiting_.push_back({id, legIndex});
+    leg.state = LegState::Waiting;
+    return false;
+}
+
+bool ForwardCore::isQueued(ExchangeId id, std::size_t legIndex) const
+{
+    return std::any_of(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &waiting) {
+        return waiting.exchange == id && waiting.leg == legIndex;
+    });
+}
+
+/// Load pattern: more work than connections. The most urgent rank goes first, and within it what must end
+/// first; what cannot end in time any more is dropped by its own deadline.
+void ForwardCore::dispatchWaiting(Base::Instant now)
+{
+    if (waiting_.empty())
+        return;
+    std::stable_sort(waiting_.begin(), waiting_.end(), [this](const WaitingLeg &left, const WaitingLeg &right) {
+        const auto &a = exchanges_.at(left.exchange);
+        const auto &b = exchanges_.at(right.exchange);
+        return std::pair(a.facts.route->rank, a.deadline) < std::pair(b.facts.route->rank, b.deadline);
+    });
+    const auto queue = std::exchange(waiting_, {});
+    for (const auto &waiting : queue) {
+        const auto owner = exchanges_.find(waiting.exchange);
+        if (owner == exchanges_.end())
+            continue;
+        dispatch(now, waiting.exchange, owner->second, waiting.leg);
+        // The leg may have closed, and with it the exchange.
+        if (owner->second.legs[waiting.leg].state == LegState::Closed) {
+            const auto id = waiting.exchange;
+            if (!concludeIfDecided(now, id, owner->second))
+                scheduleReview(id, owner->second);
+        } else {
+            scheduleReview(waiting.exchange, owner->second);
+        }
+    }
+}
+
+void ForwardCore::send(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
+                       const BackendPointer &backend, bool extra)
+{
+    auto &leg = exchange.legs[legIndex];
+    const auto &route = *exchange.facts.route;
+    const auto attemptId = ++lastId_;
+    attempts_.emplace(attemptId,
+                      Attempt {id, legIndex, backend, now, route.name, std::string(leg.service), extra});
+    BackendTable::noteSent(*backend, now);
+    leg.state = LegState::Open;
+    leg.tried.push_back(backend);
+    ++leg.open;
+    ++leg.sends;
+    ++exchange.sends;
+    exchange.extraSends += extra ? 1 : 0;
+    leg.hedgeAt =
+        exchange.isRepeatable() && leg.sends < route.attempts
+            ? now + timesOf(route).hedgeDelay(exchange.isGather() ? GatherHedgeQuantile : SingleHedgeQuantile)
+            : Base::Instant::max();
+    actions_.emplace_back(SendAttempt {attemptId, id, backend, exchange.deadline - now});
+}
+
+/// Load pattern: a server pauses or is slow while the others of its service answer. A second attempt goes out
+/// once the first is slower than nearly all are, within the budget that all gateways share.
+void ForwardCore::hedgeDueLegs(Base::Instant now, ExchangeId id, Exchange &exchange)
+{
+    for (std::size_t index = 0; index < exchange.legs.size(); ++index) {
+        auto &leg = exchange.legs[index];
+        if (leg.state != LegState::Open || now < leg.hedgeAt)
+            continue;
+        const auto timeLeft = exchange.deadline - now;
+        const auto useful = timesOf(*exchange.facts.route).mean() * LeastUsefulTime;
+        if (!mayRetry(exchange, leg) || std::chrono::duration<double, std::micro>(timeLeft) < useful) {
+            leg.hedgeAt = Base::Instant::max();
+            if (leg.open == 0)
+                leg.state = LegState::Closed;
+            continue;
+        }
+        if (!sendExtra(now, id, exchange, index))
+            leg.hedgeAt = now + RetryPause;
+    }
+}
+
+bool ForwardCore::sendExtra(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
+{
+    auto &leg = exchange.legs[legIndex];
+    // A leg whose earlier attempts never reached a server is not an extra arrival.
+    const bool extra = leg.sends > 0;
+    auto &budget = budgetOf(leg.service);
+    if (extra && !budget.available())
+        return false;
+    const auto backend =
+        backends_.choose(now, leg.service, leg.tried,
+                         connectionShare(exchange.facts.table->configuration(), leg.service),
+                         timesOf(*exchange.facts.route).mean());
+    // Another server that is known to fail brings nothing while the first one may still answer.
+    if (!backend || (leg.open > 0 && now < backend->avoidUntil))
+        return false;
+    if (extra)
+        budget.take();
+    send(now, id, exchange, legIndex, backend, extra);
+    return true;
+}
+
+/// Tells whether another attempt of this leg is allowed and could have a server.
+bool ForwardCore::mayRetry(const Exchange &exchange, const Leg &leg) const
+{
+    if (leg.sends >= std::max(1U, exchange.facts.route->attempts))
+        return false;
+    if (!exchange.isRepeatable() && (leg.mayHaveRun || leg.open > 0))
+        return false;
+    return leg.tried.size() < backends_.eligibleCount(leg.service);
+}
+
+void ForwardCore::retryOrClose(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
+{
+    auto &leg = exchange.legs[legIndex];
+    if (mayRetry(exchange, leg)) {
+        if (!sendExtra(now, id, exchange, legIndex))
+            leg.hedgeAt = now + RetryPause;
+        return;
+    }
+    if (leg.open == 0)
+        leg.state = LegState::Closed;
+}
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/GatherPolicy.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace Forward {
+
+enum class GatherDecision : std::uint8_t { Wait, Answer, Fail };
+
+/// Where a gather stands.
+struct GatherProgress
+{
+    std::size_t total = 0; ///< Shards of the set.
+    std::size_t present = 0; ///< Parts that have arrived.
+    std::size_t pending = 0; ///< Shards that may still deliver.
+    double minimumCoverage = 1.0;
+    Base::Instant answerBy; ///< Last moment at which an answer reaches the caller within its target.
+};
+
+/// Load pattern: one or a few shards lag behind the others. Up to `answerBy` each further part raises the worth
+/// of the answer and costs nothing; after it, a late answer is worth a small fraction whatever it covers, so
+/// it leaves as soon as it is a success at all. A gather that can no longer become a success ends at once.
+inline GatherDecision decideGather(const GatherProgress &progress, Base::Instant now)
+{
+    const auto needed = progress.minimumCoverage * static_cast<double>(progress.total) - 1e-9;
+    const auto present = static_cast<double>(progress.present);
+    if (progress.present > 0 && present >= needed)
+        return progress.pending == 0 || now >= progress.answerBy ? GatherDecision::Answer : GatherDecision::Wait;
+    if (progress.pending == 0 || present + static_cast<double>(progress.pending) < needed)
+        return GatherDecision::Fail;
+    return GatherDecision::Wait;
+}
+
+} // namespace Forward
--- /dev/null
+++ b/Libraries/LibForward/RouteTimes.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibQuery/LatencyRecord.h"
+
+#include <algorithm>
+
+namespace Forward {
+
+/// Observed latency of the attempts of one route.
+class RouteTimes
+{
+public:
+    explicit RouteTimes(Base::Duration latencyTarget)
+        : mean_(std::max<Base::Duration>(latencyTarget / AssumedTargetMultiple, Base::milliseconds(1)))
+        , latencyTarget_(latencyTarget)
+    {
+    }
+
+    void add(Base::Duration latency)
+    {
+        record_.add(latency);
+        mean_ += (latency - mean_) / MeanWeight;
+    }
+
+    Base::Duration mean() const { return mean_; }
+
+    /// Time after which an attempt without a reply is probably slower than a second one would be.
+    Base::Duration hedgeDelay(double quantile) const
+    {
+        return record_.quantile(quantile).value_or(latencyTarget_ / AssumedHedgeMultiple);
+    }
+
+private:
+    /// Before anything was measured: targets are set to several times the usual latency.
+    static constexpr int AssumedTargetMultiple = 6;
+    static constexpr int AssumedHedgeMultiple = 4;
+    /// About the last thirty attempts decide.
+    static constexpr int MeanWeight = 30;
+
+    Query::LatencyRecord record_;
+    Base::Duration mean_;
+    Base::Duration latencyTarget_;
+};
+
+} // namespace Forward
--- a/Libraries/LibQuery/ExtraLoadBudget.h
+++ b/Libraries/LibQuery/ExtraLoadBudget.h
@@ -9,8 +9,23 @@
 class ExtraLoadBudget
 {
 public:
+    /// `maxTokens` bounds the burst after a quiet period, so that a fault that slows every server is not
+    /// answered by a flood of hedges; `tokens` is the allowance at the start.
+    explicit ExtraLoadBudget(double maxTokens = 50.0, double tokens = 0.0)
+        : maxTokens_(maxTokens)
+        , tokens_(tokens)
+    {
+    }
+
+    /// Changes the bound; an allowance above it is lost.
+    void setMaxTokens(double maxTokens)
+    {
+        maxTokens_ = maxTokens;
+        tokens_ = std::min(tokens_, maxTokens_);
+    }
+
     /// Adds the allowance that one first attempt brings.
-    void earn(double fraction) { tokens_ = std::min(tokens_ + fraction, MaxTokens); }
+    void earn(double fraction) { tokens_ = std::min(tokens_ + fraction, maxTokens_); }
 
     bool available() const { return tokens_ >= 1.0 - RoundingSlack; }
 
@@ -24,13 +39,11 @@
     }
 
 private:
-    /// Bounds the burst after a quiet period, so that a fault that slows every server is not answered by a
-    /// flood of hedges.
-    static constexpr double MaxTokens = 50.0;
     /// Fifty additions of 0.02 must make a whole token.
     static constexpr double RoundingSlack = 1e-6;
 
-    double tokens_ = 0.0;
+    double maxTokens_;
+    double tokens_;
 };
 
 } // namespace Query
--- /dev/null
+++ b/Libraries/LibRegistry/ServerListHolder.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibWire/RegistryMessages.h"
+
+#include <optional>
+
+namespace Registry {
+
+/// The newest read of the platform's server list that this process knows, its own or another's. Newer is what
+/// was read later, so that one reader serves all processes and any of them can take over.
+class ServerListHolder
+{
+public:
+    /// Interval at which the leader reads; half of it passes on average until a change is seen.
+    static constexpr Base::Duration ReadInterval = Base::milliseconds(900);
+    /// Age at which any other process reads for itself: the leader has missed a read.
+    static constexpr Base::Duration TakeOverAge = Base::milliseconds(2500);
+
+    /// Takes over a list unless a later read is held. A list without servers stands for the same content when
+    /// its digest is the one held. Returns true when the content changed.
+    bool offer(Base::Instant now, const Wire::ServerList &list);
+
+    bool isKnown() const { return readAt_.has_value(); }
+    std::uint64_t digest() const { return list_.digest; }
+    Base::Instant readAt() const { return readAt_.value_or(Base::Instant {}); }
+    /// Returns the list with its age; without servers when `heldDigest` is its digest. Nothing when none is
+    /// known.
+    std::optional<Wire::ServerList> copyFor(Base::Instant now, std::uint64_t heldDigest) const;
+
+    /// Tells whether this process should read the list now.
+    bool shouldRead(Base::Instant now, bool isLeader) const;
+
+private:
+    Wire::ServerList list_;
+    std::optional<Base::Instant> readAt_;
+};
+
+} // namespace Registry
--- /dev/null
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -0,0 +1,63 @@
+#include "LibRoute/Configuration.h"
+
+#include <fmt/format.h>
+#include <set>
+
+namespace Route {
+
+namespace {
+
+void checkTargets(const Configuration &configuration, const RouteRule &route,
+                  std::vector<std::string> &mistakes)
+{
+    double total = 0.0;
+    for (const auto &target : route.targets) {
+        if (configuration.services.find(target.service) == configuration.services.end())
+            mistakes.push_back(fmt::format("route {}: there is no service {}", route.name, target.service));
+        if (target.weight < 0.0)
+            mistakes.push_back(fmt::format("route {}: a weight is negative", route.name));
+        total += target.weight;
+    }
+    if (!route.gather && total <= 0.0)
+        mistakes.push_back(fmt::format("route {}: its weights add up to 0", route.name));
+}
+
+void checkGather(const Configuration &configuration, const RouteRule &route,
+                 std::vector<std::string> &mistakes)
+{
+    std::set<std::string_view> seen;
+    for (const auto &shard : route.gather->shards) {
+        if (configuration.services.find(shard) == configuration.services.end())
+            mistakes.push_back(fmt::format("route {}: there is no service {}", route.name, shard));
+        if (!seen.insert(shard).second)
+            mistakes.push_back(fmt::format("route {}: shard {} is named twice", route.name, shard));
+    }
+    if (route.gather->shards.empty())
+        mistakes.push_back(fmt::format("route {}: it names no shard", route.name));
+    if (route.repeatability != Repeatability::Idempotent)
+        mistakes.push_back(fmt::format("route {}: a gather must be idempotent", route.name));
+}
+
+} // namespace
+
+std::vector<std::string> findMistakes(const Configuration &configuration)
+{
+    std::vector<std::string> mistakes;
+    std::set<std::pair<std::string_view, std::string_view>> places;
+    for (const auto &route : configuration.routes) {
+        if (!places.emplace(route.host, route.pathPrefix).second)
+            mistakes.push_back(fmt::format("route {}: {}{} is taken by another route", route.name, route.host,
+                                           route.pathPrefix));
+        if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
+            mistakes.push_back(
+                fmt::format("route {}: its path prefix must begin and end with a slash", route.name));
+        if (route.timeout <= Base::Duration::zero())
+            mistakes.push_back(fmt::format("route {}: its timeout is 0", route.name));
+        checkTargets(configuration, route, mistakes);
+        if (route.gather)
+            checkGather(configuration, route, mistakes);
+    }
+    return mistakes;
+}
+
+} // namespace Route
--- /dev/null
+++ b/Libraries/LibRoute/RouteTable.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "LibRoute/Configuration.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+namespace Route {
+
+/// Finds the route of a request. Immutable and shared, so that a request keeps the version it began with.
+class RouteTable
+{
+public:
+    explicit RouteTable(Configuration configuration);
+    RouteTable(const RouteTable &) = delete;
+    RouteTable &operator=(const RouteTable &) = delete;
+
+    const Configuration &configuration() const { return configuration_; }
+    std::uint64_t version() const { return configuration_.version; }
+
+    /// Returns the route of this host with the longest prefix of `path`, or null. A port in `host` is ignored
+    /// and case does not matter.
+    const RouteRule *find(std::string_view host, std::string_view path) const;
+
+private:
+    Configuration configuration_;
+    std::unordered_map<std::string, const RouteRule *> routes_; ///< By host and prefix in one text.
+};
+
+/// Returns `host` in lower case without its port.
+std::string normaliseHost(std::string_view host);
+
+} // namespace Route
--- a/Libraries/LibWire/Method.h
+++ b/Libraries/LibWire/Method.h
@@ -15,7 +15,12 @@
     RecordOutcome, ///< entry → control leader.
     ExecuteSubrequest, ///< entry → owner entry.
     ObserveBackends, ///< entry → owner entry.
-    IntroduceNode, ///< control → control.
+    IntroduceNode, ///< control → control, registry → registry.
+    WatchRegistry, ///< gateway → any registry; answered when something changes.
+    JoinCluster, ///< registry → any registry.
+    ShareState, ///< registry → every other registry.
+    SubmitConfiguration, ///< registry → registry leader.
+    ReadConfiguration, ///< registry → registry leader.
     Count
 };
 
--- /dev/null
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -0,0 +1,165 @@
+#pragma once
+
+#include "LibWire/Codec.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Wire {
+
+enum class ServerState : std::uint8_t { Ready, Draining };
+enum class GatewayState : std::uint8_t { Joining, Serving, Leaving };
+
+} // namespace Wire
+
+MSGPACK_ADD_ENUM(Wire::ServerState);
+MSGPACK_ADD_ENUM(Wire::GatewayState);
+
+namespace Wire {
+
+/// One incarnation of a backend server as the platform lists it. An address alone is no identity, because
+/// another server may get it later.
+struct ServerRecord
+{
+    std::string id;
+    std::int64_t bornAt = 0; ///< Unix milliseconds of its start; 0 when the platform does not say.
+    std::string service;
+    std::string address; ///< ip:port
+    std::string dataCentre;
+    std::uint32_t slots = 1; ///< Requests that it runs at once.
+    ServerState state = ServerState::Ready;
+    std::uint32_t warmUpLeftMs = 0; ///< How much longer it is slow after its start, when the list was read.
+
+    bool operator==(const ServerRecord &) const = default;
+    MSGPACK_DEFINE(id, bornAt, service, address, dataCentre, slots, state, warmUpLeftMs)
+};
+
+/// The platform's list of backend servers as one process read it.
+struct ServerList
+{
+    std::vector<ServerRecord> servers;
+    std::uint64_t digest = 0; ///< Of the servers; tells equal lists without comparing them.
+    std::uint32_t ageMs = 0; ///< Since the start of the read.
+
+    MSGPACK_DEFINE(servers, digest, ageMs)
+};
+
+/// What a gateway tells of itself.
+struct GatewayRecord
+{
+    std::string gatewayId;
+    std::uint64_t incarnation = 0; ///< Random number of this start.
+    std::string callerAddress; ///< Where callers connect.
+    std::string dataCentre;
+    GatewayState state = GatewayState::Joining;
+
+    bool operator==(const GatewayRecord &) const = default;
+    MSGPACK_DEFINE(gatewayId, incarnation, callerAddress, dataCentre, state)
+};
+
+/// A gateway's record with the time since it was received from the gateway itself.
+struct GatewayReport
+{
+    GatewayRecord gateway;
+    std::uint32_t ageMs = 0;
+
+    MSGPACK_DEFINE(gateway, ageMs)
+};
+
+/// gateway → registry: reports the gateway and waits until something differs from what it holds.
+struct WatchRequest
+{
+    GatewayRecord gateway;
+    std::uint64_t configurationVersion = 0;
+    std::uint64_t serverListDigest = 0;
+    std::uint64_t directoryDigest = 0;
+
+    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest)
+};
+
+struct WatchReply
+{
+    bool leaderKnown = false; ///< False when the registry has heard no leader yet.
+    std::uint32_t leaderSilentMs = 0; ///< Since the registry last heard the leader; bounds how old the rest is.
+    std::uint64_t configurationVersion = 0;
+    std::string configurationText; ///< Empty unless it is newer than what the gateway holds.
+    std::optional<ServerList> serverList; ///< Without servers when the gateway holds the same ones.
+    std::uint64_t directoryDigest = 0;
+    std::vector<GatewayRecord> directory; ///< Serving gateways; empty when the gateway holds the same ones.
+    std::vector<std::string> registryAddresses; ///< Peer addresses of all known registries.
+
+    MSGPACK_DEFINE(leaderKnown, leaderSilentMs, configurationVersion, configurationText, serverList,
+                   directoryDigest, directory, registryAddresses)
+};
+
+/// registry → registry: a node that is not a member asks to be added.
+struct JoinRequest
+{
+    std::string nodeId;
+    std::uint64_t incarnation = 0;
+    std::string peerAddress;
+    bool holdsLog = false;
+
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, holdsLog)
+};
+
+struct JoinReply
+{
+    bool isMember = false;
+    bool mustReset = false; ///< The caller was removed; its log must be set aside before it can join again.
+    std::string leaderAddress; ///< Peer address of the leader when the callee is not the leader.
+
+    MSGPACK_DEFINE(isMember, mustReset, leaderAddress)
+};
+
+/// registry → registry: soft state that is not worth a log entry.
+struct ShareStateRequest
+{
+    std::vector<GatewayReport> gateways; ///< Heard by the sender itself.
+    std::optional<ServerList> serverList; ///< Without servers when the receiver holds the same ones.
+
+    MSGPACK_DEFINE(gateways, serverList)
+};
+
+struct ShareStateReply
+{
+    std::uint64_t serverListDigest = 0; ///< What the callee holds afterwards.
+
+    MSGPACK_DEFINE(serverListDigest)
+};
+
+/// registry → leader: stores a validated configuration unless a higher version is held.
+struct SubmitConfigurationRequest
+{
+    std::uint64_t version = 0;
+    std::string text;
+
+    MSGPACK_DEFINE(version, text)
+};
+
+struct SubmitConfigurationReply
+{
+    std::uint64_t heldVersion = 0;
+
+    MSGPACK_DEFINE(heldVersion)
+};
+
+/// registry → leader: asks for the newest configuration.
+struct ReadConfigurationRequest
+{
+    std::uint64_t heldVersion = 0; ///< Its text is not sent again.
+
+    MSGPACK_DEFINE(heldVersion)
+};
+
+struct ReadConfigurationReply
+{
+    std::uint64_t version = 0;
+    std::string text; ///< Empty when the caller holds this version.
+
+    MSGPACK_DEFINE(version, text)
+};
+
+} // namespace Wire
--- a/Services/Cli/CommandTable.cpp
+++ b/Services/Cli/CommandTable.cpp
@@ -59,6 +59,10 @@
          LogLevel}};
 }
 
+/// Settings of the roles that read a settings file of their own.
+const Setting SettingsFile {"config", &Settings::Text, "Settings file of this process (TOML).", "", true};
+const Setting MetricsPort {"metrics-port", &Settings::Number, "Port of this VM's address for metrics."};
+
 Command queryCommand()
 {
     return {
@@ -84,6 +88,12 @@
     return {
         controlCommand(),
         entryCommand(),
+        {"gateway", "", "Forwards callers' requests by routes.", {SettingsFile, MetricsPort}},
+        {"registry",
+         "",
+         "Keeps the routes and the list of servers for the gateways.",
+         {SettingsFile, MetricsPort}},
+        {"check-settings", "FILE", "Reports all mistakes of a settings file of a gateway or registry.", {}},
         {"validate", "FILE...", "Reports all mistakes of documents.", {Json}},
         {"diff",
          "FILE [OTHER]",
--- /dev/null
+++ b/Services/Common/NodeSettings.cpp
@@ -0,0 +1,121 @@
+#include "Services/Common/NodeSettings.h"
+
+#include "LibBase/AddressText.h"
+#include "LibConfiguration/TableReader.h"
+#include "LibSettings/Lists.h"
+
+#include <fmt/format.h>
+#include <fstream>
+#include <sstream>
+
+namespace Services {
+
+namespace {
+
+using Configuration::TableReader;
+
+constexpr std::string_view AcceptedAddress = "an address ip:port, or an empty string";
+constexpr std::uint32_t HighestPort = 65535;
+
+std::string address(TableReader &table, std::string_view key)
+{
+    auto text = table.optionalText(key);
+    if (!text.empty() && !Base::parseAddress(text)) {
+        table.reportKey(key, AcceptedAddress);
+        text.clear();
+    }
+    return text;
+}
+
+/// Addresses separated by commas.
+std::vector<std::string> addresses(TableReader &table, std::string_view key)
+{
+    const auto text = table.optionalText(key);
+    if (text.empty())
+        return {};
+    auto list = Settings::splitList(text);
+    for (const auto &item : list) {
+        if (!Base::parseAddress(item))
+            table.reportKey(key, "addresses ip:port, separated by commas");
+    }
+    return list;
+}
+
+NodeSettings readSettings(TableReader &table)
+{
+    NodeSettings settings;
+    settings.nodeId = table.text("node", "a name that no other VM has").text;
+    settings.dataCentre = table.text("data_centre", "the name of a data centre").text;
+    settings.ip = table.text("ip", "an ip address").text;
+    settings.callerAddress = address(table, "caller_address");
+    settings.readinessAddress = address(table, "readiness_address");
+    settings.lookupAddress = address(table, "lookup_address");
+    settings.operatorAddress = address(table, "operator_address");
+    const auto firstPort = table.integer("first_peer_port", {1, HighestPort - 1});
+    settings.registryPort = firstPort;
+    settings.gatewayPort = firstPort + 1;
+    settings.clusterKey = table.text("cluster_key", "a text that all processes share").text;
+    settings.seeds = addresses(table, "seeds");
+    settings.firstStart = table.boolean("first_start", false);
+    settings.dataDirectory = table.optionalText("data_directory");
+    settings.serverListAddress = address(table, "server_list_address");
+    settings.serverListCallsPerSecond = table.number("server_list_calls_per_second", {0.1, 1e6, 1.0});
+    settings.lookupMaxAge = Base::Duration(
+        static_cast<Base::Duration::rep>(table.number("lookup_max_age_s", {0.0, 3600.0, 2.0}) * 1e6));
+    settings.shutdownGrace = Base::Duration(
+        static_cast<Base::Duration::rep>(table.number("shutdown_grace_s", {0.0, 3600.0, 6.0}) * 1e6));
+    settings.extraLoadRatio = table.number("extra_load_ratio", {0.0, 10.0, 0.0});
+    settings.extraLoadSlack = table.number("extra_load_slack", {0.0, 1e9, 0.0});
+    settings.lostVmsTolerated = table.integer("lost_vms_tolerated", {0, 100, 1});
+    table.refuseUnknownKeys();
+    return settings;
+}
+
+} // namespace
+
+std::string NodeSettings::registryPeerAddress(std::string_view seed) const
+{
+    const auto parts = Base::parseAddress(seed);
+    return parts ? fmt::format("{}:{}", parts->ip, registryPort) : std::string();
+}
+
+std::string NodeSettings::registryPeerAddress() const
+{
+    return fmt::format("{}:{}", ip, registryPort);
+}
+
+std::string NodeSettings::gatewayPeerAddress() const
+{
+    return fmt::format("{}:{}", ip, gatewayPort);
+}
+
+Base::Result<NodeSettings> parseNodeSettings(std::string_view text)
+{
+    try {
+        const auto document = toml::parse(text);
+        std::vector<Configuration::Mistake> mistakes;
+        TableReader reader(document, {}, mistakes);
+        auto settings = readSettings(reader);
+        if (mistakes.empty())
+            return settings;
+        std::string detail;
+        for (const auto &mistake : mistakes)
+            detail += (detail.empty() ? "" : "\n") + Configuration::describe(mistake);
+        return Base::fail(Base::ErrorKind::SettingInvalid, detail);
+    } catch (const toml::parse_error &error) {
+        return Base::fail(Base::ErrorKind::SettingInvalid,
+                          fmt::format("line {}: {}", error.source().begin.line, error.description()));
+    }
+}
+
+Base::Result<NodeSettings> readNodeSettings(const std::string &path)
+{
+    const std::ifstream file(path);
+    if (!file)
+        return Base::fail(Base::ErrorKind::SettingInvalid, path + ": the file cannot be read");
+    std::ostringstream content;
+    content << file.rdbuf();
+    return parseNodeSettings(content.str());
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Common/NodeSettings.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibBase/Time.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Services {
+
+/// Settings of a gateway or registry process, from its settings file. Addresses that its role does not use are
+/// empty.
+struct NodeSettings
+{
+    std::string nodeId;
+    std::string dataCentre;
+    std::string ip; ///< Of this VM.
+    std::string callerAddress; ///< Where callers send requests.
+    std::string readinessAddress; ///< Where the platform asks whether callers may come.
+    std::string lookupAddress; ///< Where callers ask for gateways.
+    std::string operatorAddress; ///< Where operators read and replace the configuration.
+    std::uint32_t registryPort = 0; ///< Port for other processes on every VM that runs a registry.
+    std::uint32_t gatewayPort = 0; ///< The same for gateways.
+    std::string clusterKey; ///< Equal on all processes of one deployment.
+    std::vector<std::string> seeds; ///< Operator addresses of some VMs that run a registry.
+    bool firstStart = false; ///< The whole deployment starts for the first time, with empty disks.
+    std::string dataDirectory; ///< Empty on a VM without a disk.
+
+    std::string serverListAddress; ///< Where the platform lists backend servers.
+    double serverListCallsPerSecond = 1.0; ///< Of all processes together.
+
+    Base::Duration lookupMaxAge {}; ///< Longest time that counts for a look-up's answer.
+    Base::Duration shutdownGrace {}; ///< From the stop signal to the kill.
+    double extraLoadRatio = 0.0; ///< Extra arrivals per request of a service, of all gateways together.
+    double extraLoadSlack = 0.0; ///< Extra arrivals beyond the ratio in one window.
+    std::uint32_t lostVmsTolerated = 1; ///< VMs with a disk that may be lost at once.
+
+    /// Address of the registry on the VM of an operator address; empty when that is no address.
+    std::string registryPeerAddress(std::string_view seed) const;
+    std::string registryPeerAddress() const;
+    std::string gatewayPeerAddress() const;
+};
+
+/// Reads and checks a settings file; SettingInvalid lists every mistake with its line.
+Base::Result<NodeSettings> readNodeSettings(const std::string &path);
+Base::Result<NodeSettings> parseNodeSettings(std::string_view text);
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/BackendPool.cpp
@@ -0,0 +1,118 @@
+#include "Services/Gateway/BackendPool.h"
+
+namespace Services {
+
+namespace {
+
+/// Servers of one deployment answer a connection within milliseconds; a dark one never does.
+constexpr Base::Duration ConnectTimeout = Base::milliseconds(250);
+/// A connection that was used this recently is not yet near any idle timeout.
+constexpr Base::Duration RecentUse = Base::milliseconds(1000);
+
+} // namespace
+
+/// One connection with the attempt that it carries.
+class BackendPool::Slot final : public Edge::BackendConnectionEvents
+{
+public:
+    Slot(BackendPool &pool, Forward::BackendPointer backend)
+        : pool_(pool)
+        , backend_(std::move(backend))
+        , connection_(pool.loop_, backend_->record.address, ConnectTimeout, *this)
+    {
+    }
+
+    void send(Forward::AttemptId attempt, std::string request, bool headRequest)
+    {
+        attempt_ = attempt;
+        connection_.send(std::move(request), headRequest);
+    }
+
+    void replyArrived(Edge::ResponseMessage response) override
+    {
+        const auto attempt = attempt_;
+        auto &pool = pool_;
+        const bool belongs = pool.events_.attemptReplied(attempt, std::move(response));
+        pool.release(*this, belongs);
+    }
+
+    void exchangeFailed(Edge::ExchangeFailure failure, const std::string &detail) override
+    {
+        const auto attempt = attempt_;
+        auto &pool = pool_;
+        pool.events_.attemptFailed(attempt, failure, detail);
+        pool.release(*this, false);
+    }
+
+    void idleConnectionEnded() override { }
+
+    const Forward::BackendPointer &backend() const { return backend_; }
+    const Edge::BackendConnection &connection() const { return connection_; }
+    Forward::AttemptId attempt() const { return attempt_; }
+
+private:
+    BackendPool &pool_;
+    Forward::BackendPointer backend_;
+    Edge::BackendConnection connection_;
+    Forward::AttemptId attempt_ = 0;
+};
+
+BackendPool::BackendPool(Edge::Loop &loop, AttemptEvents &events)
+    : loop_(loop)
+    , events_(events)
+{
+}
+
+BackendPool::~BackendPool() = default;
+
+void BackendPool::send(Forward::AttemptId attempt, const Forward::BackendPointer &backend, std::string request,
+                       bool headRequest, bool freshConnection)
+{
+    const auto now = clock_.now();
+    auto &idle = idle_[backend];
+    std::unique_ptr<Slot> slot;
+    while (!idle.empty() && !slot) {
+        // The one used last is the least likely to be closed by the server.
+        auto candidate = std::move(idle.back());
+        idle.pop_back();
+        const bool recent = now - candidate->connection().idleSince() < RecentUse;
+        if (candidate->connection().isReusable(now) && (recent || !freshConnection))
+            slot = std::move(candidate);
+    }
+    if (!slot) {
+        slot = std::make_unique<Slot>(*this, backend);
+        ++connectionsOpened_;
+    }
+    auto &used = *slot;
+    busy_[attempt] = std::move(slot);
+    used.send(attempt, std::move(request), headRequest);
+}
+
+void BackendPool::release(Slot &slot, bool keep)
+{
+    const auto found = busy_.find(slot.attempt());
+    if (found == busy_.end())
+        return;
+    auto owned = std::move(found->second);
+    busy_.erase(found);
+    if (keep && owned->connection().isReusable(clock_.now()) && owned->backend()->acceptsWork())
+        idle_[owned->backend()].push_back(std::move(owned));
+}
+
+void BackendPool::abort(Forward::AttemptId attempt)
+{
+    busy_.erase(attempt);
+}
+
+void BackendPool::sweep()
+{
+    const auto now = clock_.now();
+    for (auto next = idle_.begin(); next != idle_.end();) {
+        auto &[backend, slots] = *next;
+        const bool gone = !backend->acceptsWork();
+        slots.remove_if([&](const auto &slot) { return gone || !slot->connection().isReusable(now); });
+        next = slots.empty() ? idle_.erase(next) : std::next(next);
+    }
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/BackendPool.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "LibEdge/BackendConnection.h"
+#include "LibForward/ForwardCore.h"
+
+#include <list>
+#include <map>
+#include <memory>
+
+namespace Services {
+
+/// What the pool reports about attempts.
+class AttemptEvents
+{
+public:
+    virtual ~AttemptEvents() = default;
+    /// Returns false when the response cannot belong to the attempt; its connection is then closed.
+    virtual bool attemptReplied(Forward::AttemptId attempt, Edge::ResponseMessage response) = 0;
+    virtual void attemptFailed(Forward::AttemptId attempt, Edge::ExchangeFailure failure,
+                               const std::string &detail) = 0;
+};
+
+/// Kept connections to backend servers. One connection carries one attempt at a time.
+class BackendPool
+{
+public:
+    BackendPool(Edge::Loop &loop, AttemptEvents &events);
+    ~BackendPool();
+    BackendPool(const BackendPool &) = delete;
+    BackendPool &operator=(const BackendPool &) = delete;
+
+    /// Sends a formatted request. `freshConnection` avoids a kept connection that the server may be closing,
+    /// for requests that must not be sent again.
+    void send(Forward::AttemptId attempt, const Forward::BackendPointer &backend, std::string request,
+              bool headRequest, bool freshConnection);
+
+    /// Ends the attempt and its connection without a report.
+    void abort(Forward::AttemptId attempt);
+
+    /// Closes connections that may not be reused, and those to servers that are gone.
+    void sweep();
+
+    std::uint64_t connectionsOpened() const { return connectionsOpened_; }
+
+private:
+    class Slot;
+
+    void release(Slot &slot, bool keep);
+
+    Edge::Loop &loop_;
+    AttemptEvents &events_;
+    Base::SystemClock clock_;
+    std::map<Forward::BackendPointer, std::list<std::unique_ptr<Slot>>> idle_;
+    std::map<Forward::AttemptId, std::unique_ptr<Slot>> busy_;
+    std::uint64_t connectionsOpened_ = 0;
+};
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/Forwarder.cpp
@@ -0,0 +1,314 @@
+#include "Services/Gateway/Forwarder.h"
+
+#include <charconv>
+#include <fmt/format.h>
+#include <random>
+
+namespace Services {
+
+namespace {
+
+using Importance = Base::EventLog::Importance;
+
+/// Network time of a caller that counts against the latency target: the way here and back, and for a new
+/// connection the handshake before it.
+constexpr Base::Duration KeptConnectionDelay = Base::milliseconds(8);
+constexpr Base::Duration NewConnectionDelay = Base::milliseconds(14);
+
+std::optional<Base::Duration> parseDeadline(std::string_view text)
+{
+    double milliseconds = 0.0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), milliseconds);
+    if (text.empty() || result.ec != std::errc() || !(milliseconds >= 0.0) || milliseconds > 1e9)
+        return std::nullopt;
+    return Base::Duration(static_cast<Base::Duration::rep>(milliseconds * 1000.0));
+}
+
+std::string_view outcomeName(const Forward::Outcome &outcome)
+{
+    switch (outcome.kind) {
+    case Forward::Outcome::Kind::Relay:
+        return outcome.response.status / 100 == 2 ? "served" : "server_failure";
+    case Forward::Outcome::Kind::Gathered:
+        return outcome.missingParts == 0 ? "served" : "partial";
+    case Forward::Outcome::Kind::Refused:
+        return Base::errorName(outcome.error);
+    }
+    return "internal";
+}
+
+} // namespace
+
+Forwarder::Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
+                     GatewayMetrics &metrics, const Forward::ForwardOptions &options)
+    : loop_(loop)
+    , adapter_(adapter)
+    , events_(events)
+    , metrics_(metrics)
+    , core_(options)
+    , pool_(loop, *this)
+{
+}
+
+void Forwarder::setServers(Base::Instant now, const Wire::ServerList &list)
+{
+    serversReadAt_ = now - Base::milliseconds(list.ageMs);
+    core_.setServers(now, list);
+    perform();
+}
+
+void Forwarder::handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
+{
+    if (!table_)
+        return refuse(request, caller, Base::ErrorKind::ControlUnavailable, "no configuration is known yet");
+    const auto *route = table_->find(request.header("Host"), request.path());
+    if (route == nullptr)
+        return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
+    const auto now = clock_.now();
+    const auto id = core_.begin(now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)),
+                                      caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay});
+    auto &pending = pending_[id];
+    pending.caller = caller;
+    pending.requestId = request.header(adapter_.headers().requestId);
+    pending.routeName = route->name;
+    pending.version = table_->version();
+    pending.arrivedAt = now;
+    pending.head = forwardedHead(request);
+    pending.body = request.body;
+    pending.headRequest = request.method == "HEAD";
+    pending.repeatable = route->repeatability == Route::Repeatability::Idempotent;
+    caller.onCallerLeft([this, id] {
+        const auto found = pending_.find(id);
+        if (found == pending_.end())
+            return;
+        const auto leftAt = clock_.now();
+        events_.write(leftAt, Importance::Routine, "caller_left",
+                      {{"request", found->second.requestId},
+                       {"route", found->second.routeName},
+                       {"after_ms", Base::toMilliseconds(leftAt - found->second.arrivedAt)}});
+        metrics_.requestAnswered(found->second.routeName, "caller_left", leftAt - found->second.arrivedAt);
+        pending_.erase(found);
+        core_.callerLeft(leftAt, id);
+        perform();
+    });
+    perform();
+}
+
+/// Everything that is the same for each attempt: the caller's own headers but for those of its connection and
+/// those that this process sets.
+std::string Forwarder::forwardedHead(const Edge::RequestMessage &request) const
+{
+    const auto &names = adapter_.headers();
+    const auto options = request.header("Connection");
+    auto head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
+    for (const auto &[name, value] : request.headers) {
+        if (Edge::isConnectionHeader(name, options) || Edge::equalsIgnoringCase(name, "Content-Length")
+            || Edge::equalsIgnoringCase(name, "Expect") || Edge::equalsIgnoringCase(name, names.deadline)
+            || Edge::equalsIgnoringCase(name, names.targetServer))
+            continue;
+        fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
+    }
+    if (request.hasBody)
+        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", request.body.size());
+    return head;
+}
+
+void Forwarder::refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                       Base::ErrorKind error, std::string_view cause)
+{
+    const auto now = clock_.now();
+    const auto &names = adapter_.headers();
+    Edge::ResponseMessage response;
+    response.status = Base::errorAnswer(error).httpStatus;
+    const std::string requestId(request.header(names.requestId));
+    if (!requestId.empty())
+        response.headers.emplace_back(names.requestId, requestId);
+    if (response.status == 503)
+        response.headers.emplace_back("Retry-After", "0.3");
+    caller.respond(response);
+    metrics_.requestAnswered("none", std::string(Base::errorName(error)), {});
+    events_.write(now, Importance::Notable, "request_answered",
+                  {{"request", requestId},
+                   {"host", request.header("Host")},
+                   {"path", request.path()},
+                   {"outcome", Base::errorName(error)},
+                   {"status", response.status},
+                   {"configuration_version", table_ ? table_->version() : 0},
+                   {"cause", cause}});
+}
+
+/// Carries out the core's actions until it has none; actions of nested events join the same run.
+void Forwarder::perform()
+{
+    if (performing_)
+        return;
+    performing_ = true;
+    for (auto actions = core_.takeActions(); !actions.empty(); actions = core_.takeActions()) {
+        for (auto &action : actions) {
+            if (auto *sending = std::get_if<Forward::SendAttempt>(&action))
+                send(*sending);
+            else if (auto *aborting = std::get_if<Forward::AbortAttempt>(&action)) {
+                attemptRequestIds_.erase(aborting->attempt);
+                pool_.abort(aborting->attempt);
+                metrics_.attemptEnded("aborted");
+            } else if (auto *answering = std::get_if<Forward::AnswerCaller>(&action))
+                answer(*answering);
+        }
+    }
+    performing_ = false;
+    armTimer();
+}
+
+void Forwarder::send(const Forward::SendAttempt &action)
+{
+    const auto found = pending_.find(action.exchange);
+    if (found == pending_.end()) {
+        // The caller left between the decision and this moment; nothing was sent.
+        core_.attemptFailed(clock_.now(), action.attempt, Edge::ExchangeFailure::NotSent);
+        return;
+    }
+    const auto &pending = found->second;
+    const auto &names = adapter_.headers();
+    const auto milliseconds = std::max<std::int64_t>(1, action.timeLeft / Base::milliseconds(1));
+    std::string request;
+    request.reserve(pending.head.size() + pending.body.size() + 128);
+    request += pending.head;
+    fmt::format_to(std::back_inserter(request), "{}: {}\r\n{}: {}\r\n\r\n", names.deadline, milliseconds,
+                   names.targetServer, action.backend->record.id);
+    request += pending.body;
+    attemptRequestIds_[action.attempt] = pending.requestId;
+    pool_.send(action.attempt, action.backend, std::move(request), pending.headRequest, !pending.repeatable);
+}
+
+bool Forwarder::attemptReplied(Forward::AttemptId attempt, Edge::ResponseMessage response)
+{
+    const auto &names = adapter_.headers();
+    const auto expected = attemptRequestIds_.find(attempt);
+    const auto requestId = expected == attemptRequestIds_.end() ? std::string() : std::move(expected->second);
+    if (expected != attemptRequestIds_.end())
+        attemptRequestIds_.erase(expected);
+    const auto echoed = response.header(names.requestId);
+    const bool succeeded = response.status / 100 == 2;
+    // A response to another request, or one that cannot be told from it.
+    const bool belongs = echoed == requestId || (echoed.empty() && !succeeded);
+    if (!belongs) {
+        metrics_.attemptEnded("foreign_response");
+        core_.attemptFailed(clock_.now(), attempt, Edge::ExchangeFailure::ReplyMalformed);
+        perform();
+        return false;
+    }
+    Forward::AttemptReply reply;
+    reply.proof = response.header(names.serverProof);
+    reply.notExecuted = !response.header(names.notExecuted).empty();
+    // Callers ask for bodies without an encoding, so an encoded one is not the server's own.
+    reply.isWhole = !succeeded || (response.header("Content-Encoding").empty() && !reply.proof.empty());
+    reply.load = adapter_.decodeServerLoad(response.header(names.serverLoad));
+    reply.response = std::move(response);
+    metrics_.attemptEnded(reply.notExecuted ? "not_executed" : fmt::format("status_{}", reply.response.status));
+    core_.replyArrived(clock_.now(), attempt, std::move(reply));
+    perform();
+    return true;
+}
+
+void Forwarder::attemptFailed(Forward::AttemptId attempt, Edge::ExchangeFailure failure, const std::string &)
+{
+    attemptRequestIds_.erase(attempt);
+    metrics_.attemptEnded(std::string(Edge::exchangeFailureName(failure)));
+    core_.attemptFailed(clock_.now(), attempt, failure);
+    perform();
+}
+
+void Forwarder::answer(Forward::AnswerCaller &action)
+{
+    const auto found = pending_.find(action.exchange);
+    if (found == pending_.end())
+        return; // The caller left; its leaving was logged.
+    const auto pending = std::move(found->second);
+    pending_.erase(found);
+    const auto response = responseFor(pending, action.outcome);
+    pending.caller.respond(response);
+    const auto now = clock_.now();
+    metrics_.requestAnswered(pending.routeName, std::string(outcomeName(action.outcome)),
+                             now - pending.arrivedAt);
+    logAnswer(now, pending, action.outcome, response.status);
+}
+
+Edge::ResponseMessage Forwarder::responseFor(const Pending &pending, Forward::Outcome &outcome) const
+{
+    const auto &names = adapter_.headers();
+    if (outcome.kind == Forward::Outcome::Kind::Relay)
+        return std::move(outcome.response);
+    Edge::ResponseMessage response;
+    if (!pending.requestId.empty())
+        response.headers.emplace_back(names.requestId, pending.requestId);
+    if (outcome.kind == Forward::Outcome::Kind::Gathered) {
+        response.body = std::move(outcome.response.body);
+        response.headers.emplace_back(names.partProofs, fmt::format("{}", fmt::join(outcome.partProofs, ", ")));
+        response.headers.emplace_back(names.missingParts, std::to_string(outcome.missingParts));
+        return response;
+    }
+    response.status = Base::errorAnswer(outcome.error).httpStatus;
+    if (outcome.retryAfter)
+        response.headers.emplace_back("Retry-After",
+                                      fmt::format("{:.3f}", Base::toMilliseconds(*outcome.retryAfter) / 1000.0));
+    return response;
+}
+
+void Forwarder::logAnswer(Base::Instant now, const Pending &pending, const Forward::Outcome &outcome, int status)
+{
+    const auto name = outcomeName(outcome);
+    const auto importance = name == "served" ? Importance::Routine : Importance::Notable;
+    if (!events_.admits(now, importance))
+        return;
+    events_.append("request_answered",
+                   {{"request", pending.requestId},
+                    {"route", pending.routeName},
+                    {"outcome", name},
+                    {"status", status},
+                    {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
+                    {"configuration_version", pending.version},
+                    {"servers_age_ms", (now - serversReadAt_) / Base::milliseconds(1)},
+                    {"attempts", outcome.attempts},
+                    {"extra_attempts", outcome.extraAttempts},
+                    {"missing", outcome.missingParts},
+                    {"lacking", outcome.lackingShards},
+                    {"cause", outcome.cause}});
+}
+
+void Forwarder::armTimer()
+{
+    const auto next = core_.nextTimer();
+    if (!next) {
+        if (armedFor_ != Base::Instant::max())
+            loop_.clearWakeUp();
+        armedFor_ = Base::Instant::max();
+        return;
+    }
+    if (*next == armedFor_)
+        return;
+    armedFor_ = *next;
+    loop_.setWakeUp(std::max(Base::Duration::zero(), *next - clock_.now()), [this] {
+        armedFor_ = Base::Instant::max();
+        core_.runTimers(clock_.now());
+        perform();
+    });
+}
+
+void Forwarder::maintain(Base::Instant now)
+{
+    pool_.sweep();
+    metrics_.setGauge("daisyroute_requests_in_flight", "Requests of callers without an answer.",
+                      static_cast<double>(core_.exchangesInFlight()));
+    metrics_.setGauge("daisyroute_legs_waiting", "Sub-requests that wait for a connection.",
+                      static_cast<double>(core_.legsWaiting()));
+    metrics_.setGauge("daisyroute_backend_connections_opened", "Connections opened since the start.",
+                      static_cast<double>(pool_.connectionsOpened()));
+    metrics_.setGauge("daisyroute_backend_servers", "Backend servers listed.",
+                      static_cast<double>(core_.backends().size()));
+    metrics_.setGauge("daisyroute_server_list_age_seconds", "Age of the server list.",
+                      Base::toMilliseconds(now - serversReadAt_) / 1000.0);
+    metrics_.setGauge("daisyroute_configuration_version", "Version in force.",
+                      table_ ? static_cast<double>(table_->version()) : 0.0);
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/Forwarder.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "LibAdapter/PlatformAdapter.h"
+#include "LibBase/Clock.h"
+#include "LibBase/EventLog.h"
+#include "LibEdge/CallerServer.h"
+#include "LibForward/ForwardCore.h"
+#include "Services/Gateway/BackendPool.h"
+#include "Services/Gateway/GatewayMetrics.h"
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace Services {
+
+/// Carries out the decisions of ForwardCore: parses callers' requests, sends attempts, writes answers.
+class Forwarder final : private AttemptEvents
+{
+public:
+    Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
+              GatewayMetrics &metrics, const Forward::ForwardOptions &options);
+
+    void handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller);
+
+    /// Requests that arrive from now on follow this table.
+    void setRoutes(std::shared_ptr<const Route::RouteTable> table) { table_ = std::move(table); }
+    const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
+    void setServers(Base::Instant now, const Wire::ServerList &list);
+    /// The list was read again with the same content.
+    void confirmServers(Base::Instant now, std::uint32_t ageMs)
+    {
+        serversReadAt_ = now - Base::milliseconds(ageMs);
+    }
+    void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
+    void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
+
+    /// Regular work: unused connections, gauges.
+    void maintain(Base::Instant now);
+    std::size_t requestsInFlight() const { return core_.exchangesInFlight(); }
+    bool hasServers() const { return core_.backends().isLoaded(); }
+
+private:
+    struct Pending
+    {
+        Edge::CallerExchange caller;
+        std::string requestId;
+        std::string routeName;
+        std::uint64_t version = 0;
+        Base::Instant arrivedAt;
+        std::string head; ///< Request line and headers for backend servers, without those of one attempt.
+        std::string body;
+        bool headRequest = false;
+        bool repeatable = false;
+    };
+
+    std::string forwardedHead(const Edge::RequestMessage &request) const;
+    void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller, Base::ErrorKind error,
+                std::string_view cause);
+    void perform();
+    void send(const Forward::SendAttempt &action);
+    void answer(Forward::AnswerCaller &action);
+    Edge::ResponseMessage responseFor(const Pending &pending, Forward::Outcome &outcome) const;
+    void logAnswer(Base::Instant now, const Pending &pending, const Forward::Outcome &outcome, int status);
+    void armTimer();
+    bool attemptReplied(Forward::AttemptId attempt, Edge::ResponseMessage response) override;
+    void attemptFailed(Forward::AttemptId attempt, Edge::ExchangeFailure failure,
+                       const std::string &detail) override;
+
+    Edge::Loop &loop_;
+    const Adapter::PlatformAdapter &adapter_;
+    Base::EventLog &events_;
+    GatewayMetrics &metrics_;
+    Base::SystemClock clock_;
+    Forward::ForwardCore core_;
+    BackendPool pool_;
+    std::shared_ptr<const Route::RouteTable> table_;
+    std::unordered_map<Forward::ExchangeId, Pending> pending_;
+    std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_; ///< Expected echo by attempt.
+    Base::Instant serversReadAt_;
+    Base::Instant armedFor_ = Base::Instant::max();
+    bool performing_ = false;
+};
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -0,0 +1,44 @@
+#include "Services/Gateway/GatewayMetrics.h"
+
+namespace Services {
+
+namespace {
+
+/// Routes with series of their own; the others share one, so that a flood of routes does not fill the memory.
+constexpr std::size_t MaxRoutes = 40;
+constexpr const char *OtherRoutes = "other";
+
+} // namespace
+
+void GatewayMetrics::requestAnswered(const std::string &route, const std::string &outcome,
+                                     Base::Duration duration)
+{
+    const bool known = durations_.find(route) != durations_.end();
+    const std::string label = known || durations_.size() < MaxRoutes ? route : OtherRoutes;
+    auto &histogram = durations_[label];
+    if (histogram == nullptr)
+        histogram = &registry_.histogram("daisyroute_request_seconds", "Time until the answer was sent.",
+                                         {{"route", label}});
+    histogram->record(duration);
+    auto &counter = outcomes_[label + '\n' + outcome];
+    if (counter == nullptr)
+        counter = &registry_.counter("daisyroute_requests_total", "Requests by route and outcome.",
+                                     {{"route", label}, {"outcome", outcome}});
+    counter->add();
+}
+
+void GatewayMetrics::attemptEnded(const std::string &result)
+{
+    auto &counter = outcomes_['\n' + result];
+    if (counter == nullptr)
+        counter = &registry_.counter("daisyroute_attempts_total", "Sends to backend servers by result.",
+                                     {{"result", result}});
+    counter->add();
+}
+
+void GatewayMetrics::setGauge(const char *name, const char *help, double value)
+{
+    registry_.gauge(name, help).set(value);
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/GatewayMetrics.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "LibMetrics/Registry.h"
+
+#include <string>
+#include <unordered_map>
+
+namespace Services {
+
+/// Counters and histograms of a gateway. Series by route are looked up once and kept.
+class GatewayMetrics
+{
+public:
+    void requestAnswered(const std::string &route, const std::string &outcome, Base::Duration duration);
+    void attemptEnded(const std::string &result);
+    void setGauge(const char *name, const char *help, double value);
+
+    const Metrics::Registry &registry() const { return registry_; }
+
+private:
+    Metrics::Registry registry_;
+    std::unordered_map<std::string, Metrics::Counter *> outcomes_; ///< By route and outcome.
+    std::unordered_map<std::string, Metrics::LatencyHistogram *> durations_; ///< By route.
+};
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -0,0 +1,330 @@
+#include "Services/Gateway/GatewayProcess.h"
+
+#include "Services/Common/MetricsEndpoint.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <random>
+#include <unistd.h>
+
+namespace Services {
+
+namespace {
+
+using Importance = Base::EventLog::Importance;
+
+constexpr Base::Duration TickInterval = Base::milliseconds(250);
+/// Callers ask again this often, so that they leave a VM that is gone soon.
+constexpr Base::Duration LookupMaxAge = Base::milliseconds(1000);
+/// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
+constexpr Base::Duration StaleConfigurationDelay = Base::seconds(2);
+/// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers may
+/// use an old look-up for several seconds, so nearly all of the grace is spent serving.
+constexpr double StopAcceptingShare = 0.84;
+constexpr double ExitShare = 0.95;
+constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(100);
+/// Gateways assumed before the directory is known: connections and budgets are then shared by this many.
+constexpr std::size_t AssumedGateways = 12;
+
+std::uint64_t randomNumber()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+Edge::ResponseMessage emptyResponse(int status)
+{
+    Edge::ResponseMessage response;
+    response.status = status;
+    return response;
+}
+
+} // namespace
+
+Base::Result<std::unique_ptr<GatewayProcess>> GatewayProcess::create(const std::string &settingsPath,
+                                                                     const std::string &metricsPort,
+                                                                     const Adapter::PlatformAdapter &adapter)
+{
+    auto settings = readNodeSettings(settingsPath);
+    if (!settings)
+        return tl::unexpected(settings.error());
+    std::unique_ptr<GatewayProcess> process(new GatewayProcess(settingsPath, std::move(*settings), adapter));
+    if (auto started = process->start(metricsPort); !started)
+        return tl::unexpected(started.error());
+    return process;
+}
+
+GatewayProcess::GatewayProcess(const std::string &settingsPath, NodeSettings settings,
+                               const Adapter::PlatformAdapter &adapter)
+    : settingsPath_(settingsPath)
+    , settings_(std::move(settings))
+    , adapter_(adapter)
+    , events_("gateway", STDOUT_FILENO)
+    , settingsWatch_(settingsPath)
+    , incarnation_(randomNumber())
+    , startedAt_(clock_.now())
+{
+}
+
+GatewayProcess::~GatewayProcess()
+{
+    if (endpoint_)
+        endpoint_->shutDown(EndpointStopTimeout);
+}
+
+Forward::ForwardOptions GatewayProcess::forwardOptions() const
+{
+    return {incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack};
+}
+
+Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
+{
+    Peer::EndpointOptions options;
+    options.listenAddress = settings_.gatewayPeerAddress();
+    options.sharedSecret = settings_.clusterKey;
+    options.handler = [](Wire::Method, const Base::Bytes &, const std::shared_ptr<Peer::Responder> &responder) {
+        responder->fail({Base::ErrorKind::InvalidRequest, "a gateway serves no calls of other processes"});
+    };
+    auto endpoint = Peer::Endpoint::create(std::move(options));
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    endpoint_ = std::move(*endpoint);
+    forwarder_ = std::make_unique<Forwarder>(loop_, adapter_, events_, metrics_, forwardOptions());
+    forwarder_->setGatewayCount(AssumedGateways);
+
+    const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, const std::string &address,
+                              Edge::CallerHandler handler) -> Base::Result<void> {
+        auto created = Edge::CallerServer::create(loop_, address, std::move(handler));
+        if (!created)
+            return tl::unexpected(created.error());
+        server = std::move(*created);
+        return {};
+    };
+    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.ip, metricsPort);
+    if (!metricsServer)
+        return tl::unexpected(metricsServer.error());
+    metricsServer_ = std::move(*metricsServer);
+    return serve(callerServer_, settings_.callerAddress,
+                 [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
+                     forwarder_->handle(request, caller);
+                 })
+        .and_then([&] {
+            return serve(readinessServer_, settings_.readinessAddress,
+                         [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
+                             const bool known = adapter_.classify(request.method, request.path())
+                                                == Adapter::Call::CheckReadiness;
+                             caller.respond(emptyResponse(!known ? 404 : isReady() ? 200 : 503));
+                         });
+        })
+        .and_then([&] {
+            return serve(lookupServer_, settings_.lookupAddress,
+                         [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
+                             lookUp(request, caller);
+                         });
+        });
+}
+
+void GatewayProcess::run()
+{
+    events_.write(clock_.now(), Importance::Notable, "started",
+                  {{"node", settings_.nodeId},
+                   {"incarnation", incarnation_},
+                   {"data_centre", settings_.dataCentre},
+                   {"caller_address", settings_.callerAddress},
+                   {"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
+    watcher_ = std::make_unique<RegistryWatcher>(
+        loop_, *endpoint_, events_, [this] { return watchRequest(); },
+        [this](const Wire::WatchReply &reply, bool fresh) { takeReply(reply, fresh); });
+    for (const auto &seed : settings_.seeds)
+        watcher_->addRegistries({settings_.registryPeerAddress(seed)});
+    loop_.onSignals({SIGTERM, SIGINT, SIGHUP}, [this](int signal) {
+        if (signal == SIGHUP)
+            reloadSettings(true);
+        else
+            beginLeaving();
+    });
+    loop_.repeat(TickInterval, [this] { tick(); });
+    watcher_->start();
+    loop_.run();
+    events_.write(clock_.now(), Importance::Notable, "stopped",
+                  {{"node", settings_.nodeId}, {"requests_cut_off", forwarder_->requestsInFlight()}});
+    events_.flush();
+}
+
+bool GatewayProcess::isReady() const
+{
+    return !leavingSince_ && forwarder_->routes() && forwarder_->hasServers();
+}
+
+Wire::GatewayState GatewayProcess::state() const
+{
+    if (leavingSince_)
+        return Wire::GatewayState::Leaving;
+    return isReady() ? Wire::GatewayState::Serving : Wire::GatewayState::Joining;
+}
+
+Wire::WatchRequest GatewayProcess::watchRequest() const
+{
+    Wire::WatchRequest request;
+    request.gateway = {settings_.nodeId, incarnation_, settings_.callerAddress, settings_.dataCentre, state()};
+    request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
+    request.serverListDigest = serverListDigest_;
+    request.directoryDigest = directoryDigest_;
+    return request;
+}
+
+void GatewayProcess::takeReply(const Wire::WatchReply &reply, bool fresh)
+{
+    const auto before = state();
+    takeConfiguration(reply, fresh);
+    if (reply.serverList)
+        takeServerList(*reply.serverList);
+    takeDirectory(reply);
+    if (state() != before)
+        events_.write(clock_.now(), Importance::Notable, "state_changed",
+                      {{"ready", isReady()}, {"leaving", leavingSince_.has_value()}});
+}
+
+void GatewayProcess::takeConfiguration(const Wire::WatchReply &reply, bool fresh)
+{
+    const auto held = forwarder_->routes() ? forwarder_->routes()->version() : 0;
+    if (reply.configurationText.empty() || reply.configurationVersion <= held)
+        return;
+    const auto now = clock_.now();
+    // A registry without a leader may hold an old one, but an old one is better than none for long.
+    if (held == 0 && !fresh && now - startedAt_ < StaleConfigurationDelay)
+        return;
+    auto configuration = adapter_.decodeConfiguration(reply.configurationText);
+    if (!configuration) {
+        if (std::exchange(refusedConfiguration_, configuration.error().detail) != refusedConfiguration_)
+            events_.write(now, Importance::Notable, "configuration_refused",
+                          {{"version", reply.configurationVersion}, {"detail", refusedConfiguration_}});
+        return;
+    }
+    Edge::EdgeLimits limits;
+    limits.maxHeaderBytes = configuration->limits.maxHeaderBytes;
+    limits.maxBodyBytes = configuration->limits.maxBodyBytes;
+    limits.headerTimeout = configuration->limits.headerTimeout;
+    limits.idleTimeout = configuration->limits.idleTimeout;
+    callerServer_->setLimits(limits);
+    const auto routes = configuration->routes.size();
+    forwarder_->setRoutes(std::make_shared<const Route::RouteTable>(std::move(*configuration)));
+    events_.write(now, Importance::Notable, "configuration_in_force",
+                  {{"version", reply.configurationVersion},
+                   {"version_before", held},
+                   {"routes", routes},
+                   {"fresh", fresh},
+                   {"leader_silent_ms", reply.leaderSilentMs}});
+}
+
+void GatewayProcess::takeServerList(const Wire::ServerList &list)
+{
+    const auto now = clock_.now();
+    const auto readAt = now - Base::milliseconds(list.ageMs);
+    if (serverListKnown_ && readAt <= serverListReadAt_)
+        return;
+    const bool same = serverListKnown_ && list.digest == serverListDigest_;
+    if (!same && list.servers.empty())
+        return; // The registry supposed that this content is held; it sends the content next time.
+    serverListReadAt_ = readAt;
+    serverListKnown_ = true;
+    if (same) {
+        forwarder_->confirmServers(now, list.ageMs);
+        return;
+    }
+    serverListDigest_ = list.digest;
+    forwarder_->setServers(now, list);
+    events_.write(now, Importance::Notable, "server_list_changed",
+                  {{"servers", list.servers.size()}, {"age_ms", list.ageMs}, {"digest", list.digest}});
+}
+
+void GatewayProcess::takeDirectory(const Wire::WatchReply &reply)
+{
+    if (reply.directoryDigest == directoryDigest_)
+        return;
+    directoryDigest_ = reply.directoryDigest;
+    directory_ = reply.directory;
+    if (!directory_.empty())
+        forwarder_->setGatewayCount(std::max(directory_.size(), AssumedGateways / 2));
+    events_.write(clock_.now(), Importance::Notable, "directory_changed", {{"serving", directory_.size()}});
+}
+
+void GatewayProcess::lookUp(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const
+{
+    if (adapter_.classify(request.method, request.path()) != Adapter::Call::LookUpGateways)
+        return caller.respond(emptyResponse(404));
+    std::vector<std::string> addresses;
+    for (const auto &gateway : directory_) {
+        const bool leaving = leavingSince_ && gateway.gatewayId == settings_.nodeId;
+        if (!leaving)
+            addresses.push_back(gateway.callerAddress);
+    }
+    // Until the first directory comes, this gateway knows of itself only.
+    if (addresses.empty() && isReady())
+        addresses.push_back(settings_.callerAddress);
+    if (addresses.empty())
+        return caller.respond(emptyResponse(503));
+    auto response = emptyResponse(200);
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = adapter_.encodeGateways(addresses, std::min(LookupMaxAge, settings_.lookupMaxAge));
+    caller.respond(response);
+}
+
+void GatewayProcess::tick()
+{
+    const auto now = clock_.now();
+    forwarder_->maintain(now);
+    reloadSettings(false);
+    if (leavingSince_)
+        continueLeaving(now);
+    events_.flush();
+}
+
+void GatewayProcess::reloadSettings(bool force)
+{
+    auto settings = settingsWatch_.poll(force);
+    if (!settings)
+        return;
+    if (!*settings) {
+        events_.write(clock_.now(), Importance::Notable, "settings_refused",
+                      {{"file", settingsPath_}, {"mistakes", settings->error().detail}});
+        return;
+    }
+    // Addresses are in use; a restart takes over their changes.
+    settings_.seeds = (*settings)->seeds;
+    settings_.extraLoadRatio = (*settings)->extraLoadRatio;
+    settings_.extraLoadSlack = (*settings)->extraLoadSlack;
+    settings_.shutdownGrace = (*settings)->shutdownGrace;
+    settings_.lookupMaxAge = (*settings)->lookupMaxAge;
+    for (const auto &seed : settings_.seeds)
+        watcher_->addRegistries({settings_.registryPeerAddress(seed)});
+    forwarder_->setOptions(forwardOptions());
+    events_.write(clock_.now(), Importance::Notable, "settings_reloaded",
+                  {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
+}
+
+void GatewayProcess::beginLeaving()
+{
+    if (leavingSince_)
+        return;
+    leavingSince_ = clock_.now();
+    callerServer_->beginDrain();
+    watcher_->reportNow();
+    events_.write(*leavingSince_, Importance::Notable, "stopping",
+                  {{"node", settings_.nodeId}, {"requests_in_flight", forwarder_->requestsInFlight()}});
+}
+
+void GatewayProcess::continueLeaving(Base::Instant now)
+{
+    const auto elapsed = std::chrono::duration<double>(now - *leavingSince_);
+    const auto grace = std::chrono::duration<double>(settings_.shutdownGrace);
+    if (elapsed < StopAcceptingShare * grace)
+        return;
+    if (!std::exchange(stoppedAccepting_, true))
+        callerServer_->stopAccepting();
+    if (forwarder_->requestsInFlight() == 0 || elapsed >= ExitShare * grace)
+        loop_.stop();
+}
+
+} // namespace Services
--- a/Services/Main.cpp
+++ b/Services/Main.cpp
@@ -2,7 +2,9 @@
 #include "Services/Cli/CommandTable.h"
 #include "Services/Cli/DocumentCommands.h"
 #include "Services/Cli/ServiceCommands.h"
+#include "Services/Cli/RoutingCommands.h"
 #include "Services/Cli/StatusCommand.h"
+#include "platform/PlatformProtocol.h"
 
 #include <algorithm>
 #include <exception>
@@ -15,10 +17,23 @@
 
 using Runner = int (*)(const Settings::CommandLine &);
 
+int runGateway(const Settings::CommandLine &line)
+{
+    return Services::runGatewayCommand(line, Platform::PlatformProtocol());
+}
+
+int runRegistry(const Settings::CommandLine &line)
+{
+    return Services::runRegistryCommand(line, Platform::PlatformProtocol());
+}
+
 const std::map<std::string_view, Runner> &runners()
 {
     static const std::map<std::string_view, Runner> Runners {{"control", Services::runControlCommand},
                                                              {"entry", Services::runEntryCommand},
+                                                             {"gateway", runGateway},
+                                                             {"registry", runRegistry},
+                                                             {"check-settings", Services::runCheckSettings},
                                                              {"validate", Services::runValidate},
                                                              {"diff", Services::runDiff},
                                                              {"submit", Services::runSubmit},
--- /dev/null
+++ b/Services/Registry/RegistryCluster.cpp
@@ -0,0 +1,290 @@
+// The replicated log of a registry and its members.
+
+#include "LibControl/MembershipPlanner.h"
+#include "Services/Registry/RegistryProcess.h"
+
+#include <algorithm>
+
+namespace Services {
+
+namespace {
+
+using Importance = Base::EventLog::Importance;
+
+constexpr Base::Duration ReopenInterval = Base::milliseconds(500);
+/// A Raft message that takes longer is of no use, because its sender has repeated it.
+constexpr Base::Duration RaftMessageTimeout = Base::seconds(2);
+constexpr Base::Duration IntroductionInterval = Base::milliseconds(200);
+constexpr Base::Duration JoinInterval = Base::milliseconds(300);
+constexpr Base::Duration JoinTimeout = Base::milliseconds(800);
+/// A member that hears no leader for this long asks whether it still is one.
+constexpr Base::Duration LeaderSilenceUntilJoin = Base::seconds(2);
+/// A member that is unheard for this long gives up its place to those that are heard.
+constexpr Base::Duration GoneAfter = Base::seconds(4);
+/// Rounds of work that one step may cause; more wait for the next turn of the loop.
+constexpr int MaxStepRounds = 8;
+
+bool isEmpty(const Consensus::Ready &ready)
+{
+    return !ready.restore && ready.committed.empty() && ready.messages.empty();
+}
+
+std::size_t payloadBytes(const Consensus::Ready &ready)
+{
+    std::size_t bytes = 0;
+    for (const auto &entry : ready.committed)
+        bytes += entry.payload.size();
+    return bytes;
+}
+
+} // namespace
+
+void RegistryProcess::writeClusterEvent(Base::LogLevel, std::string_view sentence,
+                                        std::initializer_list<Base::LogField> fields)
+{
+    const auto now = clock_.now();
+    if (!events_.admits(now, Importance::Notable))
+        return;
+    std::string detail;
+    for (const auto &field : fields)
+        Base::appendLogField(detail, field);
+    events_.append("cluster_changed", {{"what", sentence}, {"detail", detail}});
+}
+
+void RegistryProcess::openCluster(Base::Instant now)
+{
+    nextOpen_ = now + ReopenInterval;
+    auto cluster = ClusterNode::create(settings_, now);
+    if (!cluster) {
+        if (openFailure_ != cluster.error().detail)
+            events_.write(now, Importance::Notable, "dependency_lost",
+                          {{"dependency", "disk"},
+                           {"error", Base::errorName(cluster.error().kind)},
+                           {"detail", cluster.error().detail}});
+        openFailure_ = cluster.error().detail;
+        if (cluster.error().kind != Base::ErrorKind::CorruptData)
+            return;
+        // The other registries hold what this one lost; it comes back as a new member.
+        if (auto reset = ClusterNode::reset(settings_); !reset)
+            events_.write(now, Importance::Notable, "repair_failed", {{"detail", reset.error().detail}});
+        return;
+    }
+    cluster_ = std::move(*cluster);
+    openFailure_.clear();
+    events_.write(now, Importance::Notable, "dependency_regained",
+                  {{"dependency", "disk"},
+                   {"incarnation", cluster_->incarnation()},
+                   {"holds_log", cluster_->holdsLog()}});
+}
+
+void RegistryProcess::closeCluster(const Base::Error &reason)
+{
+    events_.write(clock_.now(), Importance::Notable, "dependency_lost",
+                  {{"dependency", "disk"}, {"error", Base::errorName(reason.kind)}, {"detail", reason.detail}});
+    openFailure_ = reason.detail;
+    cluster_->core().abandon();
+    cluster_.reset();
+    nextOpen_ = clock_.now() + ReopenInterval;
+}
+
+void RegistryProcess::step()
+{
+    for (int round = 0; cluster_ && round < MaxStepRounds; ++round) {
+        const auto ready = cluster_->raft().takeReady(clock_.now());
+        if (!ready)
+            return closeCluster(ready.error());
+        if (isEmpty(*ready))
+            return;
+        const auto changed = cluster_->core().handleReady(*ready);
+        if (!changed)
+            return closeCluster(changed.error());
+        sendRaft(ready->messages);
+        if (*changed) {
+            const auto &configuration = cluster_->core().configuration();
+            events_.write(clock_.now(), Importance::Notable, "configuration_stored",
+                          {{"version", configuration.version()},
+                           {"bytes", configuration.text().size()},
+                           {"log_index", cluster_->core().appliedIndex()}});
+            answerWatchers(clock_.now());
+        }
+        if (const auto compacted = cluster_->compactIfDue(payloadBytes(*ready)); !compacted)
+            return closeCluster(compacted.error());
+    }
+}
+
+void RegistryProcess::sendRaft(const std::vector<Wire::RaftMessage> &messages)
+{
+    if (messages.empty())
+        return;
+    for (const auto &member : cluster_->raft().status(clock_.now()).members)
+        addresses_.add(member.member.nodeId, member.member.incarnation, member.member.peerAddress);
+    for (const auto &message : messages) {
+        const auto address = addresses_.find(message.to, message.toIncarnation);
+        // Raft repeats what gets lost, so the result of the call does not matter.
+        if (!address.empty())
+            endpoint_->call(address, Wire::Method::RaftMessage, Wire::encode(message), RaftMessageTimeout,
+                            [](const Base::Result<Base::Bytes> &) {});
+    }
+}
+
+bool RegistryProcess::isLeader(Base::Instant now)
+{
+    return cluster_ && cluster_->raft().isLeader(now);
+}
+
+void RegistryProcess::maintainMembership(Base::Instant now)
+{
+    const auto status = cluster_->raft().status(now);
+    raftWatch_.observe(status);
+    const bool leads = isLeader(now);
+    if (leads && !leading_)
+        leadingSince_ = now;
+    leading_ = leads;
+    metrics_.gauge("daisyroute_registry_leader", "1 on the leader.").set(leads ? 1 : 0);
+    metrics_.gauge("daisyroute_registry_term", "Raft term.").set(static_cast<double>(status.term));
+    metrics_.gauge("daisyroute_configuration_version", "Version held.")
+        .set(static_cast<double>(cluster_->core().configuration().version()));
+    if (!leads)
+        return joinIfNeeded(now, status);
+    introduceToNewMembers(status);
+    auto next = Control::MembershipPlanner::next(status);
+    if (!next)
+        next = Control::MembershipPlanner::withoutGone(status, voterTarget(), GoneAfter);
+    // The node refuses while an earlier change is not committed; the next tick tries again.
+    if (next && cluster_->raft().proposeMembership(now, *next))
+        events_.write(now, Importance::Notable, "membership_proposed",
+                      {{"members_before", status.members.size()}, {"members_after", next->members.size()}});
+}
+
+/// A node that has just been added does not know the membership, so it could not answer the leader.
+void RegistryProcess::introduceToNewMembers(const Consensus::RaftStatus &status)
+{
+    const auto now = clock_.now();
+    if (now < nextIntroduction_)
+        return;
+    nextIntroduction_ = now + IntroductionInterval;
+    for (const auto &member : status.members) {
+        if (member.matchIndex == 0 && member.member.nodeId != settings_.nodeId)
+            endpoint_->call(member.member.peerAddress, Wire::Method::IntroduceNode,
+                            Wire::encode(Wire::IntroduceNodeRequest {
+                                settings_.nodeId, cluster_->incarnation(), settings_.registryPeerAddress()}),
+                            RaftMessageTimeout, [](const Base::Result<Base::Bytes> &) {});
+    }
+}
+
+bool RegistryProcess::isMember(const Consensus::RaftStatus &status) const
+{
+    return std::any_of(status.members.begin(), status.members.end(), [this](const auto &member) {
+        return member.member.nodeId == settings_.nodeId && member.member.incarnation == cluster_->incarnation();
+    });
+}
+
+std::string RegistryProcess::leaderAddress(const Consensus::RaftStatus &status) const
+{
+    for (const auto &member : status.members) {
+        if (!status.leaderId.empty() && member.member.nodeId == status.leaderId)
+            return addresses_.find(member.member.nodeId, member.member.incarnation).empty()
+                       ? member.member.peerAddress
+                       : addresses_.find(member.member.nodeId, member.member.incarnation);
+    }
+    return {};
+}
+
+std::vector<std::string> RegistryProcess::knownRegistries() const
+{
+    std::set<std::string> known;
+    for (const auto &seed : settings_.seeds)
+        known.insert(settings_.registryPeerAddress(seed));
+    if (cluster_) {
+        for (const auto &member : cluster_->raft().status(clock_.now()).members)
+            known.insert(member.member.peerAddress);
+    }
+    known.erase(settings_.registryPeerAddress());
+    known.erase(std::string());
+    return {known.begin(), known.end()};
+}
+
+void RegistryProcess::joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status)
+{
+    if (now < nextJoin_)
+        return;
+    nextJoin_ = now + JoinInterval;
+    Base::Duration leaderSilence {};
+    for (const auto &member : status.members)
+        leaderSilence = std::max(leaderSilence, member.silentFor);
+    const bool lost = status.leaderId.empty() || leaderSilence > LeaderSilenceUntilJoin;
+    if (isMember(status) && !(lost && now - startedAt_ > LeaderSilenceUntilJoin))
+        return;
+    const auto known = knownRegistries();
+    if (known.empty())
+        return;
+    auto target = known[nextJoinTarget_++ % known.size()];
+    if (const auto hint = joinHints_.find(target); hint != joinHints_.end()) {
+        target = hint->second;
+        joinHints_.erase(hint);
+    }
+    const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(), settings_.registryPeerAddress(),
+                                     cluster_->holdsLog()};
+    endpoint_->call(target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
+                    [this, target](Base::Result<Base::Bytes> payload) {
+                        loop_.post([this, target, payload = std::move(payload)] {
+                            handleJoinReply(target, payload);
+                        });
+                    });
+}
+
+void RegistryProcess::handleJoinReply(const std::string &address, const Base::Result<Base::Bytes> &payload)
+{
+    if (!payload || !cluster_)
+        return; // The next target is asked soon.
+    const auto reply = Wire::decode<Wire::JoinReply>(*payload);
+    if (!reply)
+        return;
+    if (!reply->leaderAddress.empty())
+        joinHints_[address] = reply->leaderAddress;
+    if (!reply->mustReset)
+        return;
+    const auto now = clock_.now();
+    events_.write(now, Importance::Notable, "removed_from_cluster",
+                  {{"told_by", address}, {"incarnation", cluster_->incarnation()}});
+    cluster_->core().abandon();
+    cluster_.reset();
+    if (auto reset = ClusterNode::reset(settings_); !reset)
+        events_.write(now, Importance::Notable, "repair_failed", {{"detail", reset.error().detail}});
+    openCluster(now);
+}
+
+Wire::JoinReply RegistryProcess::answerJoin(Base::Instant now, const Wire::JoinRequest &request)
+{
+    Wire::JoinReply reply;
+    if (!cluster_)
+        return reply;
+    const auto status = cluster_->raft().status(now);
+    // Only a leader that has applied an entry of its own term knows the newest membership.
+    if (!cluster_->core().isNewest(now)) {
+        reply.leaderAddress = leaderAddress(status);
+        return reply;
+    }
+    addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
+    auto membership = Control::MembershipPlanner::present(status);
+    reply.isMember = std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
+        return member.nodeId == request.nodeId && member.incarnation == request.incarnation;
+    });
+    if (reply.isMember)
+        return reply;
+    // Its log may end in entries that this cluster never had, and its vote was not asked for meanwhile.
+    if (request.holdsLog) {
+        reply.mustReset = true;
+        return reply;
+    }
+    membership.members.push_back({request.nodeId, request.incarnation, request.peerAddress, false});
+    if (cluster_->raft().proposeMembership(now, membership))
+        events_.write(now, Importance::Notable, "member_added",
+                      {{"node", request.nodeId},
+                       {"incarnation", request.incarnation},
+                       {"address", request.peerAddress}});
+    step();
+    return reply;
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/RegistryOperators.cpp
@@ -0,0 +1,164 @@
+// The operators' interface: reading and replacing the configuration.
+
+#include "Services/Registry/RegistryProcess.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Services {
+
+namespace {
+
+using Base::ErrorKind;
+using Importance = Base::EventLog::Importance;
+
+/// Operators ask another registry after about a second without an answer.
+constexpr Base::Duration ForwardTimeout = Base::milliseconds(900);
+/// While a new cluster still gathers its members, nothing is accepted for at most this long: what one disk
+/// holds would be lost with it.
+constexpr Base::Duration GatheringTimeout = Base::seconds(6);
+
+Edge::ResponseMessage jsonResponse(int status, std::string body)
+{
+    Edge::ResponseMessage response;
+    response.status = status;
+    response.headers.emplace_back("Content-Type", "application/json");
+    response.body = std::move(body);
+    return response;
+}
+
+/// Errors of the cluster mean "ask again or elsewhere" to an operator; only mistakes in the call are final.
+int statusOf(ErrorKind kind)
+{
+    const int status = Base::errorAnswer(kind).httpStatus;
+    const bool isCallersMistake = kind == ErrorKind::InvalidRequest || kind == ErrorKind::DocumentInvalid
+                                  || kind == ErrorKind::RequestTooLarge || kind == ErrorKind::NotFound;
+    return isCallersMistake ? status : 503;
+}
+
+Edge::ResponseMessage errorResponse(const Base::Error &error)
+{
+    return jsonResponse(statusOf(error.kind), fmt::format("{{\"error\":\"{}\"}}", Base::errorName(error.kind)));
+}
+
+bool isGathering(const Consensus::RaftStatus &status, std::size_t voterTarget)
+{
+    const auto voters = static_cast<std::size_t>(std::count_if(
+        status.members.begin(), status.members.end(), [](const auto &member) { return member.member.voter; }));
+    return voters < voterTarget;
+}
+
+} // namespace
+
+void RegistryProcess::handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange)
+{
+    switch (adapter_.classify(request.method, request.path())) {
+    case Adapter::Call::ReplaceConfiguration:
+        return replaceConfiguration(request, exchange);
+    case Adapter::Call::ReadConfiguration:
+        return readConfiguration(exchange);
+    default:
+        exchange.respond(errorResponse({ErrorKind::NotFound, {}}));
+    }
+}
+
+void RegistryProcess::logOperatorAnswer(std::string_view operation, std::uint64_t version, int status,
+                                        std::string_view detail)
+{
+    const auto now = clock_.now();
+    if (!events_.admits(now, Importance::Notable))
+        return;
+    const auto raft = cluster_ ? cluster_->raft().status(now) : Consensus::RaftStatus {};
+    events_.append("operator_answered",
+                   {{"operation", operation},
+                    {"version", version},
+                    {"held_version", cluster_ ? cluster_->core().configuration().version() : 0},
+                    {"status", status},
+                    {"leader", raft.leaderId},
+                    {"term", raft.term},
+                    {"detail", detail}});
+}
+
+void RegistryProcess::submit(std::uint64_t version, const std::string &text,
+                             const Registry::RegistryCore::Stored &done)
+{
+    const auto now = clock_.now();
+    if (isLeader(now) && isGathering(cluster_->raft().status(now), voterTarget())
+        && now - leadingSince_ < GatheringTimeout)
+        return done(Base::fail(ErrorKind::ControlUnavailable, "the cluster still gathers its members"));
+    cluster_->core().submit(now, version, text, done);
+    step();
+}
+
+void RegistryProcess::replaceConfiguration(const Edge::RequestMessage &request,
+                                           const Edge::CallerExchange &exchange)
+{
+    const auto configuration = adapter_.decodeConfiguration(request.body);
+    const auto version = configuration ? configuration->version : 0;
+    const auto answer = [this, exchange, version](const Base::Result<std::uint64_t> &held) {
+        const auto response = held ? jsonResponse(200, "{}") : errorResponse(held.error());
+        logOperatorAnswer("replace", version, response.status, held ? std::string() : held.error().detail);
+        exchange.respond(response);
+    };
+    if (!configuration)
+        return answer(tl::unexpected(configuration.error()));
+    if (!cluster_)
+        return answer(Base::fail(ErrorKind::StorageFailed, "the data directory is not usable now"));
+    if (isLeader(clock_.now()))
+        return submit(version, request.body, answer);
+    if (cluster_->core().configuration().version() >= version)
+        return answer(cluster_->core().configuration().version());
+    const auto leader = leaderAddress(cluster_->raft().status(clock_.now()));
+    if (leader.empty() || leader == settings_.registryPeerAddress())
+        return answer(Base::fail(ErrorKind::ControlUnavailable, "no leader is known"));
+    endpoint_->call(leader, Wire::Method::SubmitConfiguration,
+                    Wire::encode(Wire::SubmitConfigurationRequest {version, request.body}), ForwardTimeout,
+                    [this, answer](const Base::Result<Base::Bytes> &payload) {
+                        auto held = payload.and_then([](const Base::Bytes &bytes) {
+                            return Wire::decode<Wire::SubmitConfigurationReply>(bytes);
+                        });
+                        loop_.post([answer, held = std::move(held)] {
+                            answer(held.map([](const auto &reply) { return reply.heldVersion; }));
+                        });
+                    });
+}
+
+void RegistryProcess::readConfiguration(const Edge::CallerExchange &exchange)
+{
+    const auto answer = [this, exchange](std::uint64_t version, const Base::Result<std::string> &text) {
+        auto response = text ? jsonResponse(200, *text) : errorResponse(text.error());
+        if (text && version == 0)
+            response = errorResponse({ErrorKind::ControlUnavailable, {}});
+        logOperatorAnswer("read", version, response.status, text ? std::string() : text.error().detail);
+        exchange.respond(response);
+    };
+    if (!cluster_)
+        return answer(0, Base::fail(ErrorKind::StorageFailed));
+    const auto now = clock_.now();
+    const auto &configuration = cluster_->core().configuration();
+    if (cluster_->core().isNewest(now))
+        return answer(configuration.version(), configuration.text());
+    const auto leader = leaderAddress(cluster_->raft().status(now));
+    if (leader.empty() || leader == settings_.registryPeerAddress())
+        return answer(0, Base::fail(ErrorKind::ControlUnavailable, "no leader is known"));
+    endpoint_->call(leader, Wire::Method::ReadConfiguration,
+                    Wire::encode(Wire::ReadConfigurationRequest {configuration.version()}), ForwardTimeout,
+                    [this, answer](const Base::Result<Base::Bytes> &payload) {
+                        auto reply = payload.and_then([](const Base::Bytes &bytes) {
+                            return Wire::decode<Wire::ReadConfigurationReply>(bytes);
+                        });
+                        loop_.post([this, answer, reply = std::move(reply)] {
+                            if (!reply)
+                                return answer(0, tl::unexpected(reply.error()));
+                            // The leader left the text out because this node held the same version when it asked.
+                            const auto &held = cluster_ ? cluster_->core().configuration().text() : std::string();
+                            const bool isHeld = reply->text.empty() && cluster_
+                                                && cluster_->core().configuration().version() == reply->version;
+                            if (reply->text.empty() && !isHeld)
+                                return answer(0, Base::fail(ErrorKind::ControlUnavailable, "overtaken meanwhile"));
+                            answer(reply->version, isHeld ? held : reply->text);
+                        });
+                    });
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/RegistryPeers.cpp
@@ -0,0 +1,231 @@
+// Calls of gateways and of other registries, and what registries tell each other.
+
+#include "Services/Registry/RegistryProcess.h"
+
+#include <fmt/format.h>
+#include <random>
+
+namespace Services {
+
+namespace {
+
+using Base::ErrorKind;
+using Importance = Base::EventLog::Importance;
+
+/// A watching gateway gets an answer after this time even if nothing changed, as a sign of life.
+constexpr Base::Duration WatchHold = Base::milliseconds(400);
+constexpr Base::Duration ShareInterval = Base::milliseconds(300);
+constexpr Base::Duration ShareTimeout = Base::seconds(1);
+/// Pause after a failed read of the server list.
+constexpr Base::Duration FailedReadPause = Base::milliseconds(500);
+
+} // namespace
+
+void RegistryProcess::handlePeerCall(Wire::Method method, const Base::Bytes &payload,
+                                     const ResponderPointer &responder)
+{
+    switch (method) {
+    case Wire::Method::RaftMessage:
+        return post(payload, responder, &RegistryProcess::receiveRaft);
+    case Wire::Method::IntroduceNode:
+        return post(payload, responder, &RegistryProcess::introduce);
+    case Wire::Method::JoinCluster:
+        return post(payload, responder, &RegistryProcess::join);
+    case Wire::Method::WatchRegistry:
+        return post(payload, responder, &RegistryProcess::watch);
+    case Wire::Method::ShareState:
+        return post(payload, responder, &RegistryProcess::takeSharedState);
+    case Wire::Method::SubmitConfiguration:
+        return post(payload, responder, &RegistryProcess::submitForPeer);
+    case Wire::Method::ReadConfiguration:
+        return post(payload, responder, &RegistryProcess::readForPeer);
+    default:
+        responder->fail({ErrorKind::InvalidRequest, "a registry does not serve this call"});
+    }
+}
+
+template<typename Message>
+void RegistryProcess::post(const Base::Bytes &payload, const ResponderPointer &responder,
+                           void (RegistryProcess::*operation)(const Message &, const ResponderPointer &))
+{
+    auto message = Wire::decode<Message>(payload);
+    if (!message)
+        return responder->fail(message.error());
+    loop_.post([this, operation, responder, message = std::move(*message)] {
+        (this->*operation)(message, responder);
+    });
+}
+
+void RegistryProcess::receiveRaft(const Wire::RaftMessage &message, const ResponderPointer &responder)
+{
+    responder->reply({});
+    if (!cluster_)
+        return;
+    cluster_->raft().receive(clock_.now(), message);
+    step();
+}
+
+void RegistryProcess::introduce(const Wire::IntroduceNodeRequest &request, const ResponderPointer &responder)
+{
+    addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
+    if (!cluster_)
+        return responder->fail({ErrorKind::StorageFailed, "the data directory is not usable now"});
+    responder->reply(Wire::encode(
+        Wire::IntroduceNodeReply {settings_.nodeId, cluster_->incarnation(), cluster_->holdsLog()}));
+}
+
+void RegistryProcess::join(const Wire::JoinRequest &request, const ResponderPointer &responder)
+{
+    responder->reply(Wire::encode(answerJoin(clock_.now(), request)));
+}
+
+void RegistryProcess::watch(const Wire::WatchRequest &request, const ResponderPointer &responder)
+{
+    const auto now = clock_.now();
+    gateways_.report(now, request.gateway);
+    updateDirectory(now);
+    watchers_.push_back({request, responder, now + WatchHold});
+    answerWatchers(now);
+}
+
+void RegistryProcess::updateDirectory(Base::Instant now)
+{
+    auto serving = gateways_.serving(now);
+    if (serving == directory_)
+        return;
+    events_.write(now, Importance::Notable, "directory_changed",
+                  {{"serving_before", directory_.size()}, {"serving", serving.size()}});
+    directory_ = std::move(serving);
+    directoryDigest_ = Registry::digestOf(directory_);
+}
+
+void RegistryProcess::answerWatchers(Base::Instant now)
+{
+    std::vector<Watcher> later;
+    for (auto &watcher : std::exchange(watchers_, {})) {
+        const auto &held = watcher.request;
+        const bool news =
+            (cluster_ && cluster_->core().configuration().version() > held.configurationVersion)
+            || (serverList_.isKnown() && serverList_.digest() != held.serverListDigest)
+            || directoryDigest_ != held.directoryDigest;
+        if (news || now >= watcher.heldUntil)
+            watcher.responder->reply(Wire::encode(watchReply(now, held)));
+        else
+            later.push_back(std::move(watcher));
+    }
+    watchers_ = std::move(later);
+}
+
+Wire::WatchReply RegistryProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request)
+{
+    Wire::WatchReply reply;
+    if (cluster_) {
+        const auto status = cluster_->raft().status(now);
+        reply.leaderKnown = !status.leaderId.empty() && isMember(status);
+        for (const auto &member : status.members) {
+            if (member.member.nodeId == status.leaderId)
+                reply.leaderSilentMs = static_cast<std::uint32_t>(member.silentFor / Base::milliseconds(1));
+        }
+        const auto &configuration = cluster_->core().configuration();
+        reply.configurationVersion = configuration.version();
+        if (configuration.version() > request.configurationVersion)
+            reply.configurationText = configuration.text();
+    }
+    reply.serverList = serverList_.copyFor(now, request.serverListDigest);
+    reply.directoryDigest = directoryDigest_;
+    if (directoryDigest_ != request.directoryDigest)
+        reply.directory = directory_;
+    reply.registryAddresses = knownRegistries();
+    reply.registryAddresses.push_back(settings_.registryPeerAddress());
+    return reply;
+}
+
+void RegistryProcess::shareState(Base::Instant now)
+{
+    if (now < nextShare_)
+        return;
+    nextShare_ = now + ShareInterval;
+    const auto reports = gateways_.heardDirectly(now);
+    for (const auto &address : knownRegistries()) {
+        const Wire::ShareStateRequest request {reports, serverList_.copyFor(now, peerListDigests_[address])};
+        endpoint_->call(address, Wire::Method::ShareState, Wire::encode(request), ShareTimeout,
+                        [this, address](const Base::Result<Base::Bytes> &payload) {
+                            if (!payload)
+                                return; // Soft state is sent again soon.
+                            const auto reply = Wire::decode<Wire::ShareStateReply>(*payload);
+                            if (reply)
+                                loop_.post([this, address, digest = reply->serverListDigest] {
+                                    peerListDigests_[address] = digest;
+                                });
+                        });
+    }
+}
+
+void RegistryProcess::takeSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder)
+{
+    const auto now = clock_.now();
+    gateways_.merge(now, request.gateways);
+    if (request.serverList)
+        serverList_.offer(now, *request.serverList);
+    responder->reply(Wire::encode(Wire::ShareStateReply {serverList_.digest()}));
+    updateDirectory(now);
+    answerWatchers(now);
+}
+
+void RegistryProcess::readServerListIfDue(Base::Instant now)
+{
+    listReader_->checkTimeout(now);
+    if (settings_.serverListAddress.empty() || listReader_->isReading() || now < nextRead_
+        || !serverList_.shouldRead(now, isLeader(now)))
+        return;
+    // Before any leader is known, the registries would all read at once.
+    const bool mayWait = !serverList_.isKnown() && now - startedAt_ < Registry::ServerListHolder::TakeOverAge;
+    if (mayWait && !isLeader(now))
+        return;
+    listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list, std::size_t unreadable) {
+        const auto readAt = clock_.now();
+        nextRead_ = list ? readAt : readAt + FailedReadPause;
+        if (static_cast<bool>(list) != listReachable_) {
+            listReachable_ = static_cast<bool>(list);
+            events_.write(readAt, Importance::Notable, listReachable_ ? "dependency_regained" : "dependency_lost",
+                          {{"dependency", "server_list"}, {"detail", list ? "" : list.error().detail}});
+        }
+        if (!list)
+            return;
+        metrics_.counter("daisyroute_server_list_reads_total", "Complete reads of the server list.").add();
+        if (serverList_.offer(readAt, *list)) {
+            events_.write(readAt, Importance::Notable, "server_list_changed",
+                          {{"servers", list->servers.size()},
+                           {"unreadable", unreadable},
+                           {"age_ms", list->ageMs},
+                           {"digest", list->digest}});
+            answerWatchers(readAt);
+        }
+    });
+}
+
+void RegistryProcess::submitForPeer(const Wire::SubmitConfigurationRequest &request,
+                                    const ResponderPointer &responder)
+{
+    if (!cluster_)
+        return responder->fail({ErrorKind::StorageFailed, {}});
+    submit(request.version, request.text, [responder](const Base::Result<std::uint64_t> &held) {
+        if (held)
+            responder->reply(Wire::encode(Wire::SubmitConfigurationReply {*held}));
+        else
+            responder->fail(held.error());
+    });
+}
+
+void RegistryProcess::readForPeer(const Wire::ReadConfigurationRequest &request,
+                                  const ResponderPointer &responder)
+{
+    if (!cluster_ || !cluster_->core().isNewest(clock_.now()))
+        return responder->fail({ErrorKind::NotLeader, {}});
+    const auto &configuration = cluster_->core().configuration();
+    responder->reply(Wire::encode(Wire::ReadConfigurationReply {
+        configuration.version(),
+        configuration.version() == request.heldVersion ? std::string() : configuration.text()}));
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/RegistryProcess.cpp
@@ -0,0 +1,163 @@
+#include "Services/Registry/RegistryProcess.h"
+
+#include "LibBase/AddressText.h"
+#include "Services/Common/MetricsEndpoint.h"
+
+#include <csignal>
+#include <fmt/format.h>
+#include <unistd.h>
+
+namespace Services {
+
+namespace {
+
+/// Half of the heartbeat interval, so that heartbeats leave on time.
+constexpr Base::Duration TickInterval = Base::milliseconds(50);
+constexpr Base::Duration SettingsPollInterval = Base::seconds(1);
+/// Time for the replies of the last calls to leave.
+constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(300);
+/// Largest configuration that an operator may send.
+constexpr std::uint64_t MaxConfigurationBytes = std::uint64_t {4} * 1024 * 1024;
+
+} // namespace
+
+Base::Result<std::unique_ptr<RegistryProcess>> RegistryProcess::create(const std::string &settingsPath,
+                                                                       const std::string &metricsPort,
+                                                                       const Adapter::PlatformAdapter &adapter)
+{
+    auto settings = readNodeSettings(settingsPath);
+    if (!settings)
+        return tl::unexpected(settings.error());
+    std::unique_ptr<RegistryProcess> process(
+        new RegistryProcess(settingsPath, std::move(*settings), adapter));
+    if (auto started = process->start(metricsPort); !started)
+        return tl::unexpected(started.error());
+    return process;
+}
+
+RegistryProcess::RegistryProcess(const std::string &settingsPath, NodeSettings settings,
+                                 const Adapter::PlatformAdapter &adapter)
+    : settingsPath_(settingsPath)
+    , settings_(std::move(settings))
+    , adapter_(adapter)
+    , events_("registry", STDOUT_FILENO)
+    , settingsWatch_(settingsPath)
+    , raftWatch_([this](Base::LogLevel level, std::string_view sentence,
+                        std::initializer_list<Base::LogField> fields) {
+        writeClusterEvent(level, sentence, fields);
+    })
+    , startedAt_(clock_.now())
+{
+}
+
+RegistryProcess::~RegistryProcess()
+{
+    if (endpoint_)
+        endpoint_->shutDown(EndpointStopTimeout);
+}
+
+Base::Result<void> RegistryProcess::start(const std::string &metricsPort)
+{
+    Peer::EndpointOptions options;
+    options.listenAddress = settings_.registryPeerAddress();
+    options.sharedSecret = settings_.clusterKey;
+    options.handler = [this](Wire::Method method, const Base::Bytes &payload,
+                             const ResponderPointer &responder) {
+        handlePeerCall(method, payload, responder);
+    };
+    auto endpoint = Peer::Endpoint::create(std::move(options));
+    if (!endpoint)
+        return tl::unexpected(endpoint.error());
+    endpoint_ = std::move(*endpoint);
+    auto server = Edge::CallerServer::create(
+        loop_, settings_.operatorAddress,
+        [this](const Edge::RequestMessage &request, const Edge::CallerExchange &exchange) {
+            handleOperator(request, exchange);
+        });
+    if (!server)
+        return tl::unexpected(server.error());
+    operatorServer_ = std::move(*server);
+    Edge::EdgeLimits limits;
+    limits.maxBodyBytes = MaxConfigurationBytes;
+    operatorServer_->setLimits(limits);
+    auto metricsServer = serveMetrics(loop_, metrics_, settings_.ip, metricsPort);
+    if (!metricsServer)
+        return tl::unexpected(metricsServer.error());
+    metricsServer_ = std::move(*metricsServer);
+    listReader_ = std::make_unique<ServerListReader>(loop_, adapter_, settings_.serverListAddress);
+    openCluster(clock_.now());
+    return {};
+}
+
+void RegistryProcess::run()
+{
+    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "started",
+                  {{"node", settings_.nodeId},
+                   {"data_centre", settings_.dataCentre},
+                   {"operator_address", settings_.operatorAddress},
+                   {"peer_address", settings_.registryPeerAddress()},
+                   {"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))},
+                   {"first_start", settings_.firstStart},
+                   {"data_directory", settings_.dataDirectory}});
+    loop_.onSignals({SIGTERM, SIGINT, SIGHUP}, [this](int signal) {
+        if (signal == SIGHUP)
+            reloadSettings(true);
+        else
+            stop();
+    });
+    loop_.repeat(TickInterval, [this] { tick(); });
+    loop_.repeat(SettingsPollInterval, [this] { reloadSettings(false); });
+    step();
+    loop_.run();
+    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopped", {{"node", settings_.nodeId}});
+    events_.flush();
+}
+
+void RegistryProcess::tick()
+{
+    const auto now = clock_.now();
+    if (!cluster_ && now >= nextOpen_)
+        openCluster(now);
+    if (cluster_) {
+        cluster_->raft().tick(now);
+        cluster_->core().tick(now);
+        maintainMembership(now);
+        step();
+    }
+    gateways_.tick(now);
+    updateDirectory(now);
+    readServerListIfDue(now);
+    shareState(now);
+    answerWatchers(now);
+    events_.flush();
+}
+
+void RegistryProcess::reloadSettings(bool force)
+{
+    auto settings = settingsWatch_.poll(force);
+    if (!settings)
+        return;
+    if (!*settings) {
+        events_.write(clock_.now(), Base::EventLog::Importance::Notable, "settings_refused",
+                      {{"file", settingsPath_}, {"mistakes", settings->error().detail}});
+        return;
+    }
+    // Addresses and directories are in use; a restart takes over their changes.
+    settings_.seeds = (*settings)->seeds;
+    settings_.lostVmsTolerated = (*settings)->lostVmsTolerated;
+    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "settings_reloaded",
+                  {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
+}
+
+void RegistryProcess::stop()
+{
+    if (cluster_)
+        cluster_->core().abandon();
+    for (const auto &watcher : watchers_)
+        watcher.responder->fail({Base::ErrorKind::ShuttingDown, {}});
+    watchers_.clear();
+    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopping", {{"node", settings_.nodeId}});
+    loop_.stop();
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/RegistryProcess.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "LibAdapter/PlatformAdapter.h"
+#include "LibBase/Clock.h"
+#include "LibBase/EventLog.h"
+#include "LibControl/RaftWatch.h"
+#include "LibEdge/CallerServer.h"
+#include "LibEdge/Loop.h"
+#include "LibMetrics/Registry.h"
+#include "LibPeer/Endpoint.h"
+#include "LibRegistry/GatewayTable.h"
+#include "LibRegistry/ServerListHolder.h"
+#include "LibWire/IntroduceMessages.h"
+#include "Services/Common/NodeSettings.h"
+#include "Services/Common/SettingsWatch.h"
+#include "Services/Control/AddressBook.h"
+#include "Services/Registry/ClusterNode.h"
+#include "Services/Registry/ServerListReader.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Services {
+
+/// One registry process: keeps the newest configuration on its disk together with the other registries, reads
+/// the platform's server list, and tells gateways what changed. Everything runs on the loop's thread; the peer
+/// endpoint's thread posts to it.
+class RegistryProcess
+{
+public:
+    static Base::Result<std::unique_ptr<RegistryProcess>> create(const std::string &settingsPath,
+                                                                 const std::string &metricsPort,
+                                                                 const Adapter::PlatformAdapter &adapter);
+    ~RegistryProcess();
+    RegistryProcess(const RegistryProcess &) = delete;
+    RegistryProcess &operator=(const RegistryProcess &) = delete;
+
+    /// Runs until SIGTERM or SIGINT.
+    void run();
+
+private:
+    using ResponderPointer = std::shared_ptr<Peer::Responder>;
+
+    struct Watcher
+    {
+        Wire::WatchRequest request;
+        ResponderPointer responder;
+        Base::Instant heldUntil;
+    };
+
+    RegistryProcess(const std::string &settingsPath, NodeSettings settings,
+                    const Adapter::PlatformAdapter &adapter);
+
+    Base::Result<void> start(const std::string &metricsPort);
+    void tick();
+    void stop();
+    void reloadSettings(bool force);
+
+    // RegistryCluster.cpp: the replicated log and its members.
+    void openCluster(Base::Instant now);
+    void closeCluster(const Base::Error &reason);
+    void step();
+    void sendRaft(const std::vector<Wire::RaftMessage> &messages);
+    void maintainMembership(Base::Instant now);
+    void introduceToNewMembers(const Consensus::RaftStatus &status);
+    void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
+    void handleJoinReply(const std::string &address, const Base::Result<Base::Bytes> &payload);
+    Wire::JoinReply answerJoin(Base::Instant now, const Wire::JoinRequest &request);
+    std::string leaderAddress(const Consensus::RaftStatus &status) const;
+    bool isMember(const Consensus::RaftStatus &status) const;
+    std::vector<std::string> knownRegistries() const;
+    void writeClusterEvent(Base::LogLevel level, std::string_view sentence,
+                           std::initializer_list<Base::LogField> fields);
+
+    // RegistryPeers.cpp: calls of gateways and other registries.
+    void handlePeerCall(Wire::Method method, const Base::Bytes &payload, const ResponderPointer &responder);
+    template<typename Message>
+    void post(const Base::Bytes &payload, const ResponderPointer &responder,
+              void (RegistryProcess::*operation)(const Message &, const ResponderPointer &));
+    void receiveRaft(const Wire::RaftMessage &message, const ResponderPointer &responder);
+    void introduce(const Wire::IntroduceNodeRequest &request, const ResponderPointer &responder);
+    void join(const Wire::JoinRequest &request, const ResponderPointer &responder);
+    void watch(const Wire::WatchRequest &request, const ResponderPointer &responder);
+    void takeSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder);
+    void submitForPeer(const Wire::SubmitConfigurationRequest &request, const ResponderPointer &responder);
+    void readForPeer(const Wire::ReadConfigurationRequest &request, const ResponderPointer &responder);
+    void answerWatchers(Base::Instant now);
+    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request);
+    void shareState(Base::Instant now);
+    void updateDirectory(Base::Instant now);
+    void readServerListIfDue(Base::Instant now);
+    bool isLeader(Base::Instant now);
+    /// Voters that a majority needs when as many VMs as tolerated are lost.
+    std::size_t voterTarget() const { return 2 * std::size_t {settings_.lostVmsTolerated} + 1; }
+
+    // RegistryOperators.cpp: the operators' interface.
+    void handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
+    void replaceConfiguration(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
+    void readConfiguration(const Edge::CallerExchange &exchange);
+    void submit(std::uint64_t version, const std::string &text, const Registry::RegistryCore::Stored &done);
+    void logOperatorAnswer(std::string_view operation, std::uint64_t version, int status,
+                           std::string_view detail);
+
+    std::string settingsPath_;
+    NodeSettings settings_;
+    const Adapter::PlatformAdapter &adapter_;
+    Base::SystemClock clock_;
+    Base::EventLog events_;
+    Metrics::Registry metrics_;
+    SettingsWatch settingsWatch_;
+    Edge::Loop loop_;
+    Control::RaftWatch raftWatch_;
+    std::unique_ptr<ClusterNode> cluster_; ///< Null while the disk fails.
+    Base::Instant nextOpen_;
+    Base::Instant startedAt_;
+    Base::Instant leadingSince_;
+    bool leading_ = false;
+    std::string openFailure_;
+    AddressBook addresses_;
+    std::map<std::string, std::string> joinHints_; ///< Leader address that a callee named, by callee.
+    std::size_t nextJoinTarget_ = 0;
+    Base::Instant nextJoin_;
+    Base::Instant nextIntroduction_;
+    Registry::GatewayTable gateways_;
+    std::vector<Wire::GatewayRecord> directory_;
+    std::uint64_t directoryDigest_ = 0;
+    Registry::ServerListHolder serverList_;
+    std::unique_ptr<ServerListReader> listReader_;
+    Base::Instant nextRead_;
+    bool listReachable_ = true;
+    std::map<std::string, std::uint64_t> peerListDigests_; ///< What other registries hold, by address.
+    Base::Instant nextShare_;
+    std::vector<Watcher> watchers_;
+    std::unique_ptr<Edge::CallerServer> operatorServer_;
+    std::unique_ptr<Edge::CallerServer> metricsServer_;
+    std::unique_ptr<Peer::Endpoint> endpoint_; ///< Last, so that its thread ends before what it posts to.
+};
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/ServerListReader.cpp
@@ -0,0 +1,109 @@
+#include "Services/Registry/ServerListReader.h"
+
+#include "LibRegistry/GatewayTable.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <utility>
+
+namespace Services {
+
+namespace {
+
+constexpr Base::Duration ConnectTimeout = Base::milliseconds(800);
+/// Time for all pages; a later list would be older than the next one.
+constexpr Base::Duration ReadTimeout = Base::milliseconds(2500);
+/// More pages than any deployment needs, against a list that never ends.
+constexpr std::size_t MaxServers = 100'000;
+
+} // namespace
+
+ServerListReader::ServerListReader(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter,
+                                   std::string address)
+    : loop_(loop)
+    , adapter_(adapter)
+    , address_(std::move(address))
+{
+}
+
+void ServerListReader::read(Base::Instant now, Done done)
+{
+    if (done_)
+        return;
+    done_ = std::move(done);
+    startedAt_ = now;
+    page_.clear();
+    servers_.clear();
+    unreadable_ = 0;
+    requestPage();
+}
+
+void ServerListReader::requestPage()
+{
+    if (!connection_ || !connection_->isReusable(clock_.now()))
+        connection_ = std::make_unique<Edge::BackendConnection>(loop_, address_, ConnectTimeout, *this);
+    connection_->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", adapter_.serverListTarget(page_),
+                                  address_));
+}
+
+void ServerListReader::checkTimeout(Base::Instant now)
+{
+    if (done_ && now - startedAt_ > ReadTimeout) {
+        connection_.reset();
+        fail(Base::ErrorKind::DeadlineExceeded, "the list did not come in time");
+    }
+}
+
+void ServerListReader::replyArrived(Edge::ResponseMessage response)
+{
+    if (!done_)
+        return;
+    if (response.status != 200)
+        return fail(Base::ErrorKind::BackendFailed, fmt::format("status {}", response.status));
+    auto page = adapter_.decodeServerPage(response.body);
+    if (!page)
+        return fail(page.error().kind, page.error().detail);
+    unreadable_ += page->unreadable;
+    servers_.insert(servers_.end(), std::make_move_iterator(page->servers.begin()),
+                    std::make_move_iterator(page->servers.end()));
+    const bool stuck = !page->nextPage.empty() && page->nextPage == page_;
+    if (stuck || servers_.size() > MaxServers)
+        return fail(Base::ErrorKind::MalformedMessage, "the list does not end");
+    page_ = page->nextPage;
+    if (page_.empty())
+        finish();
+    else
+        requestPage();
+}
+
+void ServerListReader::exchangeFailed(Edge::ExchangeFailure failure, const std::string &detail)
+{
+    fail(Base::ErrorKind::BackendReplyLost,
+         fmt::format("{}: {}", Edge::exchangeFailureName(failure), detail));
+}
+
+void ServerListReader::fail(Base::ErrorKind kind, const std::string &detail)
+{
+    if (auto done = std::exchange(done_, nullptr); done)
+        done(Base::fail(kind, detail), unreadable_);
+}
+
+void ServerListReader::finish()
+{
+    Wire::ServerList list;
+    list.servers = std::move(servers_);
+    servers_ = {};
+    std::sort(list.servers.begin(), list.servers.end(), [](const auto &left, const auto &right) {
+        return std::tie(left.id, left.bornAt) < std::tie(right.id, right.bornAt);
+    });
+    // Remaining slow start differs at each read, so it must not make equal lists different.
+    auto stable = list.servers;
+    for (auto &server : stable)
+        server.warmUpLeftMs = server.warmUpLeftMs > 0 ? 1 : 0;
+    list.digest = Registry::digestOf(stable);
+    list.ageMs = static_cast<std::uint32_t>((clock_.now() - startedAt_) / Base::milliseconds(1));
+    if (auto done = std::exchange(done_, nullptr); done)
+        done(std::move(list), unreadable_);
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Registry/ServerListReader.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "LibAdapter/PlatformAdapter.h"
+#include "LibBase/Clock.h"
+#include "LibEdge/BackendConnection.h"
+#include "LibEdge/Loop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Services {
+
+/// Reads the platform's list of backend servers page by page over one kept connection.
+class ServerListReader final : public Edge::BackendConnectionEvents
+{
+public:
+    /// Receives a whole list with its digest, or what went wrong.
+    using Done = std::function<void(Base::Result<Wire::ServerList>, std::size_t unreadableEntries)>;
+
+    ServerListReader(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, std::string address);
+
+    bool isReading() const { return static_cast<bool>(done_); }
+    void read(Base::Instant now, Done done);
+    /// Gives up a read that takes too long.
+    void checkTimeout(Base::Instant now);
+
+private:
+    void requestPage();
+    void replyArrived(Edge::ResponseMessage response) override;
+    void exchangeFailed(Edge::ExchangeFailure failure, const std::string &detail) override;
+    void idleConnectionEnded() override { }
+    void fail(Base::ErrorKind kind, const std::string &detail);
+    void finish();
+
+    Edge::Loop &loop_;
+    const Adapter::PlatformAdapter &adapter_;
+    std::string address_;
+    Base::SystemClock clock_;
+    std::unique_ptr<Edge::BackendConnection> connection_;
+    Done done_;
+    Base::Instant startedAt_;
+    std::string page_;
+    std::size_t unreadable_ = 0;
+    std::vector<Wire::ServerRecord> servers_;
+};
+
+} // namespace Services
