--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -98,10 +98,10 @@
         auto settings = readSettings(reader);
         if (mistakes.empty())
             return settings;
-        std::string detail;
+        std::vector<std::string> lines;
         for (const auto &mistake : mistakes)
-            detail += (detail.empty() ? "" : "\n") + Configuration::describe(mistake);
-        return Base::fail(Base::ErrorKind::SettingInvalid, detail);
+            lines.push_back(Configuration::describe(mistake));
+        return Base::fail(Base::ErrorKind::SettingInvalid, fmt::format("{}", fmt::join(lines, "\n")));
     } catch (const toml::parse_error &error) {
         return Base::fail(Base::ErrorKind::SettingInvalid,
                           fmt::format("line {}: {}", error.source().begin.line, error.description()));
