--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -58,7 +58,7 @@
         exchange.legs.emplace_back().service = pickTarget(route);
     }
     for (const auto &leg : exchange.legs)
-        budgetOf(leg.service).earn(options_.extraLoadRatio);
+        budgetOf(leg.service).earn(extraTokensPerRequest());
     if (auto refusal = refuseHopeless(exchange)) {
         finish(now, id, exchange, std::move(*refusal));
         return id;
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -190,6 +190,7 @@
     RouteTimes &timesOf(const Route::RouteRule &route);
     Query::ExtraLoadBudget &budgetOf(std::string_view service);
     double maxExtraTokens() const;
+    double extraTokensPerRequest() const;
 
     ForwardOptions options_;
     BackendTable backends_;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -38,6 +38,11 @@
     return std::max(1.0, BudgetUse * options_.extraLoadSlack / static_cast<double>(gatewayCount_));
 }
 
+double ForwardCore::extraTokensPerRequest() const
+{
+    return BudgetUse * options_.extraLoadRatio;
+}
+
 Query::ExtraLoadBudget &ForwardCore::budgetOf(std::string_view service)
 {
     // A new process starts with half: the one that it replaces may have spent the rest in this window.
