Give no work to a server whose address another server answers

Cause: a server that vanished stays listed for seconds while its address goes to another service. Tests: BackendTable.GivesNoWorkToAServerWhoseAddressIsTaken and the first tests of the forwarding decisions.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -15,8 +15,10 @@
 struct Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
     Wire::ServerRecord record;
+    Base::Instant firstListedAt;
     Base::Instant warmAt; ///< End of its slow start.
     bool listed = true; ///< False once the platform's list lacks it.
+    bool displaced = false; ///< Its address belongs to another server by now.
     std::uint32_t absentReads = 0; ///< Reads of the list in a row that lacked it.
 
     std::vector<Base::Instant> openSince; ///< Send times of attempts without a reply, oldest first.
@@ -29,7 +31,7 @@
     Base::Instant loadAt;
     bool loadKnown = false;
 
-    bool acceptsWork() const { return listed && record.state == Wire::ServerState::Ready; }
+    bool acceptsWork() const { return listed && !displaced && record.state == Wire::ServerState::Ready; }
 };
 
 using BackendPointer = boost::intrusive_ptr<Backend>;
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -60,16 +60,20 @@
         const Identity identity {record.id, record.bornAt};
         present.insert(identity);
         auto &backend = backends_[identity];
-        const bool isNew = !backend;
-        if (isNew)
+        if (!backend)
             backend.reset(new Backend);
         // A server that changed its address or service is another one, whatever its id says.
         else if (backend->record.address != record.address || backend->record.service != record.service) {
             backend->listed = false;
             backend.reset(new Backend);
         }
+        const bool isNewcomer = backend->record.id.empty();
         backend->record = record;
         backend->listed = true;
+        if (isNewcomer) {
+            backend->firstListedAt = now;
+            displaceOlder(*backend);
+        }
         backend->absentReads = 0;
         backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
     }
@@ -85,6 +89,18 @@
     index();
 }
 
+void BackendTable::displaceOlder(const Backend &newcomer)
+{
+    for (auto &[identity, backend] : backends_) {
+        // Which of two servers that appear in the same read is the older one, only their starts can tell.
+        const bool older = backend->firstListedAt < newcomer.firstListedAt
+                           || (backend->record.bornAt != 0
+                               && backend->record.bornAt < newcomer.record.bornAt);
+        if (backend.get() != &newcomer && backend->record.address == newcomer.record.address && older)
+            noteDisplaced(*backend);
+    }
+}
+
 void BackendTable::index()
 {
     byService_.clear();
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -44,6 +44,9 @@
     static void noteError(Base::Instant now, Backend &backend);
     /// The server could not be reached, or the connection ended without a reply.
     static void noteUnreachable(Base::Instant now, Backend &backend);
+    /// Another server answered at its address. Platforms list a server that vanished for some seconds, and give
+    /// its address away meanwhile; it gets no more work, whatever the list says.
+    static void noteDisplaced(Backend &backend) { backend.displaced = true; }
     static void noteLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
     /// Expected time to a reply in milliseconds, with penalties; the measure of choose().
@@ -52,6 +55,7 @@
 private:
     using Identity = std::pair<std::string, std::int64_t>; ///< Id and start.
 
+    void displaceOlder(const Backend &newcomer);
     void index();
 
     std::map<Identity, BackendPointer> backends_;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -135,6 +135,8 @@
         BackendTable::noteLoad(now, *attempt.backend, *reply.load);
     const bool succeeded =
         reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
+    if (reply.response.status == 421)
+        BackendTable::noteDisplaced(*attempt.backend);
     const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
     if (succeeded) {
         const auto times = routeTimes_.find(attempt.routeName);
@@ -212,10 +214,8 @@
     if (leg.state != LegState::Present) {
         leg.failure = Edge::exchangeFailureName(failure);
         if (failure == Edge::ExchangeFailure::NotSent) {
-            // Nothing reached the server, so neither the attempts nor the budget are used up.
+            // Nothing reached the server, so the attempt is not used up.
             --leg.sends;
-            if (attempt.extra)
-                budgetOf(leg.service).earn(1.0);
         } else {
             leg.mayHaveRun = true;
         }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -155,7 +155,6 @@
         Base::Instant sentAt;
         std::string routeName;
         std::string service;
-        bool extra = false;
     };
 
     struct WaitingLeg
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -131,7 +131,7 @@
     const auto &route = *exchange.facts.route;
     const auto attemptId = ++lastId_;
     attempts_.emplace(attemptId,
-                      Attempt {id, legIndex, backend, now, route.name, std::string(leg.service), extra});
+                      Attempt {id, legIndex, backend, now, route.name, std::string(leg.service)});
     BackendTable::noteSent(*backend, now);
     leg.state = LegState::Open;
     leg.tried.push_back(backend);
@@ -170,10 +170,9 @@
 bool ForwardCore::sendExtra(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
 {
     auto &leg = exchange.legs[legIndex];
-    // A leg whose earlier attempts never reached a server is not an extra arrival.
-    const bool extra = leg.sends > 0;
+    // A refused connection is load on the server as well, so it draws on the budget like any other attempt.
     auto &budget = budgetOf(leg.service);
-    if (extra && !budget.available())
+    if (!budget.available())
         return false;
     const auto backend =
         backends_.choose(now, leg.service, leg.tried,
@@ -182,9 +181,8 @@
     // Another server that is known to fail brings nothing while the first one may still answer.
     if (!backend || (leg.open > 0 && now < backend->avoidUntil))
         return false;
-    if (extra)
-        budget.take();
-    send(now, id, exchange, legIndex, backend, extra);
+    budget.take();
+    send(now, id, exchange, legIndex, backend, true);
     return true;
 }
 
--- /dev/null
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -0,0 +1,115 @@
+#include "LibForward/BackendTable.h"
+
+#include "LibForward/ForwardFixture.h"
+
+using Forward::BackendTable;
+using Tests::serverRecord;
+
+namespace {
+
+constexpr Base::Duration Mean = Base::milliseconds(10);
+constexpr std::uint32_t Share = 4;
+const Base::Instant Start {Base::milliseconds(1'000'000)};
+
+Wire::ServerList listOf(std::vector<Wire::ServerRecord> servers)
+{
+    return {std::move(servers), 1, 0};
+}
+
+} // namespace
+
+// A drained or vanished server that still gets work breaks the promise about leaving servers.
+TEST(BackendTable, GivesNoWorkToServersThatLeave)
+{
+    BackendTable table(1);
+    auto leaving = serverRecord("b", "s", 2);
+    leaving.state = Wire::ServerState::Draining;
+    table.update(Start, listOf({serverRecord("a", "s", 1), leaving}));
+    EXPECT_EQ(table.eligibleCount("s"), 1U);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean)->record.id, "a");
+}
+
+// The list is read page by page; a server that moves between pages during one read must not be lost.
+TEST(BackendTable, KeepsAServerThatOneReadLacks)
+{
+    BackendTable table(1);
+    table.update(Start, listOf({serverRecord("a", "s", 1)}));
+    table.update(Start, listOf({}));
+    EXPECT_EQ(table.eligibleCount("s"), 1U);
+    table.update(Start, listOf({}));
+    EXPECT_EQ(table.eligibleCount("s"), 0U);
+}
+
+// A vanished server stays listed for seconds while its address belongs to another one. Requests that go there
+// count as load on the other server's service (csf-waxroute trouble-3: 718 such requests in one day).
+TEST(BackendTable, GivesNoWorkToAServerWhoseAddressIsTaken)
+{
+    BackendTable table(1);
+    table.update(Start, listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2)}));
+    table.update(Start + Base::seconds(1),
+                 listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2), serverRecord("new", "t", 1)}));
+    EXPECT_EQ(table.eligibleCount("s"), 1U);
+    EXPECT_EQ(table.eligibleCount("t"), 1U);
+}
+
+// In one read only the starts tell which of two servers at one address is the older one.
+TEST(BackendTable, ComparesStartsOfServersThatAppearTogether)
+{
+    BackendTable table(1);
+    auto young = serverRecord("a-young", "t", 1);
+    young.bornAt = 2000;
+    auto old = serverRecord("b-old", "s", 1);
+    old.bornAt = 1000;
+    table.update(Start, listOf({old, young}));
+    EXPECT_EQ(table.eligibleCount("t"), 1U);
+    EXPECT_EQ(table.eligibleCount("s"), 0U);
+    BackendTable unknown(1);
+    unknown.update(Start, listOf({serverRecord("a", "t", 1), serverRecord("b", "s", 1)}));
+    EXPECT_EQ(unknown.eligibleCount("t") + unknown.eligibleCount("s"), 2U);
+}
+
+// Pauses: an attempt that has been open for several times the mean shows that its server has stopped.
+TEST(BackendTable, GoesRoundAServerThatStalls)
+{
+    BackendTable table(1);
+    table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
+    const auto stalled = table.choose(Start, "s", {}, Share, Mean);
+    BackendTable::noteSent(*stalled, Start);
+    const auto later = Start + Base::milliseconds(40);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_NE(table.choose(later, "s", {}, Share, Mean), stalled);
+    BackendTable::noteEnded(*stalled, Start);
+    BackendTable::noteReply(later, *stalled, Base::milliseconds(10), Mean);
+    int chosen = 0;
+    for (int i = 0; i < 50; ++i)
+        chosen += table.choose(later, "s", {}, Share, Mean) == stalled ? 1 : 0;
+    EXPECT_GT(chosen, 0);
+}
+
+// Grey failure: good health, part of the requests failed.
+TEST(BackendTable, PrefersServersWithoutErrorsAndForgetsThemInTime)
+{
+    BackendTable table(1);
+    table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
+    const auto failing = table.choose(Start, "s", {}, Share, Mean);
+    BackendTable::noteError(Start, *failing);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_NE(table.choose(Start, "s", {}, Share, Mean), failing);
+    const auto later = Start + Base::seconds(20);
+    int chosen = 0;
+    for (int i = 0; i < 50; ++i)
+        chosen += table.choose(later, "s", {}, Share, Mean) == failing ? 1 : 0;
+    EXPECT_GT(chosen, 0);
+}
+
+// Servers limit their connections, and refuse what comes beyond.
+TEST(BackendTable, KeepsToTheConnectionShare)
+{
+    BackendTable table(1);
+    table.update(Start, listOf({serverRecord("a", "s", 1)}));
+    const auto backend = table.choose(Start, "s", {}, 1, Mean);
+    BackendTable::noteSent(*backend, Start);
+    EXPECT_EQ(table.choose(Start, "s", {}, 1, Mean), nullptr);
+    EXPECT_NE(table.choose(Start, "s", {}, 2, Mean), nullptr);
+}
--- /dev/null
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -0,0 +1,246 @@
+#include "LibForward/ForwardFixture.h"
+#include "LibForward/GatherPolicy.h"
+#include "LibForward/TopRecords.h"
+
+using Forward::Outcome;
+using Tests::ForwardFixture;
+using Tests::milliseconds;
+
+// The answer must hold the greatest records of all parts, and say which parts it holds.
+TEST_F(ForwardFixture, GatherAnswersWithAllParts)
+{
+    begin("/g/x");
+    ASSERT_EQ(sends.size(), std::size_t {Shards});
+    for (int shard = 0; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success(std::string(16, static_cast<char>('a' + shard))));
+    ASSERT_EQ(answers.size(), 1U);
+    const auto &outcome = answers.front().outcome;
+    EXPECT_EQ(outcome.kind, Outcome::Kind::Gathered);
+    EXPECT_EQ(outcome.missingParts, 0U);
+    EXPECT_EQ(outcome.partProofs.size(), std::size_t {Shards});
+    EXPECT_EQ(outcome.response.body, std::string(16, 'j') + std::string(16, 'i') + std::string(16, 'h'));
+}
+
+// A failed server's response must never become a part, nor may the same shard count twice.
+TEST_F(ForwardFixture, FailuresAreNoParts)
+{
+    begin("/g/x");
+    for (int shard = 1; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success());
+    auto failure = success();
+    failure.response.status = 500;
+    reply(sends[0].attempt, failure);
+    ASSERT_EQ(sends.size(), std::size_t {Shards} + 1);
+    EXPECT_TRUE(answers.empty());
+    reply(sends.back().attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.missingParts, 0U);
+    EXPECT_EQ(answers.front().outcome.attempts, Shards + 1U);
+}
+
+// Load pattern: one server pauses for 150 ms. The answer must leave in time without it.
+TEST_F(ForwardFixture, GatherAnswersAtTheTargetWithoutALateShard)
+{
+    begin("/g/x");
+    for (int shard = 1; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success());
+    advance(milliseconds(89));
+    EXPECT_TRUE(answers.empty());
+    advance(milliseconds(2));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.missingParts, 1U);
+}
+
+// Below the minimum an answer is no success, so waiting is all that is left; above it nothing is waited for.
+TEST_F(ForwardFixture, GatherBelowItsMinimumWaitsPastTheTarget)
+{
+    begin("/g/x");
+    for (int shard = 3; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success());
+    advance(milliseconds(300));
+    EXPECT_TRUE(answers.empty());
+    reply(sends[0].attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.missingParts, 2U);
+}
+
+// What cannot become a success any more must end at once, not at the deadline.
+TEST_F(ForwardFixture, GatherThatCannotReachItsMinimumEndsAtOnce)
+{
+    begin("/g/x");
+    for (int shard = 0; shard < 3; ++shard) {
+        const auto first = sends[shard].attempt;
+        fail(first, Edge::ExchangeFailure::ReplyLost);
+    }
+    const auto retries = sends.size();
+    for (auto index = std::size_t {Shards}; index < retries; ++index)
+        fail(sends[index].attempt, Edge::ExchangeFailure::ReplyLost);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, Base::ErrorKind::BackendFailed);
+}
+
+// Load pattern: a stalled server. The second attempt goes to the other one, once, within the budget.
+TEST_F(ForwardFixture, StalledAttemptIsHedgedOnce)
+{
+    begin("/s/x");
+    advance(milliseconds(400));
+    ASSERT_EQ(sends.size(), 2U);
+    EXPECT_NE(sends[0].backend, sends[1].backend);
+    reply(sends[1].attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.extraAttempts, 1U);
+}
+
+// Extra arrivals must stay under the deployment's budget even when every attempt stalls.
+TEST_F(ForwardFixture, ExtraAttemptsStayWithinTheBudget)
+{
+    useOptions({1, 0.2, 10.0});
+    constexpr int Requests = 200;
+    for (int i = 0; i < Requests; ++i) {
+        begin("/s/x");
+        advance(milliseconds(50));
+        for (const auto &send : std::exchange(sends, {}))
+            fail(send.attempt, Edge::ExchangeFailure::ReplyLost);
+    }
+    advance(milliseconds(2000));
+    std::uint32_t extra = 0;
+    for (const auto &answer : answers)
+        extra += answer.outcome.extraAttempts;
+    EXPECT_GT(extra, 20U);
+    EXPECT_LE(extra, 0.2 * Requests + 10.0);
+}
+
+// A request that must not run twice is sent again only when the server said that it has not run.
+TEST_F(ForwardFixture, AtMostOnceIsNeverSentAgainAfterALostReply)
+{
+    begin("/o/x");
+    ASSERT_EQ(sends.size(), 1U);
+    advance(milliseconds(500));
+    EXPECT_EQ(sends.size(), 1U) << "hedged";
+    fail(sends[0].attempt, Edge::ExchangeFailure::ReplyLost);
+    EXPECT_EQ(sends.size(), 1U);
+    ASSERT_EQ(answers.size(), 1U);
+    const auto kind = answers.front().outcome.error;
+    EXPECT_EQ(Base::errorAnswer(kind).runState, Base::RunState::MayHaveRun);
+    EXPECT_NE(Base::errorAnswer(kind).httpStatus, 503);
+}
+
+TEST_F(ForwardFixture, AtMostOnceMayGoElsewhereWhenItHasNotRun)
+{
+    begin("/o/x");
+    reply(sends[0].attempt, notExecuted(503));
+    ASSERT_EQ(sends.size(), 2U);
+    EXPECT_NE(sends[0].backend, sends[1].backend);
+    reply(sends[1].attempt, notExecuted(503));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(Base::errorAnswer(answers.front().outcome.error).httpStatus, 503);
+    EXPECT_TRUE(answers.front().outcome.retryAfter.has_value());
+}
+
+// Requests on a route must never go to more servers than it allows.
+TEST_F(ForwardFixture, KeepsToTheAttemptsOfTheRoute)
+{
+    begin("/s/x");
+    for (std::size_t index = 0; index < sends.size() && index < 10; ++index)
+        fail(sends[index].attempt, Edge::ExchangeFailure::ReplyLost);
+    EXPECT_EQ(sends.size(), 2U);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, Base::ErrorKind::BackendReplyLost);
+}
+
+// A service without servers is refused at once, and "not run" is true.
+TEST_F(ForwardFixture, RefusesAtOnceWithoutServers)
+{
+    core->setServers(now, {});
+    core->setServers(now, {});
+    begin("/s/x");
+    EXPECT_TRUE(sends.empty());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, Base::ErrorKind::NoEligibleReplica);
+}
+
+// After the caller has left, nothing more is sent, and what runs on is cut off soon.
+TEST_F(ForwardFixture, CallerThatLeftCausesNoMoreWork)
+{
+    const auto id = begin("/g/x");
+    const auto sent = sends.size();
+    core->callerLeft(now, id);
+    collect();
+    advance(milliseconds(450));
+    EXPECT_EQ(sends.size(), sent);
+    EXPECT_EQ(aborts.size(), sent);
+    EXPECT_TRUE(answers.empty());
+}
+
+// Load pattern: more work than connections. The urgent route goes first, whatever came first.
+TEST_F(ForwardFixture, WaitingWorkGoesByRank)
+{
+    auto configuration = table->configuration();
+    configuration.services["s0"].maxConnections = 1;
+    configuration.routes[1].rank = 2;
+    configuration.routes[2].rank = 1;
+    table = std::make_shared<const Route::RouteTable>(configuration);
+    begin("/s/1");
+    begin("/s/2");
+    ASSERT_EQ(sends.size(), 2U);
+    begin("/s/3");
+    const auto urgent = begin("/o/4");
+    EXPECT_EQ(sends.size(), 2U);
+    reply(sends[0].attempt, success());
+    ASSERT_EQ(sends.size(), 3U);
+    EXPECT_EQ(sends[2].exchange, urgent);
+}
+
+// The deadline handed on must be what is left of the caller's.
+TEST_F(ForwardFixture, HandsOnTheTimeThatIsLeft)
+{
+    begin("/s/x");
+    EXPECT_EQ(sends[0].timeLeft, milliseconds(1000));
+    advance(milliseconds(400));
+    ASSERT_EQ(sends.size(), 2U);
+    EXPECT_LT(sends[1].timeLeft, milliseconds(1000));
+}
+
+// Each service of a split gets its share also when only a few requests come.
+TEST_F(ForwardFixture, SplitsByWeight)
+{
+    auto configuration = table->configuration();
+    configuration.routes[1].targets = {{"s0", 3.0}, {"s1", 1.0}, {"s2", 0.0}};
+    table = std::make_shared<const Route::RouteTable>(configuration);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 40; ++i) {
+        begin("/s/x");
+        ++counts[sends.back().backend->record.service];
+        reply(sends.back().attempt, success());
+    }
+    EXPECT_NEAR(counts["s0"], 30, 1);
+    EXPECT_NEAR(counts["s1"], 10, 1);
+    EXPECT_EQ(counts["s2"], 0);
+}
+
+// Records compare as unsigned bytes, equal ones all count, and a short rest is no record.
+TEST(TopRecords, MergesAsUnsignedBytes)
+{
+    const std::string low(16, '\x01');
+    const std::string high(16, '\xff');
+    const std::string first = low + high + "rest";
+    const std::string_view parts[] = {first, high};
+    EXPECT_EQ(Forward::mergeTopRecords(parts, 2), high + high);
+    EXPECT_EQ(Forward::mergeTopRecords(parts, 9), high + high + low);
+    EXPECT_EQ(Forward::mergeTopRecords({}, 3), "");
+}
+
+TEST(GatherPolicy, DecidesByCoverageAndTime)
+{
+    const Base::Instant start {milliseconds(1)};
+    Forward::GatherProgress progress {20, 18, 2, 0.89, start + milliseconds(80)};
+    EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Wait);
+    EXPECT_EQ(decideGather(progress, start + milliseconds(80)), Forward::GatherDecision::Answer);
+    progress.present = 17;
+    progress.pending = 3;
+    EXPECT_EQ(decideGather(progress, start + milliseconds(80)), Forward::GatherDecision::Wait);
+    progress.pending = 0;
+    EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Fail);
+    progress = {20, 20, 0, 0.89, start + milliseconds(80)};
+    EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Answer);
+}
