Hedge after twice the median latency

Cause: with 15% of the servers slow, the 92nd percentile itself becomes slow, and second attempts go out too late. Ruled out: nothing yet about how gateways learn which servers are slow.

--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -14,9 +14,6 @@
 /// Fraction of the deployment's budget for extra arrivals that the gateways plan with. The rest covers
 /// gateways that restart within one window.
 constexpr double BudgetUse = 0.8;
-/// Attempts that are slower than this fraction of all are sent a second time.
-constexpr double GatherHedgeQuantile = 0.92;
-constexpr double SingleHedgeQuantile = 0.95;
 /// Time until a second attempt is considered again when budget or connections were lacking.
 constexpr Base::Duration RetryPause = Base::milliseconds(15);
 /// A second attempt that has less time than this fraction of the mean latency cannot help.
@@ -141,7 +138,7 @@
     exchange.extraSends += extra ? 1 : 0;
     leg.hedgeAt =
         exchange.isRepeatable() && leg.sends < route.attempts
-            ? now + timesOf(route).hedgeDelay(exchange.isGather() ? GatherHedgeQuantile : SingleHedgeQuantile)
+            ? now + timesOf(route).hedgeDelay()
             : Base::Instant::max();
     actions_.emplace_back(SendAttempt {attemptId, id, backend, exchange.deadline - now});
 }
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -25,16 +25,21 @@
 
     Base::Duration mean() const { return mean_; }
 
-    /// Time after which an attempt without a reply is probably slower than a second one would be.
-    Base::Duration hedgeDelay(double quantile) const
+    /// Time after which an attempt without a reply is probably slower than a second one would be. It follows
+    /// the median, because the slow attempts of a fault that hits up to half of the servers do not move it.
+    Base::Duration hedgeDelay() const
     {
-        return record_.quantile(quantile).value_or(latencyTarget_ / AssumedHedgeMultiple);
+        const auto median = record_.quantile(0.5);
+        return median ? Base::Duration(static_cast<Base::Duration::rep>(HedgeMedianMultiple * median->count()))
+                      : latencyTarget_ / AssumedHedgeMultiple;
     }
 
 private:
     /// Before anything was measured: targets are set to several times the usual latency.
     static constexpr int AssumedTargetMultiple = 6;
     static constexpr int AssumedHedgeMultiple = 4;
+    /// Service times spread by about a third of their mean; beyond twice the median come stalls and tails.
+    static constexpr double HedgeMedianMultiple = 2.0;
     /// About the last thirty attempts decide.
     static constexpr int MeanWeight = 30;
 
