--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -12,8 +12,8 @@
 
 /// Network time of a caller that counts against the latency target: the way here and back, and for a new
 /// connection the handshake before it.
-constexpr Base::Duration KeptConnectionDelay = Base::milliseconds(8);
-constexpr Base::Duration NewConnectionDelay = Base::milliseconds(14);
+constexpr Base::Duration KeptConnectionDelay = Base::milliseconds(11);
+constexpr Base::Duration NewConnectionDelay = Base::milliseconds(17);
 
 std::optional<Base::Duration> parseDeadline(std::string_view text)
 {
