--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -75,8 +75,9 @@
     std::uint64_t configurationVersion = 0;
     std::uint64_t serverListDigest = 0;
     std::uint64_t directoryDigest = 0;
+    bool mayWait = true; ///< False asks for an answer at once.
 
-    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest)
+    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait)
 };
 
 struct WatchReply
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -18,7 +18,7 @@
 /// Callers ask again this often, so that they leave a VM that is gone soon.
 constexpr Base::Duration LookupMaxAge = Base::milliseconds(1000);
 /// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
-constexpr Base::Duration StaleConfigurationDelay = Base::seconds(2);
+constexpr Base::Duration StaleConfigurationDelay = Base::milliseconds(500);
 /// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers may
 /// use an old look-up for several seconds, so nearly all of the grace is spent serving.
 constexpr double StopAcceptingShare = 0.84;
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -6,11 +6,12 @@
 
 using Importance = Base::EventLog::Importance;
 
-/// A registry answers within 400 ms at the latest; longer silence means that it is gone or cut off.
-constexpr Base::Duration WatchTimeout = Base::milliseconds(900);
-/// Heartbeats come every 100 ms. A registry that missed many of them may be cut off from what is decided.
-constexpr std::uint32_t MaxLeaderSilenceMs = 900;
-constexpr Base::Duration RetryInterval = Base::milliseconds(50);
+/// A registry answers within its hold time; longer silence means that it is gone or cut off.
+constexpr Base::Duration WatchTimeout = Base::milliseconds(700);
+/// Heartbeats come several times within this; a registry that missed them may be cut off from what is decided.
+constexpr std::uint32_t MaxLeaderSilenceMs = 700;
+constexpr Base::Duration SearchInterval = Base::milliseconds(100);
+constexpr Base::Duration SearchTimeout = Base::milliseconds(400);
 
 } // namespace
 
@@ -34,79 +35,97 @@
 
 void RegistryWatcher::start()
 {
-    loop_.repeat(RetryInterval, [this] {
-        if (retryPending_ && clock_.now() >= retryAt_) {
-            retryPending_ = false;
-            call();
-        }
+    loop_.repeat(SearchInterval, [this] {
+        if (!isConnected())
+            search();
     });
-    call();
+    search();
 }
 
 void RegistryWatcher::reportNow()
 {
+    if (!isConnected())
+        return search();
     const auto open = openCall_;
-    retryPending_ = false;
-    call();
+    watch();
     if (open != 0)
         endpoint_.cancel(open);
 }
 
-void RegistryWatcher::call()
+void RegistryWatcher::watch()
 {
-    if (registries_.empty())
-        return callLater();
-    if (target_.empty() || registries_.find(target_) == registries_.end())
-        target_ = *registries_.begin();
     const auto sequence = ++sequence_;
     openCall_ = endpoint_.call(target_, Wire::Method::WatchRegistry, Wire::encode(makeRequest_()), WatchTimeout,
                                [this, sequence](Base::Result<Base::Bytes> payload) {
                                    loop_.post([this, sequence, payload = std::move(payload)] {
-                                       finish(sequence, payload);
+                                       finishWatch(sequence, payload);
                                    });
                                });
 }
 
-void RegistryWatcher::finish(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload)
+void RegistryWatcher::finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload)
 {
-    if (sequence != sequence_)
+    if (sequence != sequence_ || !isConnected())
         return;
     openCall_ = 0;
     const auto reply = payload.and_then(
         [](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
-    const bool fresh = reply && reply->leaderKnown && reply->leaderSilentMs <= MaxLeaderSilenceMs;
-    if (reply) {
-        addRegistries(reply->registryAddresses);
-        takeReply_(*reply, fresh);
-    }
-    if (fresh) {
-        failuresInRow_ = 0;
-        noteConnected(true, {});
-        return call();
+    if (!reply)
+        return disconnect(reply.error().detail);
+    if (!take(*reply))
+        return disconnect("the registry hears no leader");
+    watch();
+}
+
+void RegistryWatcher::search()
+{
+    for (const auto &address : registries_) {
+        if (!asked_.insert(address).second)
+            continue;
+        auto request = makeRequest_();
+        request.mayWait = false;
+        endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
+                       [this, address](Base::Result<Base::Bytes> payload) {
+                           loop_.post([this, address, payload = std::move(payload)] {
+                               finishSearch(address, payload);
+                           });
+                       });
     }
-    noteConnected(false, reply ? "the registry hears no leader" : reply.error().detail);
-    const auto next = registries_.upper_bound(target_);
-    target_ = next == registries_.end() ? *registries_.begin() : *next;
-    ++failuresInRow_;
-    callLater();
 }
 
-/// Goes through all registries without a pause, then waits a little between rounds.
-void RegistryWatcher::callLater()
+void RegistryWatcher::finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload)
 {
-    retryPending_ = true;
-    const bool roundEnded = registries_.empty() || failuresInRow_ % registries_.size() == 0;
-    retryAt_ = clock_.now() + (roundEnded ? RetryInterval * 2 : Base::Duration::zero());
+    asked_.erase(address);
+    const auto reply = payload.and_then(
+        [](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
+    // A registry that cannot be reached is asked again with the next round.
+    if (reply && take(*reply) && !isConnected())
+        connect(address);
 }
 
-void RegistryWatcher::noteConnected(bool connected, const std::string &detail)
+/// Hands the reply on. Returns whether its registry hears a leader.
+bool RegistryWatcher::take(const Wire::WatchReply &reply)
 {
-    if (connected == connected_ && (connected || everConnected_))
-        return;
-    connected_ = connected;
-    everConnected_ = true;
-    events_.write(clock_.now(), Importance::Notable, connected ? "dependency_regained" : "dependency_lost",
+    const bool fresh = reply.leaderKnown && reply.leaderSilentMs <= MaxLeaderSilenceMs;
+    addRegistries(reply.registryAddresses);
+    takeReply_(reply, fresh);
+    return fresh;
+}
+
+void RegistryWatcher::connect(const std::string &address)
+{
+    target_ = address;
+    events_.write(clock_.now(), Importance::Notable, "dependency_regained",
+                  {{"dependency", "registry"}, {"address", address}});
+    watch();
+}
+
+void RegistryWatcher::disconnect(const std::string &detail)
+{
+    events_.write(clock_.now(), Importance::Notable, "dependency_lost",
                   {{"dependency", "registry"}, {"address", target_}, {"detail", detail}});
+    target_.clear();
+    search();
 }
 
 } // namespace Services
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -13,14 +13,15 @@
 
 namespace Services {
 
-/// Keeps a gateway up to date: one open call to one registry, which answers when something changes. Another
-/// registry is asked when that one is silent or has lost its own leader.
+/// Keeps a gateway up to date. While a registry that hears its leader is known, one call to it stays open and
+/// is answered when something changes. Otherwise all registries are asked side by side, so that the first one
+/// to recover is found at once.
 class RegistryWatcher
 {
 public:
     /// Returns what the gateway holds now.
     using MakeRequest = std::function<Wire::WatchRequest()>;
-    /// Receives each reply with the round trip's age in it; `fresh` when the registry hears its leader.
+    /// Receives each reply; `fresh` when the registry hears its leader.
     using TakeReply = std::function<void(const Wire::WatchReply &reply, bool fresh)>;
 
     RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events, MakeRequest makeRequest,
@@ -31,13 +32,16 @@
     void start();
     /// Reports a change of this gateway without waiting for the open call.
     void reportNow();
-    bool isConnected() const { return connected_; }
+    bool isConnected() const { return !target_.empty(); }
 
 private:
-    void call();
-    void finish(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload);
-    void callLater();
-    void noteConnected(bool connected, const std::string &detail);
+    void watch();
+    void finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload);
+    void search();
+    void finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload);
+    void connect(const std::string &address);
+    void disconnect(const std::string &detail);
+    bool take(const Wire::WatchReply &reply);
 
     Edge::Loop &loop_;
     Peer::Endpoint &endpoint_;
@@ -46,14 +50,10 @@
     TakeReply takeReply_;
     Base::SystemClock clock_;
     std::set<std::string> registries_;
-    std::string target_;
-    std::uint64_t sequence_ = 0; ///< Of the latest call; replies to earlier ones are dropped.
+    std::string target_; ///< Registry with the open call; empty while searching.
+    std::uint64_t sequence_ = 0; ///< Of the latest watch; replies to earlier ones are dropped.
     Peer::CallId openCall_ = 0;
-    std::uint32_t failuresInRow_ = 0;
-    Base::Instant retryAt_;
-    bool retryPending_ = false;
-    bool connected_ = false;
-    bool everConnected_ = false;
+    std::set<std::string> asked_; ///< Registries with an open call of the search.
 };
 
 } // namespace Services
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -8,6 +8,10 @@
 
 /// Bytes of applied commands that are kept as log; bounds memory, disk and what a restart replays.
 constexpr std::size_t MaxLogBytes = std::size_t {512} * 1024;
+/// The registries of one deployment are milliseconds apart. The timeout covers the sync of a slow disk, which
+/// delays a leader's heartbeats.
+constexpr Base::Duration HeartbeatInterval = Base::milliseconds(75);
+constexpr Base::Duration ElectionTimeout = Base::milliseconds(350);
 /// A VM without a disk keeps its log here. It is gone after a restart, and the node joins as a new one.
 constexpr const char *VolatileDirectory = "/tmp/daisyroute-registry";
 
@@ -34,6 +38,8 @@
     Consensus::RaftOptions options;
     options.nodeId = settings.nodeId;
     options.peerAddress = settings.registryPeerAddress();
+    options.heartbeatInterval = HeartbeatInterval;
+    options.electionTimeout = ElectionTimeout;
     options.seed = std::random_device {}();
     if (isFounder(settings, **store))
         options.initialMembers = {{settings.nodeId, (*store)->incarnation(), options.peerAddress, true}};
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -13,7 +13,7 @@
 using Importance = Base::EventLog::Importance;
 
 /// A watching gateway gets an answer after this time even if nothing changed, as a sign of life.
-constexpr Base::Duration WatchHold = Base::milliseconds(400);
+constexpr Base::Duration WatchHold = Base::milliseconds(300);
 constexpr Base::Duration ShareInterval = Base::milliseconds(300);
 constexpr Base::Duration ShareTimeout = Base::seconds(1);
 /// Pause after a failed read of the server list.
@@ -84,7 +84,7 @@
     const auto now = clock_.now();
     gateways_.report(now, request.gateway);
     updateDirectory(now);
-    watchers_.push_back({request, responder, now + WatchHold});
+    watchers_.push_back({request, responder, request.mayWait ? now + WatchHold : now});
     answerWatchers(now);
 }
 
@@ -178,9 +178,8 @@
     if (settings_.serverListAddress.empty() || listReader_->isReading() || now < nextRead_
         || !serverList_.shouldRead(now, isLeader(now)))
         return;
-    // Before any leader is known, the registries would all read at once.
-    const bool mayWait = !serverList_.isKnown() && now - startedAt_ < Registry::ServerListHolder::TakeOverAge;
-    if (mayWait && !isLeader(now))
+    // A registry that has just started gets the list from another one if there is one that holds it.
+    if (!serverList_.isKnown() && now - startedAt_ < 2 * ShareInterval && !isLeader(now))
         return;
     listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list, std::size_t unreadable) {
         const auto readAt = clock_.now();
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Half of the heartbeat interval, so that heartbeats leave on time.
-constexpr Base::Duration TickInterval = Base::milliseconds(50);
+/// Below half of the heartbeat interval, so that heartbeats leave on time.
+constexpr Base::Duration TickInterval = Base::milliseconds(30);
 constexpr Base::Duration SettingsPollInterval = Base::seconds(1);
 /// Time for the replies of the last calls to leave.
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(300);
