--- a/Services/Gateway/BackendPool.cpp
+++ b/Services/Gateway/BackendPool.cpp
@@ -9,6 +9,9 @@
 /// A connection that was used this recently is not yet near any idle timeout.
 constexpr Base::Duration RecentUse = Base::milliseconds(1000);
 
+/// Idle time after which a connection beyond the first is closed.
+constexpr Base::Duration SpareIdleTime = Base::milliseconds(700);
+
 } // namespace
 
 /// One connection with the attempt that it carries.
@@ -111,6 +114,10 @@
         auto &[backend, slots] = *next;
         const bool gone = !backend->acceptsWork();
         slots.remove_if([&](const auto &slot) { return gone || !slot->connection().isReusable(now); });
+        // The one used last serves quiet times. The others came from a burst, and the servers need room for
+        // gateways that restart while their lost connections still count.
+        while (slots.size() > 1 && now - slots.front()->connection().idleSince() > SpareIdleTime)
+            slots.pop_front();
         next = slots.empty() ? idle_.erase(next) : std::next(next);
     }
 }
