--- a/Libraries/LibPeer/ClientConnection.cpp
+++ b/Libraries/LibPeer/ClientConnection.cpp
@@ -93,7 +93,7 @@
 bool ClientConnection::maintain(Base::Instant now)
 {
     if (state_ != State::Ready) {
-        if (now - startedAt_ > HandshakeTimeout)
+        if (now - startedAt_ > (state_ == State::Connecting ? ConnectTimeout : HandshakeTimeout))
             return fail("connecting took too long");
         return true;
     }
--- a/Libraries/LibPeer/Limits.h
+++ b/Libraries/LibPeer/Limits.h
@@ -27,21 +27,25 @@
 constexpr std::int32_t StreamWindowBytes = 1 << 20;
 constexpr std::int32_t ConnectionWindowBytes = 16 << 20;
 
+/// Time until the peer's kernel accepts. The kernel repeats a lost opening packet only after a second, so an
+/// attempt at a VM that has just come up is better made anew. Covers three round trips between regions.
+constexpr Base::Duration ConnectTimeout = Base::milliseconds(300);
+
 /// Time for connecting and authenticating.
 constexpr Base::Duration HandshakeTimeout = Base::seconds(2);
 
 /// A connection without received bytes for this long sends a PING.
-constexpr Base::Duration PingInterval = Base::seconds(1);
+constexpr Base::Duration PingInterval = Base::milliseconds(500);
 
 /// A connection without received bytes for this long is treated as cut; the PING would have been answered.
-constexpr Base::Duration SilenceTimeout = Base::seconds(3);
+constexpr Base::Duration SilenceTimeout = Base::milliseconds(1500);
 
 /// A client connection without calls for this long is closed.
 constexpr Base::Duration IdleTimeout = Base::seconds(60);
 
 /// Delay before the next connection attempt after a failure; doubles up to the maximum.
 constexpr Base::Duration MinBackoff = Base::milliseconds(20);
-constexpr Base::Duration MaxBackoff = Base::milliseconds(500);
+constexpr Base::Duration MaxBackoff = Base::milliseconds(150);
 
 /// Interval of the checks above.
 constexpr Base::Duration MaintenanceInterval = Base::milliseconds(100);
