Never found a second cluster after a node was removed

Ruled out: adoption of old configurations by gateways; each log line of theirs says fresh=true. Change: files that were set aside forbid founding, in this process and after a restart.

--- a/Libraries/LibConsensus/FileLogStore.cpp
+++ b/Libraries/LibConsensus/FileLogStore.cpp
@@ -21,6 +21,12 @@
 constexpr std::string_view SnapshotName = "snapshot";
 constexpr std::string_view SnapshotMagic = "DRSNP001";
 
+/// Name that repair() gives a file.
+std::string setAsideName(std::string_view name)
+{
+    return fmt::format("{}.damaged", name);
+}
+
 /// 0 is reserved for "no incarnation".
 std::uint64_t makeIncarnation()
 {
@@ -54,12 +60,19 @@
         return tl::unexpected(opened.error());
     // Without its log a directory is new or, with a snapshot left, refused; so the log goes last.
     for (const auto name : {SnapshotName, LogName}) {
-        if (auto result = opened->rename(name, fmt::format("{}.damaged", name)); !result)
+        if (auto result = opened->rename(name, setAsideName(name)); !result)
             return result;
     }
     return opened->syncDirectory();
 }
 
+Base::Result<bool> FileLogStore::wasRepaired(const std::string &directory)
+{
+    return DataDirectory::create(directory)
+        .and_then([](const DataDirectory &opened) { return opened.read(setAsideName(LogName)); })
+        .map([](const std::optional<Base::Bytes> &file) { return file.has_value(); });
+}
+
 tl::unexpected<Base::Error> FileLogStore::corrupt(std::string_view name, const Base::Error &error) const
 {
     return Base::fail(Base::ErrorKind::CorruptData,
--- a/Libraries/LibConsensus/FileLogStore.h
+++ b/Libraries/LibConsensus/FileLogStore.h
@@ -23,6 +23,9 @@
     /// Sets the files of a damaged directory aside, so that the next create() makes a new incarnation.
     static Base::Result<void> repair(const std::string &directory);
 
+    /// Tells whether repair() has set files of this directory aside.
+    static Base::Result<bool> wasRepaired(const std::string &directory);
+
     std::uint64_t incarnation() const override { return incarnation_; }
     HardState hardState() const override { return image_.hardState(); }
     Base::Result<void> setHardState(const HardState &state) override;
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -20,11 +20,12 @@
     return settings.dataDirectory.empty() ? VolatileDirectory : settings.dataDirectory;
 }
 
-bool isFounder(const NodeSettings &settings, const Consensus::LogStore &store)
+bool isFounder(const NodeSettings &settings, const Consensus::LogStore &store, bool wasRepaired)
 {
     const bool empty = !store.snapshot() && store.lastIndex() == 0
                        && store.hardState() == Consensus::HardState {};
-    return empty && settings.firstStart
+    // A node that was removed is empty again, but its cluster lives on without it.
+    return empty && !wasRepaired && settings.firstStart
            && (settings.seeds.empty() || settings.seeds.front() == settings.operatorAddress);
 }
 
@@ -32,6 +33,9 @@
 
 Base::Result<std::unique_ptr<ClusterNode>> ClusterNode::create(const NodeSettings &settings, Base::Instant now)
 {
+    const auto wasRepaired = Consensus::FileLogStore::wasRepaired(directoryOf(settings));
+    if (!wasRepaired)
+        return tl::unexpected(wasRepaired.error());
     auto store = Consensus::FileLogStore::create(directoryOf(settings));
     if (!store)
         return tl::unexpected(store.error());
@@ -41,7 +45,7 @@
     options.heartbeatInterval = HeartbeatInterval;
     options.electionTimeout = ElectionTimeout;
     options.seed = std::random_device {}();
-    if (isFounder(settings, **store))
+    if (isFounder(settings, **store, *wasRepaired))
         options.initialMembers = {{settings.nodeId, (*store)->incarnation(), options.peerAddress, true}};
     auto raft = Consensus::RaftNode::create(std::move(options), **store, now);
     if (!raft)
--- /dev/null
+++ b/Tests/LibRegistry/TestSoftState.cpp
@@ -0,0 +1,97 @@
+#include "LibRegistry/GatewayTable.h"
+#include "LibRegistry/ServerListHolder.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using Base::milliseconds;
+using Registry::GatewayTable;
+using Registry::ServerListHolder;
+using Wire::GatewayState;
+
+const Base::Instant Start {Base::seconds(1000)};
+
+Wire::GatewayRecord gateway(const std::string &id, GatewayState state, std::uint64_t incarnation = 1)
+{
+    return {id, incarnation, id + ":80", "dc-a", state};
+}
+
+Wire::ServerList listRead(std::uint32_t ageMs, std::uint64_t digest, std::size_t servers)
+{
+    return {std::vector<Wire::ServerRecord>(servers), digest, ageMs};
+}
+
+} // namespace
+
+// Callers that are sent to a gateway that is gone lose a second each.
+TEST(GatewayTable, SilentGatewaysAreNotGivenToCallers)
+{
+    GatewayTable table;
+    table.report(Start, gateway("a", GatewayState::Serving));
+    table.report(Start, gateway("b", GatewayState::Joining));
+    EXPECT_EQ(table.serving(Start).size(), 1U);
+    EXPECT_TRUE(table.serving(Start + GatewayTable::SilenceLimit).empty());
+}
+
+// A relayed report of "serving" that was under way must not bring a leaving gateway back.
+TEST(GatewayTable, LeavingIsFinalForOneStart)
+{
+    GatewayTable table;
+    table.report(Start, gateway("a", GatewayState::Serving));
+    table.report(Start + milliseconds(100), gateway("a", GatewayState::Leaving));
+    table.merge(Start + milliseconds(200), {{gateway("a", GatewayState::Serving), 150}});
+    EXPECT_TRUE(table.serving(Start + milliseconds(200)).empty());
+    table.merge(Start + milliseconds(300), {{gateway("a", GatewayState::Serving), 10}});
+    EXPECT_TRUE(table.serving(Start + milliseconds(300)).empty());
+    table.report(Start + milliseconds(400), gateway("a", GatewayState::Serving, 2));
+    EXPECT_EQ(table.serving(Start + milliseconds(400)).size(), 1U);
+}
+
+// Only first-hand reports are passed on, or two registries would keep a dead gateway alive for each other.
+TEST(GatewayTable, PassesOnOnlyWhatItHeardItself)
+{
+    GatewayTable table;
+    table.merge(Start, {{gateway("a", GatewayState::Serving), 10}});
+    table.report(Start, gateway("b", GatewayState::Serving));
+    EXPECT_EQ(table.serving(Start).size(), 2U);
+    ASSERT_EQ(table.heardDirectly(Start).size(), 1U);
+    EXPECT_EQ(table.heardDirectly(Start)[0].gateway.gatewayId, "b");
+}
+
+// A list that was read earlier must not bring drained servers back, whatever way it came.
+TEST(ServerListHolder, LaterReadWins)
+{
+    ServerListHolder holder;
+    EXPECT_TRUE(holder.offer(Start, listRead(100, 1, 3)));
+    EXPECT_FALSE(holder.offer(Start, listRead(500, 2, 4)));
+    EXPECT_EQ(holder.digest(), 1U);
+    EXPECT_TRUE(holder.offer(Start + milliseconds(50), listRead(0, 2, 4)));
+    EXPECT_EQ(holder.digest(), 2U);
+}
+
+// The content is sent only to those that lack it, and a digest without content confirms only what is held.
+TEST(ServerListHolder, SendsContentOnlyWhereItIsNeeded)
+{
+    ServerListHolder holder;
+    EXPECT_FALSE(holder.copyFor(Start, 0).has_value());
+    holder.offer(Start, listRead(0, 1, 3));
+    EXPECT_TRUE(holder.copyFor(Start, 1)->servers.empty());
+    EXPECT_EQ(holder.copyFor(Start + milliseconds(20), 9)->servers.size(), 3U);
+    EXPECT_EQ(holder.copyFor(Start + milliseconds(20), 9)->ageMs, 20U);
+    EXPECT_FALSE(holder.offer(Start + milliseconds(100), listRead(0, 1, 0)));
+    EXPECT_EQ(holder.readAt(), Start + milliseconds(100));
+    EXPECT_FALSE(holder.offer(Start + milliseconds(200), listRead(0, 7, 0)));
+    EXPECT_EQ(holder.readAt(), Start + milliseconds(100));
+}
+
+// One reader is enough while it works; any other process takes over when it does not.
+TEST(ServerListHolder, OthersTakeOverFromTheLeader)
+{
+    ServerListHolder holder;
+    EXPECT_TRUE(holder.shouldRead(Start, false));
+    holder.offer(Start, listRead(0, 1, 3));
+    EXPECT_FALSE(holder.shouldRead(Start + ServerListHolder::ReadInterval, false));
+    EXPECT_TRUE(holder.shouldRead(Start + ServerListHolder::ReadInterval, true));
+    EXPECT_TRUE(holder.shouldRead(Start + ServerListHolder::TakeOverAge, false));
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -0,0 +1,137 @@
+#include "platform/PlatformProtocol.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace {
+
+const Platform::PlatformProtocol Protocol;
+
+/// A configuration with one route; `route` replaces the fields after its name.
+std::string configuration(const std::string &route, const std::string &version = "7")
+{
+    return fmt::format(R"({{"version":{},"routes":[{{"name":"r",{}}}],"services":[{{"name":"s",)"
+                       R"("healthPath":"/health","maxConnections":28,"protocol":"h1","tls":false}}],)"
+                       R"("limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,)"
+                       R"("idleTimeoutMs":15000}}}})",
+                       version, route);
+}
+
+constexpr const char *ProperRoute = R"("host":"H.example","pathPrefix":"/a/","routeType":"safe","timeoutMs":1000,)"
+                                    R"("targetLatencyMs":100,"priority":2,"service":"s","attempts":2)";
+
+} // namespace
+
+TEST(PlatformProtocol, DecodesRoutes)
+{
+    const auto decoded = Protocol.decodeConfiguration(configuration(ProperRoute));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(decoded->version, 7U);
+    ASSERT_EQ(decoded->routes.size(), 1U);
+    const auto &route = decoded->routes[0];
+    EXPECT_EQ(route.host, "h.example");
+    EXPECT_EQ(route.repeatability, Route::Repeatability::Idempotent);
+    EXPECT_EQ(route.timeout, Base::milliseconds(1000));
+    EXPECT_EQ(route.latencyTarget, Base::milliseconds(100));
+    EXPECT_EQ(route.attempts, 2U);
+    EXPECT_EQ(route.rank, 2U);
+    EXPECT_EQ(decoded->services.at("s").maxConnections, 28U);
+    EXPECT_EQ(decoded->limits.idleTimeout, Base::seconds(15));
+}
+
+TEST(PlatformProtocol, DecodesGathersAndSplits)
+{
+    const auto gather = Protocol.decodeConfiguration(configuration(
+        R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":1000,"gather":["s"],"topK":10,"minCoverage":0.89)"));
+    ASSERT_TRUE(gather.has_value());
+    ASSERT_TRUE(gather->routes[0].gather.has_value());
+    EXPECT_EQ(gather->routes[0].gather->recordLimit, 10U);
+    EXPECT_DOUBLE_EQ(gather->routes[0].gather->minimumCoverage, 0.89);
+    const auto split = Protocol.decodeConfiguration(configuration(
+        R"("host":"h","pathPrefix":"/a/","routeType":"unsafe","timeoutMs":1000,"trafficSplit":[{"service":"s","weight":3}])"));
+    ASSERT_TRUE(split.has_value());
+    EXPECT_EQ(split->routes[0].repeatability, Route::Repeatability::AtMostOnce);
+    EXPECT_DOUBLE_EQ(split->routes[0].targets[0].weight, 3.0);
+}
+
+// What is invalid must never be stored; each of these is a mistake that operators make.
+TEST(PlatformProtocol, RefusesInvalidConfigurations)
+{
+    const auto whole = configuration(ProperRoute);
+    EXPECT_FALSE(Protocol.decodeConfiguration(whole.substr(0, whole.size() - 1)).has_value());
+    EXPECT_FALSE(Protocol.decodeConfiguration("").has_value());
+    EXPECT_FALSE(Protocol.decodeConfiguration("[]").has_value());
+    EXPECT_FALSE(Protocol.decodeConfiguration(configuration(ProperRoute, "\"7\"")).has_value());
+    EXPECT_FALSE(Protocol.decodeConfiguration(configuration(ProperRoute, "-1")).has_value());
+    for (const char *route :
+         {R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":0,"service":"s")",
+          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"t")",
+          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10)",
+          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"trafficSplit":[{"service":"s","weight":0}])",
+          R"("host":1,"pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"s")",
+          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":"10","service":"s")"}) {
+        const auto decoded = Protocol.decodeConfiguration(configuration(route));
+        EXPECT_FALSE(decoded.has_value()) << route;
+    }
+}
+
+// One entry of another writer must not hide the servers beside it.
+TEST(PlatformProtocol, ServerPageKeepsReadableEntries)
+{
+    const std::string proper = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,)"
+                               R"("state":"ready","warmupLeftMs":120,"id":"i-1","born":1700000000000})";
+    const std::string body = R"({"instances":[{"id":"i-0"},)" + proper
+                             + ",{\"service\":\"s\xff\",\"x\":\"]}\\\"\"},"
+                               R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,"state":"gone","id":"i-2"},)"
+                               R"({"service":"s","address":"nowhere","zone":"z","slots":2,"state":"ready","id":"i-3"},)"
+                               R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"2","state":"ready","id":"i-4"}],)"
+                               R"("nextPageToken":"p-50"})";
+    const auto page = Protocol.decodeServerPage(body);
+    ASSERT_TRUE(page.has_value());
+    ASSERT_EQ(page->servers.size(), 1U);
+    EXPECT_EQ(page->servers[0].id, "i-1");
+    EXPECT_EQ(page->servers[0].bornAt, 1700000000000);
+    EXPECT_EQ(page->servers[0].warmUpLeftMs, 120U);
+    EXPECT_EQ(page->unreadable, 5U);
+    EXPECT_EQ(page->nextPage, "p-50");
+}
+
+TEST(PlatformProtocol, ServerPageEndsWithNull)
+{
+    const auto last = Protocol.decodeServerPage(R"({"instances":[],"nextPageToken":null})");
+    ASSERT_TRUE(last.has_value());
+    EXPECT_TRUE(last->nextPage.empty());
+    EXPECT_FALSE(Protocol.decodeServerPage(R"({"instances":[{"id":"i")").has_value());
+    EXPECT_FALSE(Protocol.decodeServerPage("").has_value());
+    EXPECT_FALSE(Protocol.decodeServerPage(R"({"instances":[],"nextPageToken":5})").has_value());
+}
+
+TEST(PlatformProtocol, DecodesServerLoad)
+{
+    const auto load = Protocol.decodeServerLoad("3,1,8");
+    ASSERT_TRUE(load.has_value());
+    EXPECT_EQ(load->running, 3U);
+    EXPECT_EQ(load->waiting, 1U);
+    EXPECT_EQ(load->slots, 8U);
+    EXPECT_DOUBLE_EQ(load->slowdown, 1.0);
+    EXPECT_DOUBLE_EQ(Protocol.decodeServerLoad("3, 1, 8, 250")->slowdown, 2.5);
+    EXPECT_FALSE(Protocol.decodeServerLoad("3,1").has_value());
+    EXPECT_FALSE(Protocol.decodeServerLoad("").has_value());
+    EXPECT_FALSE(Protocol.decodeServerLoad("x,1,8").has_value());
+}
+
+TEST(PlatformProtocol, ClassifiesCalls)
+{
+    EXPECT_EQ(Protocol.classify("GET", "/v1/lookup"), Adapter::Call::LookUpGateways);
+    EXPECT_EQ(Protocol.classify("GET", "/v1/readiness"), Adapter::Call::CheckReadiness);
+    EXPECT_EQ(Protocol.classify("PUT", "/v1/config"), Adapter::Call::ReplaceConfiguration);
+    EXPECT_EQ(Protocol.classify("GET", "/v1/config"), Adapter::Call::ReadConfiguration);
+    EXPECT_EQ(Protocol.classify("POST", "/v1/config"), Adapter::Call::Unknown);
+    EXPECT_EQ(Protocol.callerDataCentre("name=h&region=r&zone=z-1"), "z-1");
+    EXPECT_EQ(Protocol.callerDataCentre("name=h"), "");
+    EXPECT_EQ(Protocol.serverListTarget(""), "/instances");
+    EXPECT_EQ(Protocol.serverListTarget("p 5&"), "/instances?pageToken=p%205%26");
+    const std::vector<std::string> addresses {"10.0.0.1:80"};
+    EXPECT_EQ(Protocol.encodeGateways(addresses, Base::milliseconds(1500)),
+              R"({"addrs":["10.0.0.1:80"],"ttl_s":1.5})");
+}
