--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -1,5 +1,6 @@
 #include "Services/Gateway/Forwarder.h"
 
+#include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
 #include <random>
@@ -15,6 +16,17 @@
 constexpr Base::Duration KeptConnectionDelay = Base::milliseconds(11);
 constexpr Base::Duration NewConnectionDelay = Base::milliseconds(17);
 
+/// Time from the start of a process until it usually knows its routes and servers, also when all registries
+/// start together with it.
+constexpr Base::Duration UsualStartup = Base::milliseconds(900);
+/// Least time after which a caller should come back to a gateway that is not ready.
+constexpr Base::Duration MinRetryAfter = Base::milliseconds(250);
+
+std::string formatSeconds(Base::Duration duration)
+{
+    return fmt::format("{:.3f}", Base::toMilliseconds(duration) / 1000.0);
+}
+
 std::optional<Base::Duration> parseDeadline(std::string_view text)
 {
     double milliseconds = 0.0;
@@ -47,6 +59,7 @@
     , metrics_(metrics)
     , core_(options)
     , pool_(loop, *this)
+    , startedAt_(clock_.now())
 {
 }
 
@@ -59,8 +72,9 @@
 
 void Forwarder::handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
 {
-    if (!table_)
-        return refuse(request, caller, Base::ErrorKind::ControlUnavailable, "no configuration is known yet");
+    if (!table_ || !hasServers())
+        return refuse(request, caller, Base::ErrorKind::ControlUnavailable,
+                      table_ ? "the list of servers is not known yet" : "no configuration is known yet");
     const auto *route = table_->find(request.header("Host"), request.path());
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
@@ -113,6 +127,13 @@
     return head;
 }
 
+/// Load pattern: many callers come at once to a gateway that has just started. Each has only a few tries, so
+/// they are told to come back when it is likely to be ready, and not before.
+Base::Duration Forwarder::timeUntilReady(Base::Instant now) const
+{
+    return std::max(MinRetryAfter, startedAt_ + UsualStartup - now);
+}
+
 void Forwarder::refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                        Base::ErrorKind error, std::string_view cause)
 {
@@ -124,7 +145,7 @@
     if (!requestId.empty())
         response.headers.emplace_back(names.requestId, requestId);
     if (response.status == 503)
-        response.headers.emplace_back("Retry-After", "0.3");
+        response.headers.emplace_back("Retry-After", formatSeconds(timeUntilReady(now)));
     caller.respond(response);
     metrics_.requestAnswered("none", std::string(Base::errorName(error)), {});
     events_.write(now, Importance::Notable, "request_answered",
@@ -250,7 +271,7 @@
     response.status = Base::errorAnswer(outcome.error).httpStatus;
     if (outcome.retryAfter)
         response.headers.emplace_back("Retry-After",
-                                      fmt::format("{:.3f}", Base::toMilliseconds(*outcome.retryAfter) / 1000.0));
+                                      formatSeconds(*outcome.retryAfter));
     return response;
 }
 
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -57,6 +57,7 @@
     std::string forwardedHead(const Edge::RequestMessage &request) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller, Base::ErrorKind error,
                 std::string_view cause);
+    Base::Duration timeUntilReady(Base::Instant now) const;
     void perform();
     void send(const Forward::SendAttempt &action);
     void answer(Forward::AnswerCaller &action);
@@ -74,6 +75,7 @@
     Base::SystemClock clock_;
     Forward::ForwardCore core_;
     BackendPool pool_;
+    Base::Instant startedAt_;
     std::shared_ptr<const Route::RouteTable> table_;
     std::unordered_map<Forward::ExchangeId, Pending> pending_;
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_; ///< Expected echo by attempt.
