Try servers that refuse connections again within the caller's time

Nothing has run in these cases, so the final refusal is a true 503. Tests: ForwardFixture.RefusedConnectionsAreTriedAgain and UnreachableServiceIsRefusedInTime failed before.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -216,6 +216,7 @@
         if (failure == Edge::ExchangeFailure::NotSent) {
             // Nothing reached the server, so the attempt is not used up.
             --leg.sends;
+            leg.unreached.push_back(attempt.backend);
         } else {
             leg.mayHaveRun = true;
         }
@@ -288,7 +289,7 @@
     auto next = exchange.deadline;
     bool undecided = false;
     for (const auto &leg : exchange.legs) {
-        if (leg.state == LegState::Open) {
+        if (leg.state == LegState::Open || leg.state == LegState::Recovering) {
             next = std::min(next, leg.hedgeAt);
             undecided = true;
         }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -113,14 +113,22 @@
     std::uint32_t connectionShare(const Route::Configuration &configuration, std::string_view service) const;
 
 private:
-    enum class LegState : std::uint8_t { Waiting, Open, Present, Closed };
+    enum class LegState : std::uint8_t {
+        Waiting, ///< Every server was full.
+        Open, ///< An attempt is under way, or a further one is due.
+        Recovering, ///< No server could be reached; they are tried again after a pause.
+        Present,
+        Closed
+    };
 
     /// One service that a request needs; a gather has one for each shard.
     struct Leg
     {
         std::string_view service; ///< Text of the exchange's configuration.
         LegState state = LegState::Waiting;
-        std::vector<BackendPointer> tried; ///< Servers that count as attempts.
+        std::vector<BackendPointer> tried; ///< Servers that are not chosen again.
+        std::vector<BackendPointer> unreached; ///< Those of `tried` that got no byte.
+        Base::Duration recoveryPause {}; ///< Before the next round over unreached servers.
         std::uint32_t open = 0; ///< Attempts without a result.
         std::uint32_t sends = 0;
         bool mayHaveRun = false;
@@ -172,6 +180,7 @@
               const BackendPointer &backend, bool extra);
     void dispatchWaiting(Base::Instant now);
     bool isQueued(ExchangeId id, std::size_t legIndex) const;
+    bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
     bool mayRetry(const Exchange &exchange, const Leg &leg) const;
     void retryOrClose(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
     void takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
--- a/Libraries/LibForward/ForwardCoreAnswer.cpp
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -31,13 +31,18 @@
     progress.total = exchange.legs.size();
     progress.minimumCoverage = exchange.facts.route->gather->minimumCoverage;
     progress.answerBy = exchange.answerBy;
+    bool mayHaveRun = false;
     for (const auto &leg : exchange.legs) {
         progress.present += leg.state == LegState::Present ? 1 : 0;
         progress.pending += leg.state == LegState::Open || leg.state == LegState::Waiting ? 1 : 0;
+        progress.recovering += leg.state == LegState::Recovering ? 1 : 0;
+        mayHaveRun = mayHaveRun || leg.mayHaveRun || leg.open > 0 || leg.state == LegState::Present;
     }
     const bool expired = now >= exchange.deadline;
-    if (expired)
+    if (expired) {
         progress.pending = 0;
+        progress.recovering = 0;
+    }
     const auto decision = decideGather(progress, now);
     if (decision == GatherDecision::Wait)
         return false;
@@ -45,9 +50,9 @@
         finish(now, id, exchange, gatheredOutcome(exchange));
         return true;
     }
-    const auto kind = exchange.sends == 0 ? Base::ErrorKind::Overloaded
-                      : expired           ? Base::ErrorKind::DeadlineExceeded
-                                          : Base::ErrorKind::BackendFailed;
+    const auto kind = !mayHaveRun ? Base::ErrorKind::Overloaded
+                      : expired   ? Base::ErrorKind::DeadlineExceeded
+                                  : Base::ErrorKind::BackendFailed;
     finish(now, id, exchange,
            failedOutcome(exchange, kind,
                          fmt::format("{} of {} parts arrived", progress.present, progress.total)));
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -16,6 +16,11 @@
 constexpr double BudgetUse = 0.8;
 /// Time until a second attempt is considered again when budget or connections were lacking.
 constexpr Base::Duration RetryPause = Base::milliseconds(15);
+/// Pauses between rounds over servers that could not be reached.
+constexpr Base::Duration MinRecoveryPause = Base::milliseconds(40);
+constexpr Base::Duration MaxRecoveryPause = Base::milliseconds(160);
+/// Fraction of the caller's time that is spent on them; the rest is left for a try elsewhere.
+constexpr int RecoveryShare = 3;
 /// A second attempt that has less time than this fraction of the mean latency cannot help.
 constexpr double LeastUsefulTime = 0.7;
 
@@ -149,13 +154,13 @@
 {
     for (std::size_t index = 0; index < exchange.legs.size(); ++index) {
         auto &leg = exchange.legs[index];
-        if (leg.state != LegState::Open || now < leg.hedgeAt)
+        if ((leg.state != LegState::Open && leg.state != LegState::Recovering) || now < leg.hedgeAt)
             continue;
         const auto timeLeft = exchange.deadline - now;
         const auto useful = timesOf(*exchange.facts.route).mean() * LeastUsefulTime;
         if (!mayRetry(exchange, leg) || std::chrono::duration<double, std::micro>(timeLeft) < useful) {
             leg.hedgeAt = Base::Instant::max();
-            if (leg.open == 0)
+            if (leg.open == 0 && !beginRecovery(now, exchange, leg))
                 leg.state = LegState::Closed;
             continue;
         }
@@ -201,8 +206,25 @@
             leg.hedgeAt = now + RetryPause;
         return;
     }
-    if (leg.open == 0)
+    if (leg.open == 0 && !beginRecovery(now, exchange, leg))
         leg.state = LegState::Closed;
 }
 
+/// Load pattern: servers refuse connections for a moment, as after a restart or while they still count
+/// connections of processes that are gone. Nothing has run, so they are tried again with growing pauses for a
+/// part of the caller's time. Returns false when that is over or there is nothing to try again.
+bool ForwardCore::beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg)
+{
+    if (leg.unreached.empty() || now - exchange.arrivedAt > (exchange.deadline - exchange.arrivedAt) / RecoveryShare)
+        return false;
+    std::erase_if(leg.tried, [&](const BackendPointer &backend) {
+        return std::find(leg.unreached.begin(), leg.unreached.end(), backend) != leg.unreached.end();
+    });
+    leg.unreached.clear();
+    leg.recoveryPause = std::clamp(leg.recoveryPause * 2, MinRecoveryPause, MaxRecoveryPause);
+    leg.hedgeAt = now + leg.recoveryPause;
+    leg.state = LegState::Recovering;
+    return true;
+}
+
 } // namespace Forward
--- a/Libraries/LibForward/GatherPolicy.h
+++ b/Libraries/LibForward/GatherPolicy.h
@@ -15,6 +15,7 @@
     std::size_t total = 0; ///< Shards of the set.
     std::size_t present = 0; ///< Parts that have arrived.
     std::size_t pending = 0; ///< Shards that may still deliver.
+    std::size_t recovering = 0; ///< Shards none of whose servers could be reached; they are asked again.
     double minimumCoverage = 1.0;
     Base::Instant answerBy; ///< Last moment at which an answer reaches the caller within its target.
 };
@@ -22,13 +23,15 @@
 /// Load pattern: one or a few shards lag behind the others. Up to `answerBy` each further part raises the worth
 /// of the answer and costs nothing; after it, a late answer is worth a small fraction whatever it covers, so
 /// it leaves as soon as it is a success at all. A gather that can no longer become a success ends at once.
+/// Shards that are out of reach are waited for only when the answer would be no success without them.
 inline GatherDecision decideGather(const GatherProgress &progress, Base::Instant now)
 {
     const auto needed = progress.minimumCoverage * static_cast<double>(progress.total) - 1e-9;
     const auto present = static_cast<double>(progress.present);
     if (progress.present > 0 && present >= needed)
         return progress.pending == 0 || now >= progress.answerBy ? GatherDecision::Answer : GatherDecision::Wait;
-    if (progress.pending == 0 || present + static_cast<double>(progress.pending) < needed)
+    const auto possible = progress.pending + progress.recovering;
+    if (possible == 0 || present + static_cast<double>(possible) < needed)
         return GatherDecision::Fail;
     return GatherDecision::Wait;
 }
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -148,6 +148,54 @@
     EXPECT_EQ(answers.front().outcome.error, Base::ErrorKind::BackendReplyLost);
 }
 
+// Load pattern: after a power loss the servers still count the lost connections and refuse new ones for a
+// second. Nothing has run, so the request is tried again instead of failing within milliseconds.
+TEST_F(ForwardFixture, RefusedConnectionsAreTriedAgain)
+{
+    begin("/o/x");
+    std::size_t next = 0;
+    const auto refuseAll = [&] {
+        for (; next < sends.size(); ++next)
+            fail(sends[next].attempt, Edge::ExchangeFailure::NotSent);
+    };
+    refuseAll();
+    EXPECT_TRUE(answers.empty());
+    advance(milliseconds(60));
+    ASSERT_GT(sends.size(), next);
+    reply(sends[next].attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.kind, Outcome::Kind::Relay);
+}
+
+// Servers that stay out of reach must not hold a request until its deadline; nothing has run, and it says so.
+TEST_F(ForwardFixture, UnreachableServiceIsRefusedInTime)
+{
+    begin("/s/x");
+    std::size_t next = 0;
+    for (int step = 0; step < 100 && answers.empty(); ++step) {
+        for (; next < sends.size(); ++next)
+            fail(sends[next].attempt, Edge::ExchangeFailure::NotSent);
+        advance(milliseconds(10));
+    }
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, Base::ErrorKind::Overloaded);
+    EXPECT_LT(now, Tests::Instant(milliseconds(1'000'600)));
+}
+
+// A shard that is out of reach must not delay an answer that is a success without it.
+TEST_F(ForwardFixture, UnreachableShardDelaysNoSuccess)
+{
+    begin("/g/x");
+    std::size_t next = Shards;
+    fail(sends[0].attempt, Edge::ExchangeFailure::NotSent);
+    for (; next < sends.size(); ++next)
+        fail(sends[next].attempt, Edge::ExchangeFailure::NotSent);
+    for (int shard = 1; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.missingParts, 1U);
+}
+
 // A service without servers is refused at once, and "not run" is true.
 TEST_F(ForwardFixture, RefusesAtOnceWithoutServers)
 {
@@ -233,7 +281,7 @@
 TEST(GatherPolicy, DecidesByCoverageAndTime)
 {
     const Base::Instant start {milliseconds(1)};
-    Forward::GatherProgress progress {20, 18, 2, 0.89, start + milliseconds(80)};
+    Forward::GatherProgress progress {20, 18, 2, 0, 0.89, start + milliseconds(80)};
     EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Wait);
     EXPECT_EQ(decideGather(progress, start + milliseconds(80)), Forward::GatherDecision::Answer);
     progress.present = 17;
@@ -241,6 +289,8 @@
     EXPECT_EQ(decideGather(progress, start + milliseconds(80)), Forward::GatherDecision::Wait);
     progress.pending = 0;
     EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Fail);
-    progress = {20, 20, 0, 0.89, start + milliseconds(80)};
+    progress.recovering = 1;
+    EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Wait);
+    progress = {20, 20, 0, 0, 0.89, start + milliseconds(80)};
     EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Answer);
 }
