--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -44,7 +44,13 @@
 };
 
 /// What a call to one of the system's own interfaces asks for.
-enum class Call : std::uint8_t { Unknown, LookUpGateways, CheckReadiness, ReplaceConfiguration, ReadConfiguration };
+enum class Call : std::uint8_t {
+    Unknown,
+    LookUpGateways,
+    CheckReadiness,
+    ReplaceConfiguration,
+    ReadConfiguration
+};
 
 /// Translates between the product and the platform that it runs on. Stateless.
 class PlatformAdapter
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -16,8 +16,8 @@
     static std::optional<Wire::RaftMembership> next(const Consensus::RaftStatus &status);
 
     /// Returns the membership without a node that is gone: a learner or voter that has been unheard for
-    /// `goneAfter`, while at least `voterTarget` other voters are heard. Fewer voters need fewer confirmations,
-    /// so a node that never comes back must not count for the majority.
+    /// `goneAfter`, while at least `voterTarget` other voters are heard. Fewer voters need fewer
+    /// confirmations, so a node that never comes back must not count for the majority.
     static std::optional<Wire::RaftMembership> withoutGone(const Consensus::RaftStatus &status,
                                                            std::size_t voterTarget, Base::Duration goneAfter);
 
--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -23,7 +23,8 @@
 
 /// Unacknowledged bytes end the connection after this time, or a cut network would hold it for minutes.
 constexpr int UnacknowledgedTimeoutMs = 2000;
-/// Probes of an idle connection find servers that vanished without a word: after 5 s, then each second, 3 times.
+/// Probes of an idle connection find servers that vanished without a word: after 5 s, then each second, 3
+/// times.
 constexpr int KeepAliveIdleSeconds = 5;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 3;
@@ -143,7 +144,8 @@
     {
         const auto rest = std::string_view(output_).substr(sent_);
         error_code error;
-        const auto count = rest.empty() ? 0 : socket_.write_some(asio::buffer(rest.data(), rest.size()), error);
+        const auto count =
+            rest.empty() ? 0 : socket_.write_some(asio::buffer(rest.data(), rest.size()), error);
         if (error && error != asio::error::would_block && error != asio::error::try_again) {
             // send() may be on the stack of the caller, who expects the failure later.
             asio::post(socket_.get_executor(),
@@ -167,11 +169,10 @@
 
     void waitReadable()
     {
-        socket_.async_wait(asio::ip::tcp::socket::wait_read,
-                           [self = Pointer(this)](const error_code &error) {
-                               if (!error && self->events_ != nullptr)
-                                   self->readAvailable();
-                           });
+        socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = Pointer(this)](const error_code &error) {
+            if (!error && self->events_ != nullptr)
+                self->readAvailable();
+        });
     }
 
     void readAvailable()
@@ -247,7 +248,7 @@
         auto *events = events_;
         const bool wasBusy = busy_;
         const bool received = parser_ && parser_->hasStarted();
-        const auto failure = malformed || received ? ExchangeFailure::ReplyMalformed
+        const auto failure = malformed || received                    ? ExchangeFailure::ReplyMalformed
                              : connected_ && (sent_ > 0 || wroteAll_) ? ExchangeFailure::ReplyLost
                                                                       : ExchangeFailure::NotSent;
         closeSocket();
--- a/Libraries/LibEdge/CallerConnection.cpp
+++ b/Libraries/LibEdge/CallerConnection.cpp
@@ -87,7 +87,8 @@
     takeInput({buffer.data(), size});
     if (state_ == State::Closed)
         return;
-    // Unread bytes stay in the socket, so the caller's sending stalls instead of this process's memory growing.
+    // Unread bytes stay in the socket, so the caller's sending stalls instead of this process's memory
+    // growing.
     if (state_ != State::Handling || input_.size() < MaxPipelinedBytes)
         waitReadable();
 }
--- a/Libraries/LibEdge/CallerConnection.h
+++ b/Libraries/LibEdge/CallerConnection.h
@@ -23,8 +23,8 @@
 /// One connection of a caller. Reading goes on while a request is being handled, so that the caller's leaving
 /// is noticed at once.
 class CallerConnection
-    : public boost::intrusive_ref_counter<CallerConnection, boost::thread_unsafe_counter>
-    , public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
+    : public boost::intrusive_ref_counter<CallerConnection, boost::thread_unsafe_counter>,
+      public boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>
 {
 public:
     CallerConnection(boost::asio::ip::tcp::socket socket, CallerServerContext &context);
--- a/Libraries/LibEdge/CallerServer.cpp
+++ b/Libraries/LibEdge/CallerServer.cpp
@@ -117,8 +117,7 @@
         }
     }
 
-    using Connections =
-        boost::intrusive::list<CallerConnection, boost::intrusive::constant_time_size<false>>;
+    using Connections = boost::intrusive::list<CallerConnection, boost::intrusive::constant_time_size<false>>;
 
     CallerServerContext context_;
     asio::ip::tcp::acceptor acceptor_;
--- a/Libraries/LibEdge/RequestMessage.cpp
+++ b/Libraries/LibEdge/RequestMessage.cpp
@@ -65,14 +65,15 @@
     if (connectionOptions.empty())
         return false;
     const boost::beast::http::token_list options(toBeast(connectionOptions));
-    return std::any_of(options.begin(), options.end(),
-                       [&](const auto &option) { return isName({option.data(), option.size()}); });
+    return std::any_of(options.begin(), options.end(), [&](const auto &option) {
+        return isName({option.data(), option.size()});
+    });
 }
 
 std::string_view reasonPhrase(int status)
 {
-    const auto reason = boost::beast::http::obsolete_reason(
-        boost::beast::http::int_to_status(static_cast<unsigned>(status)));
+    const auto reason =
+        boost::beast::http::obsolete_reason(boost::beast::http::int_to_status(static_cast<unsigned>(status)));
     return {reason.data(), reason.size()};
 }
 
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -79,8 +79,8 @@
     }
     for (auto next = backends_.begin(); next != backends_.end();) {
         auto &backend = *next->second;
-        const bool gone = present.find(next->first) == present.end()
-                          && ++backend.absentReads >= AbsentReadsUntilGone;
+        const bool gone =
+            present.find(next->first) == present.end() && ++backend.absentReads >= AbsentReadsUntilGone;
         if (gone)
             backend.listed = false;
         next = gone ? backends_.erase(next) : std::next(next);
@@ -93,9 +93,9 @@
 {
     for (auto &[identity, backend] : backends_) {
         // Which of two servers that appear in the same read is the older one, only their starts can tell.
-        const bool older = backend->firstListedAt < newcomer.firstListedAt
-                           || (backend->record.bornAt != 0
-                               && backend->record.bornAt < newcomer.record.bornAt);
+        const bool older =
+            backend->firstListedAt < newcomer.firstListedAt
+            || (backend->record.bornAt != 0 && backend->record.bornAt < newcomer.record.bornAt);
         if (backend.get() != &newcomer && backend->record.address == newcomer.record.address && older)
             noteDisplaced(*backend);
     }
@@ -113,8 +113,9 @@
     const auto found = byService_.find(std::string(service));
     if (found == byService_.end())
         return 0;
-    return static_cast<std::size_t>(std::count_if(found->second.begin(), found->second.end(),
-                                                  [](const auto &backend) { return backend->acceptsWork(); }));
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(),
+                      [](const auto &backend) { return backend->acceptsWork(); }));
 }
 
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
@@ -146,9 +147,8 @@
     const auto mean = Base::toMilliseconds(meanLatency) * backend.slowness;
     const bool loadIsFresh = backend.loadKnown && now - backend.loadAt < LoadReportAge;
     const double own = static_cast<double>(backend.openSince.size());
-    const double work = loadIsFresh
-                            ? std::max(own, static_cast<double>(backend.load.running + backend.load.waiting))
-                            : own;
+    const double work =
+        loadIsFresh ? std::max(own, static_cast<double>(backend.load.running + backend.load.waiting)) : own;
     const double slots = std::max(1U, backend.record.slots);
     auto estimate = mean * (1.0 + std::max(0.0, work + 1.0 - slots) / slots);
     if (loadIsFresh)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -25,10 +25,11 @@
     void update(Base::Instant now, const Wire::ServerList &list);
 
     /// Placing under load: returns the server of the service that is expected to answer first and has fewer
-    /// than `connectionShare` attempts open, or null. Work goes round servers that stall (pause), fail part of
-    /// their requests, are cold, or report a queue. Servers in `excluded` are left out.
-    BackendPointer choose(Base::Instant now, std::string_view service, std::span<const BackendPointer> excluded,
-                          std::uint32_t connectionShare, Base::Duration meanLatency);
+    /// than `connectionShare` attempts open, or null. Work goes round servers that stall (pause), fail part
+    /// of their requests, are cold, or report a queue. Servers in `excluded` are left out.
+    BackendPointer choose(Base::Instant now, std::string_view service,
+                          std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
+                          Base::Duration meanLatency);
 
     /// Number of servers that may take work.
     std::size_t eligibleCount(std::string_view service) const;
@@ -44,8 +45,8 @@
     static void noteError(Base::Instant now, Backend &backend);
     /// The server could not be reached, or the connection ended without a reply.
     static void noteUnreachable(Base::Instant now, Backend &backend);
-    /// Another server answered at its address. Platforms list a server that vanished for some seconds, and give
-    /// its address away meanwhile; it gets no more work, whatever the list says.
+    /// Another server answered at its address. Platforms list a server that vanished for some seconds, and
+    /// give its address away meanwhile; it gets no more work, whatever the list says.
     static void noteDisplaced(Backend &backend) { backend.displaced = true; }
     static void noteLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -50,7 +50,8 @@
     const auto &route = *exchange.facts.route;
     exchange.arrivedAt = now;
     exchange.deadline = now + std::min(route.timeout, exchange.facts.callerDeadline.value_or(route.timeout));
-    exchange.answerBy = now + std::max(route.latencyTarget - exchange.facts.callerDelay, Base::Duration::zero());
+    exchange.answerBy =
+        now + std::max(route.latencyTarget - exchange.facts.callerDelay, Base::Duration::zero());
     if (route.gather) {
         for (const auto &shard : route.gather->shards)
             exchange.legs.emplace_back().service = shard;
@@ -165,7 +166,8 @@
     if (!notRun && reply.isWhole && !reply.proof.empty())
         exchange.fallback = std::move(reply.response);
     // The server decided about the request itself; another one would say the same.
-    const bool isFinal = exchange.fallback && exchange.fallback->status / 100 != 5 && !notRun && reply.isWhole;
+    const bool isFinal =
+        exchange.fallback && exchange.fallback->status / 100 != 5 && !notRun && reply.isWhole;
     if (isFinal)
         leg.state = LegState::Closed;
     else
--- a/Libraries/LibForward/ForwardCoreAnswer.cpp
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -106,10 +106,9 @@
     outcome.error = kind;
     outcome.cause = std::move(cause);
     if (Base::errorAnswer(kind).runState == Base::RunState::NotRun) {
-        outcome.retryAfter =
-            MinRetryAfter
-            + Base::Duration(static_cast<Base::Duration::rep>(random_.below(
-                static_cast<std::uint64_t>(MinRetryAfter.count()))));
+        outcome.retryAfter = MinRetryAfter
+                             + Base::Duration(static_cast<Base::Duration::rep>(
+                                 random_.below(static_cast<std::uint64_t>(MinRetryAfter.count()))));
     }
     std::size_t named = 0;
     for (const auto &leg : exchange.legs) {
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -64,8 +64,8 @@
         return {};
     const auto times = routeTimes_.find(exchange.facts.route->name);
     const auto mean = times == routeTimes_.end() ? exchange.facts.route->latencyTarget : times->second.mean();
-    const auto lanes = backends_.eligibleCount(service)
-                       * connectionShare(exchange.facts.table->configuration(), service);
+    const auto lanes =
+        backends_.eligibleCount(service) * connectionShare(exchange.facts.table->configuration(), service);
     return mean * ahead / static_cast<Base::Duration::rep>(std::max<std::size_t>(1, lanes));
 }
 
@@ -73,10 +73,9 @@
 bool ForwardCore::dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
 {
     auto &leg = exchange.legs[legIndex];
-    const auto backend =
-        backends_.choose(now, leg.service, leg.tried,
-                         connectionShare(exchange.facts.table->configuration(), leg.service),
-                         timesOf(*exchange.facts.route).mean());
+    const auto backend = backends_.choose(now, leg.service, leg.tried,
+                                          connectionShare(exchange.facts.table->configuration(), leg.service),
+                                          timesOf(*exchange.facts.route).mean());
     if (backend) {
         send(now, id, exchange, legIndex, backend, false);
         return true;
@@ -104,11 +103,12 @@
 {
     if (waiting_.empty())
         return;
-    std::stable_sort(waiting_.begin(), waiting_.end(), [this](const WaitingLeg &left, const WaitingLeg &right) {
-        const auto &a = exchanges_.at(left.exchange);
-        const auto &b = exchanges_.at(right.exchange);
-        return std::pair(a.facts.route->rank, a.deadline) < std::pair(b.facts.route->rank, b.deadline);
-    });
+    std::stable_sort(
+        waiting_.begin(), waiting_.end(), [this](const WaitingLeg &left, const WaitingLeg &right) {
+            const auto &a = exchanges_.at(left.exchange);
+            const auto &b = exchanges_.at(right.exchange);
+            return std::pair(a.facts.route->rank, a.deadline) < std::pair(b.facts.route->rank, b.deadline);
+        });
     const auto queue = std::exchange(waiting_, {});
     for (const auto &waiting : queue) {
         const auto owner = exchanges_.find(waiting.exchange);
@@ -132,8 +132,7 @@
     auto &leg = exchange.legs[legIndex];
     const auto &route = *exchange.facts.route;
     const auto attemptId = ++lastId_;
-    attempts_.emplace(attemptId,
-                      Attempt {id, legIndex, backend, now, route.name, std::string(leg.service)});
+    attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name, std::string(leg.service)});
     BackendTable::noteSent(*backend, now);
     leg.state = LegState::Open;
     leg.tried.push_back(backend);
@@ -141,10 +140,8 @@
     ++leg.sends;
     ++exchange.sends;
     exchange.extraSends += extra ? 1 : 0;
-    leg.hedgeAt =
-        exchange.isRepeatable() && leg.sends < route.attempts
-            ? now + timesOf(route).hedgeDelay()
-            : Base::Instant::max();
+    leg.hedgeAt = exchange.isRepeatable() && leg.sends < route.attempts ? now + timesOf(route).hedgeDelay()
+                                                                        : Base::Instant::max();
     actions_.emplace_back(SendAttempt {attemptId, id, backend, exchange.deadline - now});
 }
 
@@ -176,10 +173,9 @@
     auto &budget = budgetOf(leg.service);
     if (!budget.available())
         return false;
-    const auto backend =
-        backends_.choose(now, leg.service, leg.tried,
-                         connectionShare(exchange.facts.table->configuration(), leg.service),
-                         timesOf(*exchange.facts.route).mean());
+    const auto backend = backends_.choose(now, leg.service, leg.tried,
+                                          connectionShare(exchange.facts.table->configuration(), leg.service),
+                                          timesOf(*exchange.facts.route).mean());
     // Another server that is known to fail brings nothing while the first one may still answer.
     if (!backend || (leg.open > 0 && now < backend->avoidUntil))
         return false;
@@ -215,7 +211,8 @@
 /// part of the caller's time. Returns false when that is over or there is nothing to try again.
 bool ForwardCore::beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg)
 {
-    if (leg.unreached.empty() || now - exchange.arrivedAt > (exchange.deadline - exchange.arrivedAt) / RecoveryShare)
+    if (leg.unreached.empty()
+        || now - exchange.arrivedAt > (exchange.deadline - exchange.arrivedAt) / RecoveryShare)
         return false;
     std::erase_if(leg.tried, [&](const BackendPointer &backend) {
         return std::find(leg.unreached.begin(), leg.unreached.end(), backend) != leg.unreached.end();
--- a/Libraries/LibForward/GatherPolicy.h
+++ b/Libraries/LibForward/GatherPolicy.h
@@ -20,16 +20,18 @@
     Base::Instant answerBy; ///< Last moment at which an answer reaches the caller within its target.
 };
 
-/// Load pattern: one or a few shards lag behind the others. Up to `answerBy` each further part raises the worth
-/// of the answer and costs nothing; after it, a late answer is worth a small fraction whatever it covers, so
-/// it leaves as soon as it is a success at all. A gather that can no longer become a success ends at once.
-/// Shards that are out of reach are waited for only when the answer would be no success without them.
+/// Load pattern: one or a few shards lag behind the others. Up to `answerBy` each further part raises the
+/// worth of the answer and costs nothing; after it, a late answer is worth a small fraction whatever it
+/// covers, so it leaves as soon as it is a success at all. A gather that can no longer become a success ends
+/// at once. Shards that are out of reach are waited for only when the answer would be no success without
+/// them.
 inline GatherDecision decideGather(const GatherProgress &progress, Base::Instant now)
 {
     const auto needed = progress.minimumCoverage * static_cast<double>(progress.total) - 1e-9;
     const auto present = static_cast<double>(progress.present);
     if (progress.present > 0 && present >= needed)
-        return progress.pending == 0 || now >= progress.answerBy ? GatherDecision::Answer : GatherDecision::Wait;
+        return progress.pending == 0 || now >= progress.answerBy ? GatherDecision::Answer
+                                                                 : GatherDecision::Wait;
     const auto possible = progress.pending + progress.recovering;
     if (possible == 0 || present + static_cast<double>(possible) < needed)
         return GatherDecision::Fail;
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -30,8 +30,9 @@
     Base::Duration hedgeDelay() const
     {
         const auto median = record_.quantile(0.5);
-        return median ? Base::Duration(static_cast<Base::Duration::rep>(HedgeMedianMultiple * median->count()))
-                      : latencyTarget_ / AssumedHedgeMultiple;
+        return median
+                   ? Base::Duration(static_cast<Base::Duration::rep>(HedgeMedianMultiple * median->count()))
+                   : latencyTarget_ / AssumedHedgeMultiple;
     }
 
 private:
--- a/Libraries/LibRegistry/GatewayTable.cpp
+++ b/Libraries/LibRegistry/GatewayTable.cpp
@@ -50,8 +50,8 @@
     std::vector<Wire::GatewayReport> reports;
     for (const auto &[id, entry] : entries_) {
         if (entry.direct && now - entry.reportedAt < SilenceLimit)
-            reports.push_back({entry.gateway, static_cast<std::uint32_t>(
-                                                  (now - entry.reportedAt) / Base::milliseconds(1))});
+            reports.push_back({entry.gateway,
+                               static_cast<std::uint32_t>((now - entry.reportedAt) / Base::milliseconds(1))});
     }
     return reports;
 }
@@ -68,8 +68,7 @@
 
 void GatewayTable::tick(Base::Instant now)
 {
-    std::erase_if(entries_,
-                  [now](const auto &item) { return now - item.second.reportedAt > ForgetAfter; });
+    std::erase_if(entries_, [now](const auto &item) { return now - item.second.reportedAt > ForgetAfter; });
 }
 
 std::uint64_t digestOf(const std::vector<Wire::GatewayRecord> &gateways)
--- a/Libraries/LibRegistry/GatewayTable.h
+++ b/Libraries/LibRegistry/GatewayTable.h
@@ -14,7 +14,8 @@
 class GatewayTable
 {
 public:
-    /// A gateway reports about three times a second; one that is silent for this long is not given to callers.
+    /// A gateway reports about three times a second; one that is silent for this long is not given to
+    /// callers.
     static constexpr Base::Duration SilenceLimit = Base::milliseconds(1100);
 
     /// A report that came from the gateway itself.
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -83,7 +83,8 @@
 struct WatchReply
 {
     bool leaderKnown = false; ///< False when the registry has heard no leader yet.
-    std::uint32_t leaderSilentMs = 0; ///< Since the registry last heard the leader; bounds how old the rest is.
+    std::uint32_t leaderSilentMs =
+        0; ///< Since the registry last heard the leader; bounds how old the rest is.
     std::uint64_t configurationVersion = 0;
     std::string configurationText; ///< Empty unless it is newer than what the gateway holds.
     std::optional<ServerList> serverList; ///< Without servers when the gateway holds the same ones.
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -9,8 +9,8 @@
 
 namespace Services {
 
-/// Settings of a gateway or registry process, from its settings file. Addresses that its role does not use are
-/// empty.
+/// Settings of a gateway or registry process, from its settings file. Addresses that its role does not use
+/// are empty.
 struct NodeSettings
 {
     std::string nodeId;
--- a/Services/Common/SettingsWatch.h
+++ b/Services/Common/SettingsWatch.h
@@ -36,10 +36,13 @@
 
     Stamp stamp() const
     {
-        struct stat info {};
+        struct stat info
+        {
+        };
         if (::stat(path_.c_str(), &info) != 0)
             return {};
-        return {info.st_mtim.tv_sec, info.st_mtim.tv_nsec, info.st_size, static_cast<std::int64_t>(info.st_ino)};
+        return {info.st_mtim.tv_sec, info.st_mtim.tv_nsec, info.st_size,
+                static_cast<std::int64_t>(info.st_ino)};
     }
 
     std::string path_;
--- a/Services/Gateway/BackendPool.cpp
+++ b/Services/Gateway/BackendPool.cpp
@@ -68,8 +68,8 @@
 
 BackendPool::~BackendPool() = default;
 
-void BackendPool::send(Forward::AttemptId attempt, const Forward::BackendPointer &backend, std::string request,
-                       bool headRequest, bool freshConnection)
+void BackendPool::send(Forward::AttemptId attempt, const Forward::BackendPointer &backend,
+                       std::string request, bool headRequest, bool freshConnection)
 {
     const auto now = clock_.now();
     auto &idle = idle_[backend];
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -79,8 +79,9 @@
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
     const auto now = clock_.now();
-    const auto id = core_.begin(now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)),
-                                      caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay});
+    const auto id =
+        core_.begin(now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)),
+                          caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay});
     auto &pending = pending_[id];
     pending.caller = caller;
     pending.requestId = request.header(adapter_.headers().requestId);
@@ -225,7 +226,8 @@
     reply.isWhole = !succeeded || (response.header("Content-Encoding").empty() && !reply.proof.empty());
     reply.load = adapter_.decodeServerLoad(response.header(names.serverLoad));
     reply.response = std::move(response);
-    metrics_.attemptEnded(reply.notExecuted ? "not_executed" : fmt::format("status_{}", reply.response.status));
+    metrics_.attemptEnded(reply.notExecuted ? "not_executed"
+                                            : fmt::format("status_{}", reply.response.status));
     core_.replyArrived(clock_.now(), attempt, std::move(reply));
     perform();
     return true;
@@ -264,36 +266,36 @@
         response.headers.emplace_back(names.requestId, pending.requestId);
     if (outcome.kind == Forward::Outcome::Kind::Gathered) {
         response.body = std::move(outcome.response.body);
-        response.headers.emplace_back(names.partProofs, fmt::format("{}", fmt::join(outcome.partProofs, ", ")));
+        response.headers.emplace_back(names.partProofs,
+                                      fmt::format("{}", fmt::join(outcome.partProofs, ", ")));
         response.headers.emplace_back(names.missingParts, std::to_string(outcome.missingParts));
         return response;
     }
     response.status = Base::errorAnswer(outcome.error).httpStatus;
     if (outcome.retryAfter)
-        response.headers.emplace_back("Retry-After",
-                                      formatSeconds(*outcome.retryAfter));
+        response.headers.emplace_back("Retry-After", formatSeconds(*outcome.retryAfter));
     return response;
 }
 
-void Forwarder::logAnswer(Base::Instant now, const Pending &pending, const Forward::Outcome &outcome, int status)
+void Forwarder::logAnswer(Base::Instant now, const Pending &pending, const Forward::Outcome &outcome,
+                          int status)
 {
     const auto name = outcomeName(outcome);
     const auto importance = name == "served" ? Importance::Routine : Importance::Notable;
     if (!events_.admits(now, importance))
         return;
-    events_.append("request_answered",
-                   {{"request", pending.requestId},
-                    {"route", pending.routeName},
-                    {"outcome", name},
-                    {"status", status},
-                    {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
-                    {"configuration_version", pending.version},
-                    {"servers_age_ms", (now - serversReadAt_) / Base::milliseconds(1)},
-                    {"attempts", outcome.attempts},
-                    {"extra_attempts", outcome.extraAttempts},
-                    {"missing", outcome.missingParts},
-                    {"lacking", outcome.lackingShards},
-                    {"cause", outcome.cause}});
+    events_.append("request_answered", {{"request", pending.requestId},
+                                        {"route", pending.routeName},
+                                        {"outcome", name},
+                                        {"status", status},
+                                        {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
+                                        {"configuration_version", pending.version},
+                                        {"servers_age_ms", (now - serversReadAt_) / Base::milliseconds(1)},
+                                        {"attempts", outcome.attempts},
+                                        {"extra_attempts", outcome.extraAttempts},
+                                        {"missing", outcome.missingParts},
+                                        {"lacking", outcome.lackingShards},
+                                        {"cause", outcome.cause}});
 }
 
 void Forwarder::armTimer()
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -55,8 +55,8 @@
     };
 
     std::string forwardedHead(const Edge::RequestMessage &request) const;
-    void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller, Base::ErrorKind error,
-                std::string_view cause);
+    void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                Base::ErrorKind error, std::string_view cause);
     Base::Duration timeUntilReady(Base::Instant now) const;
     void perform();
     void send(const Forward::SendAttempt &action);
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -19,8 +19,8 @@
 constexpr Base::Duration LookupMaxAge = Base::milliseconds(1000);
 /// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
 constexpr Base::Duration StaleConfigurationDelay = Base::milliseconds(500);
-/// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers may
-/// use an old look-up for several seconds, so nearly all of the grace is spent serving.
+/// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers
+/// may use an old look-up for several seconds, so nearly all of the grace is spent serving.
 constexpr double StopAcceptingShare = 0.84;
 constexpr double ExitShare = 0.95;
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(100);
@@ -83,7 +83,8 @@
     Peer::EndpointOptions options;
     options.listenAddress = settings_.gatewayPeerAddress();
     options.sharedSecret = settings_.clusterKey;
-    options.handler = [](Wire::Method, const Base::Bytes &, const std::shared_ptr<Peer::Responder> &responder) {
+    options.handler = [](Wire::Method, const Base::Bytes &,
+                         const std::shared_ptr<Peer::Responder> &responder) {
         responder->fail({Base::ErrorKind::InvalidRequest, "a gateway serves no calls of other processes"});
     };
     auto endpoint = Peer::Endpoint::create(std::move(options));
@@ -167,7 +168,8 @@
 Wire::WatchRequest GatewayProcess::watchRequest() const
 {
     Wire::WatchRequest request;
-    request.gateway = {settings_.nodeId, incarnation_, settings_.callerAddress, settings_.dataCentre, state()};
+    request.gateway = {settings_.nodeId, incarnation_, settings_.callerAddress, settings_.dataCentre,
+                       state()};
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     request.serverListDigest = serverListDigest_;
     request.directoryDigest = directoryDigest_;
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -8,7 +8,8 @@
 
 /// A registry answers within its hold time; longer silence means that it is gone or cut off.
 constexpr Base::Duration WatchTimeout = Base::milliseconds(700);
-/// Heartbeats come several times within this; a registry that missed them may be cut off from what is decided.
+/// Heartbeats come several times within this; a registry that missed them may be cut off from what is
+/// decided.
 constexpr std::uint32_t MaxLeaderSilenceMs = 700;
 constexpr Base::Duration SearchInterval = Base::milliseconds(100);
 constexpr Base::Duration SearchTimeout = Base::milliseconds(400);
@@ -55,12 +56,11 @@
 void RegistryWatcher::watch()
 {
     const auto sequence = ++sequence_;
-    openCall_ = endpoint_.call(target_, Wire::Method::WatchRegistry, Wire::encode(makeRequest_()), WatchTimeout,
-                               [this, sequence](Base::Result<Base::Bytes> payload) {
-                                   loop_.post([this, sequence, payload = std::move(payload)] {
-                                       finishWatch(sequence, payload);
-                                   });
-                               });
+    openCall_ = endpoint_.call(
+        target_, Wire::Method::WatchRegistry, Wire::encode(makeRequest_()), WatchTimeout,
+        [this, sequence](Base::Result<Base::Bytes> payload) {
+            loop_.post([this, sequence, payload = std::move(payload)] { finishWatch(sequence, payload); });
+        });
 }
 
 void RegistryWatcher::finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload)
@@ -68,8 +68,8 @@
     if (sequence != sequence_ || !isConnected())
         return;
     openCall_ = 0;
-    const auto reply = payload.and_then(
-        [](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
+    const auto reply =
+        payload.and_then([](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
     if (!reply)
         return disconnect(reply.error().detail);
     if (!take(*reply))
@@ -84,20 +84,19 @@
             continue;
         auto request = makeRequest_();
         request.mayWait = false;
-        endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
-                       [this, address](Base::Result<Base::Bytes> payload) {
-                           loop_.post([this, address, payload = std::move(payload)] {
-                               finishSearch(address, payload);
-                           });
-                       });
+        endpoint_.call(
+            address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
+            [this, address](Base::Result<Base::Bytes> payload) {
+                loop_.post([this, address, payload = std::move(payload)] { finishSearch(address, payload); });
+            });
     }
 }
 
 void RegistryWatcher::finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload)
 {
     asked_.erase(address);
-    const auto reply = payload.and_then(
-        [](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
+    const auto reply =
+        payload.and_then([](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
     // A registry that cannot be reached is asked again with the next round.
     if (reply && take(*reply) && !isConnected())
         connect(address);
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -24,8 +24,8 @@
     /// Receives each reply; `fresh` when the registry hears its leader.
     using TakeReply = std::function<void(const Wire::WatchReply &reply, bool fresh)>;
 
-    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events, MakeRequest makeRequest,
-                    TakeReply takeReply);
+    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events,
+                    MakeRequest makeRequest, TakeReply takeReply);
 
     /// Adds addresses to those known; none is forgotten, because an old one may be the only one reachable.
     void addRegistries(const std::vector<std::string> &addresses);
--- a/Services/Main.cpp
+++ b/Services/Main.cpp
@@ -1,8 +1,8 @@
 #include "Services/Cli/CallerCommands.h"
 #include "Services/Cli/CommandTable.h"
 #include "Services/Cli/DocumentCommands.h"
-#include "Services/Cli/ServiceCommands.h"
 #include "Services/Cli/RoutingCommands.h"
+#include "Services/Cli/ServiceCommands.h"
 #include "Services/Cli/StatusCommand.h"
 #include "platform/PlatformProtocol.h"
 
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -22,8 +22,8 @@
 
 bool isFounder(const NodeSettings &settings, const Consensus::LogStore &store, bool wasRepaired)
 {
-    const bool empty = !store.snapshot() && store.lastIndex() == 0
-                       && store.hardState() == Consensus::HardState {};
+    const bool empty =
+        !store.snapshot() && store.lastIndex() == 0 && store.hardState() == Consensus::HardState {};
     // A node that was removed is empty again, but its cluster lives on without it.
     return empty && !wasRepaired && settings.firstStart
            && (settings.seeds.empty() || settings.seeds.front() == settings.operatorAddress);
@@ -31,7 +31,8 @@
 
 } // namespace
 
-Base::Result<std::unique_ptr<ClusterNode>> ClusterNode::create(const NodeSettings &settings, Base::Instant now)
+Base::Result<std::unique_ptr<ClusterNode>> ClusterNode::create(const NodeSettings &settings,
+                                                               Base::Instant now)
 {
     const auto wasRepaired = Consensus::FileLogStore::wasRepaired(directoryOf(settings));
     if (!wasRepaired)
--- a/Services/Registry/ClusterNode.h
+++ b/Services/Registry/ClusterNode.h
@@ -10,8 +10,8 @@
 
 namespace Services {
 
-/// The replicated part of a registry: the store on disk, the consensus node and the register on top. It is made
-/// anew when the disk failed or when the node must join as an empty one.
+/// The replicated part of a registry: the store on disk, the consensus node and the register on top. It is
+/// made anew when the disk failed or when the node must join as an empty one.
 class ClusterNode
 {
 public:
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -79,8 +79,9 @@
 
 void RegistryProcess::closeCluster(const Base::Error &reason)
 {
-    events_.write(clock_.now(), Importance::Notable, "dependency_lost",
-                  {{"dependency", "disk"}, {"error", Base::errorName(reason.kind)}, {"detail", reason.detail}});
+    events_.write(
+        clock_.now(), Importance::Notable, "dependency_lost",
+        {{"dependency", "disk"}, {"error", Base::errorName(reason.kind)}, {"detail", reason.detail}});
     openFailure_ = reason.detail;
     cluster_->core().abandon();
     cluster_.reset();
@@ -175,7 +176,8 @@
 bool RegistryProcess::isMember(const Consensus::RaftStatus &status) const
 {
     return std::any_of(status.members.begin(), status.members.end(), [this](const auto &member) {
-        return member.member.nodeId == settings_.nodeId && member.member.incarnation == cluster_->incarnation();
+        return member.member.nodeId == settings_.nodeId
+               && member.member.incarnation == cluster_->incarnation();
     });
 }
 
@@ -223,14 +225,13 @@
         target = hint->second;
         joinHints_.erase(hint);
     }
-    const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(), settings_.registryPeerAddress(),
-                                     cluster_->holdsLog()};
-    endpoint_->call(target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
-                    [this, target](Base::Result<Base::Bytes> payload) {
-                        loop_.post([this, target, payload = std::move(payload)] {
-                            handleJoinReply(target, payload);
-                        });
-                    });
+    const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(),
+                                     settings_.registryPeerAddress(), cluster_->holdsLog()};
+    endpoint_->call(
+        target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
+        [this, target](Base::Result<Base::Bytes> payload) {
+            loop_.post([this, target, payload = std::move(payload)] { handleJoinReply(target, payload); });
+        });
 }
 
 void RegistryProcess::handleJoinReply(const std::string &address, const Base::Result<Base::Bytes> &payload)
@@ -267,9 +268,10 @@
     }
     addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
     auto membership = Control::MembershipPlanner::present(status);
-    reply.isMember = std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
-        return member.nodeId == request.nodeId && member.incarnation == request.incarnation;
-    });
+    reply.isMember =
+        std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
+            return member.nodeId == request.nodeId && member.incarnation == request.incarnation;
+        });
     if (reply.isMember)
         return reply;
     // Its log may end in entries that this cluster never had, and its vote was not asked for meanwhile.
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -38,19 +38,22 @@
 
 Edge::ResponseMessage errorResponse(const Base::Error &error)
 {
-    return jsonResponse(statusOf(error.kind), fmt::format("{{\"error\":\"{}\"}}", Base::errorName(error.kind)));
+    return jsonResponse(statusOf(error.kind),
+                        fmt::format("{{\"error\":\"{}\"}}", Base::errorName(error.kind)));
 }
 
 bool isGathering(const Consensus::RaftStatus &status, std::size_t voterTarget)
 {
-    const auto voters = static_cast<std::size_t>(std::count_if(
-        status.members.begin(), status.members.end(), [](const auto &member) { return member.member.voter; }));
+    const auto voters =
+        static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
+                                               [](const auto &member) { return member.member.voter; }));
     return voters < voterTarget;
 }
 
 } // namespace
 
-void RegistryProcess::handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange)
+void RegistryProcess::handleOperator(const Edge::RequestMessage &request,
+                                     const Edge::CallerExchange &exchange)
 {
     switch (adapter_.classify(request.method, request.path())) {
     case Adapter::Call::ReplaceConfiguration:
@@ -141,24 +144,24 @@
     const auto leader = leaderAddress(cluster_->raft().status(now));
     if (leader.empty() || leader == settings_.registryPeerAddress())
         return answer(0, Base::fail(ErrorKind::ControlUnavailable, "no leader is known"));
-    endpoint_->call(leader, Wire::Method::ReadConfiguration,
-                    Wire::encode(Wire::ReadConfigurationRequest {configuration.version()}), ForwardTimeout,
-                    [this, answer](const Base::Result<Base::Bytes> &payload) {
-                        auto reply = payload.and_then([](const Base::Bytes &bytes) {
-                            return Wire::decode<Wire::ReadConfigurationReply>(bytes);
-                        });
-                        loop_.post([this, answer, reply = std::move(reply)] {
-                            if (!reply)
-                                return answer(0, tl::unexpected(reply.error()));
-                            // The leader left the text out because this node held the same version when it asked.
-                            const auto &held = cluster_ ? cluster_->core().configuration().text() : std::string();
-                            const bool isHeld = reply->text.empty() && cluster_
-                                                && cluster_->core().configuration().version() == reply->version;
-                            if (reply->text.empty() && !isHeld)
-                                return answer(0, Base::fail(ErrorKind::ControlUnavailable, "overtaken meanwhile"));
-                            answer(reply->version, isHeld ? held : reply->text);
-                        });
-                    });
+    endpoint_->call(
+        leader, Wire::Method::ReadConfiguration,
+        Wire::encode(Wire::ReadConfigurationRequest {configuration.version()}), ForwardTimeout,
+        [this, answer](const Base::Result<Base::Bytes> &payload) {
+            auto reply = payload.and_then(
+                [](const Base::Bytes &bytes) { return Wire::decode<Wire::ReadConfigurationReply>(bytes); });
+            loop_.post([this, answer, reply = std::move(reply)] {
+                if (!reply)
+                    return answer(0, tl::unexpected(reply.error()));
+                // The leader left the text out because this node held the same version when it asked.
+                const auto &held = cluster_ ? cluster_->core().configuration().text() : std::string();
+                const bool isHeld = reply->text.empty() && cluster_
+                                    && cluster_->core().configuration().version() == reply->version;
+                if (reply->text.empty() && !isHeld)
+                    return answer(0, Base::fail(ErrorKind::ControlUnavailable, "overtaken meanwhile"));
+                answer(reply->version, isHeld ? held : reply->text);
+            });
+        });
 }
 
 } // namespace Services
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -104,10 +104,9 @@
     std::vector<Watcher> later;
     for (auto &watcher : std::exchange(watchers_, {})) {
         const auto &held = watcher.request;
-        const bool news =
-            (cluster_ && cluster_->core().configuration().version() > held.configurationVersion)
-            || (serverList_.isKnown() && serverList_.digest() != held.serverListDigest)
-            || directoryDigest_ != held.directoryDigest;
+        const bool news = (cluster_ && cluster_->core().configuration().version() > held.configurationVersion)
+                          || (serverList_.isKnown() && serverList_.digest() != held.serverListDigest)
+                          || directoryDigest_ != held.directoryDigest;
         if (news || now >= watcher.heldUntil)
             watcher.responder->reply(Wire::encode(watchReply(now, held)));
         else
@@ -161,7 +160,8 @@
     }
 }
 
-void RegistryProcess::takeSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder)
+void RegistryProcess::takeSharedState(const Wire::ShareStateRequest &request,
+                                      const ResponderPointer &responder)
 {
     const auto now = clock_.now();
     gateways_.merge(now, request.gateways);
@@ -186,7 +186,8 @@
         nextRead_ = list ? readAt : readAt + FailedReadPause;
         if (static_cast<bool>(list) != listReachable_) {
             listReachable_ = static_cast<bool>(list);
-            events_.write(readAt, Importance::Notable, listReachable_ ? "dependency_regained" : "dependency_lost",
+            events_.write(readAt, Importance::Notable,
+                          listReachable_ ? "dependency_regained" : "dependency_lost",
                           {{"dependency", "server_list"}, {"detail", list ? "" : list.error().detail}});
         }
         if (!list)
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -21,9 +21,9 @@
 
 } // namespace
 
-Base::Result<std::unique_ptr<RegistryProcess>> RegistryProcess::create(const std::string &settingsPath,
-                                                                       const std::string &metricsPort,
-                                                                       const Adapter::PlatformAdapter &adapter)
+Base::Result<std::unique_ptr<RegistryProcess>>
+RegistryProcess::create(const std::string &settingsPath, const std::string &metricsPort,
+                        const Adapter::PlatformAdapter &adapter)
 {
     auto settings = readNodeSettings(settingsPath);
     if (!settings)
@@ -156,7 +156,8 @@
     for (const auto &watcher : watchers_)
         watcher.responder->fail({Base::ErrorKind::ShuttingDown, {}});
     watchers_.clear();
-    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopping", {{"node", settings_.nodeId}});
+    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopping",
+                  {{"node", settings_.nodeId}});
     loop_.stop();
 }
 
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -27,8 +27,8 @@
 namespace Services {
 
 /// One registry process: keeps the newest configuration on its disk together with the other registries, reads
-/// the platform's server list, and tells gateways what changed. Everything runs on the loop's thread; the peer
-/// endpoint's thread posts to it.
+/// the platform's server list, and tells gateways what changed. Everything runs on the loop's thread; the
+/// peer endpoint's thread posts to it.
 class RegistryProcess
 {
 public:
--- a/Services/Registry/ServerListReader.cpp
+++ b/Services/Registry/ServerListReader.cpp
@@ -42,8 +42,8 @@
 {
     if (!connection_ || !connection_->isReusable(clock_.now()))
         connection_ = std::make_unique<Edge::BackendConnection>(loop_, address_, ConnectTimeout, *this);
-    connection_->send(fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", adapter_.serverListTarget(page_),
-                                  address_));
+    connection_->send(
+        fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", adapter_.serverListTarget(page_), address_));
 }
 
 void ServerListReader::checkTimeout(Base::Instant now)
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -47,8 +47,8 @@
 {
     BackendTable table(1);
     table.update(Start, listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2)}));
-    table.update(Start + Base::seconds(1),
-                 listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2), serverRecord("new", "t", 1)}));
+    table.update(Start + Base::seconds(1), listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2),
+                                                   serverRecord("new", "t", 1)}));
     EXPECT_EQ(table.eligibleCount("s"), 1U);
     EXPECT_EQ(table.eligibleCount("t"), 1U);
 }
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -17,8 +17,9 @@
                        version, route);
 }
 
-constexpr const char *ProperRoute = R"("host":"H.example","pathPrefix":"/a/","routeType":"safe","timeoutMs":1000,)"
-                                    R"("targetLatencyMs":100,"priority":2,"service":"s","attempts":2)";
+constexpr const char *ProperRoute =
+    R"("host":"H.example","pathPrefix":"/a/","routeType":"safe","timeoutMs":1000,)"
+    R"("targetLatencyMs":100,"priority":2,"service":"s","attempts":2)";
 
 } // namespace
 
@@ -63,13 +64,14 @@
     EXPECT_FALSE(Protocol.decodeConfiguration("[]").has_value());
     EXPECT_FALSE(Protocol.decodeConfiguration(configuration(ProperRoute, "\"7\"")).has_value());
     EXPECT_FALSE(Protocol.decodeConfiguration(configuration(ProperRoute, "-1")).has_value());
-    for (const char *route :
-         {R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":0,"service":"s")",
-          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"t")",
-          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10)",
-          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"trafficSplit":[{"service":"s","weight":0}])",
-          R"("host":1,"pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"s")",
-          R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":"10","service":"s")"}) {
+    for (
+        const char *route :
+        {R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":0,"service":"s")",
+         R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"t")",
+         R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10)",
+         R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"trafficSplit":[{"service":"s","weight":0}])",
+         R"("host":1,"pathPrefix":"/a/","routeType":"safe","timeoutMs":10,"service":"s")",
+         R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":"10","service":"s")"}) {
         const auto decoded = Protocol.decodeConfiguration(configuration(route));
         EXPECT_FALSE(decoded.has_value()) << route;
     }
@@ -78,14 +80,16 @@
 // One entry of another writer must not hide the servers beside it.
 TEST(PlatformProtocol, ServerPageKeepsReadableEntries)
 {
-    const std::string proper = R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,)"
-                               R"("state":"ready","warmupLeftMs":120,"id":"i-1","born":1700000000000})";
-    const std::string body = R"({"instances":[{"id":"i-0"},)" + proper
-                             + ",{\"service\":\"s\xff\",\"x\":\"]}\\\"\"},"
-                               R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,"state":"gone","id":"i-2"},)"
-                               R"({"service":"s","address":"nowhere","zone":"z","slots":2,"state":"ready","id":"i-3"},)"
-                               R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"2","state":"ready","id":"i-4"}],)"
-                               R"("nextPageToken":"p-50"})";
+    const std::string proper =
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1","slots":2,)"
+        R"("state":"ready","warmupLeftMs":120,"id":"i-1","born":1700000000000})";
+    const std::string body =
+        R"({"instances":[{"id":"i-0"},)" + proper
+        + ",{\"service\":\"s\xff\",\"x\":\"]}\\\"\"},"
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":2,"state":"gone","id":"i-2"},)"
+          R"({"service":"s","address":"nowhere","zone":"z","slots":2,"state":"ready","id":"i-3"},)"
+          R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"2","state":"ready","id":"i-4"}],)"
+          R"("nextPageToken":"p-50"})";
     const auto page = Protocol.decodeServerPage(body);
     ASSERT_TRUE(page.has_value());
     ASSERT_EQ(page->servers.size(), 1U);
