--- a/Libraries/LibRegistry/GatewayTable.cpp
+++ b/Libraries/LibRegistry/GatewayTable.cpp
@@ -24,6 +24,12 @@
     put(gateway, now, true);
 }
 
+void GatewayTable::relay(Base::Instant now, const std::vector<Wire::GatewayReport> &reports)
+{
+    for (const auto &report : reports)
+        put(report.gateway, now - Base::milliseconds(report.ageMs), true);
+}
+
 void GatewayTable::merge(Base::Instant now, const std::vector<Wire::GatewayReport> &reports)
 {
     for (const auto &report : reports)
--- a/Libraries/LibRegistry/GatewayTable.h
+++ b/Libraries/LibRegistry/GatewayTable.h
@@ -20,10 +20,12 @@
 
     /// A report that came from the gateway itself.
     void report(Base::Instant now, const Wire::GatewayRecord &gateway);
+    /// Reports that reached another gateway, which relays them; they count as heard here, with their age.
+    void relay(Base::Instant now, const std::vector<Wire::GatewayReport> &reports);
     /// Reports that another registry has heard; newer ones replace what is held.
     void merge(Base::Instant now, const std::vector<Wire::GatewayReport> &reports);
 
-    /// Reports heard directly within the silence limit, for other registries.
+    /// Reports heard directly or relayed within the silence limit, for other registries.
     std::vector<Wire::GatewayReport> heardDirectly(Base::Instant now) const;
 
     /// Gateways that callers may use now, ordered by id.
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -68,7 +68,8 @@
     MSGPACK_DEFINE(gateway, ageMs)
 };
 
-/// gateway → registry: reports the gateway and waits until something differs from what it holds.
+/// gateway → registry, or another gateway while no registry is reachable: reports the gateway and waits until
+/// something differs from what it holds.
 struct WatchRequest
 {
     GatewayRecord gateway;
@@ -76,8 +77,9 @@
     std::uint64_t serverListDigest = 0;
     std::uint64_t directoryDigest = 0;
     bool mayWait = true; ///< False asks for an answer at once.
+    std::vector<GatewayReport> relayed; ///< Of gateways that reach the sender but no registry.
 
-    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait)
+    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait, relayed)
 };
 
 struct WatchReply
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -28,10 +28,7 @@
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
     void setServers(Base::Instant now, const Wire::ServerList &list);
     /// The list was read again with the same content.
-    void confirmServers(Base::Instant now, std::uint32_t ageMs)
-    {
-        serversReadAt_ = now - Base::milliseconds(ageMs);
-    }
+    void confirmServers(Base::Instant readAt) { serversReadAt_ = readAt; }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
 
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -1,5 +1,6 @@
 #include "Services/Gateway/GatewayProcess.h"
 
+#include "LibBase/AddressText.h"
 #include "Services/Common/MetricsEndpoint.h"
 
 #include <algorithm>
@@ -64,6 +65,7 @@
     , settingsWatch_(settingsPath)
     , incarnation_(randomNumber())
     , startedAt_(clock_.now())
+    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
 {
 }
 
@@ -83,9 +85,14 @@
     Peer::EndpointOptions options;
     options.listenAddress = settings_.gatewayPeerAddress();
     options.sharedSecret = settings_.clusterKey;
-    options.handler = [](Wire::Method, const Base::Bytes &,
-                         const std::shared_ptr<Peer::Responder> &responder) {
-        responder->fail({Base::ErrorKind::InvalidRequest, "a gateway serves no calls of other processes"});
+    options.handler = [this](Wire::Method method, const Base::Bytes &payload,
+                             const std::shared_ptr<Peer::Responder> &responder) {
+        if (method != Wire::Method::WatchRegistry)
+            return responder->fail({Base::ErrorKind::InvalidRequest, "a gateway does not serve this call"});
+        const auto request = Wire::decode<Wire::WatchRequest>(payload);
+        if (!request)
+            return responder->fail(request.error());
+        loop_.post([this, request = *request, responder] { watch(request, responder); });
     };
     auto endpoint = Peer::Endpoint::create(std::move(options));
     if (!endpoint)
@@ -171,18 +178,51 @@
     request.gateway = {settings_.nodeId, incarnation_, settings_.callerAddress, settings_.dataCentre,
                        state()};
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
-    request.serverListDigest = serverListDigest_;
+    request.serverListDigest = serverList_.digest();
     request.directoryDigest = directoryDigest_;
+    request.relayed = otherGateways_.heardDirectly(clock_.now());
     return request;
 }
 
+void GatewayProcess::watch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder)
+{
+    const auto now = clock_.now();
+    otherGateways_.report(now, request.gateway);
+    watchers_.add(now, request, responder);
+}
+
+Wire::WatchReply GatewayProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request) const
+{
+    Wire::WatchReply reply;
+    // Only first-hand knowledge is passed on, or gateways without a registry would confirm each other.
+    reply.leaderKnown = watcher_ && watcher_->isFirstHand();
+    reply.leaderSilentMs = static_cast<std::uint32_t>((now - leaderHeardAt_) / Base::milliseconds(1));
+    reply.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
+    if (reply.configurationVersion > request.configurationVersion)
+        reply.configurationText = configurationText_;
+    reply.serverList = serverList_.copyFor(now, request.serverListDigest);
+    reply.directoryDigest = directoryDigest_;
+    if (directoryDigest_ != request.directoryDigest)
+        reply.directory = directory_;
+    return reply;
+}
+
+std::string GatewayProcess::peerAddressOf(const Wire::GatewayRecord &gateway) const
+{
+    const auto parts = Base::parseAddress(gateway.callerAddress);
+    return parts ? fmt::format("{}:{}", parts->ip, settings_.gatewayPort) : std::string();
+}
+
 void GatewayProcess::takeReply(const Wire::WatchReply &reply, bool fresh)
 {
     const auto before = state();
+    if (fresh)
+        leaderHeardAt_ = clock_.now() - Base::milliseconds(reply.leaderSilentMs);
     takeConfiguration(reply, fresh);
     if (reply.serverList)
         takeServerList(*reply.serverList);
     takeDirectory(reply);
+    watchers_.answer(clock_.now());
     if (state() != before)
         events_.write(clock_.now(), Importance::Notable, "state_changed",
                       {{"ready", isReady()}, {"leaving", leavingSince_.has_value()}});
@@ -210,6 +250,7 @@
     limits.headerTimeout = configuration->limits.headerTimeout;
     limits.idleTimeout = configuration->limits.idleTimeout;
     callerServer_->setLimits(limits);
+    configurationText_ = reply.configurationText;
     const auto routes = configuration->routes.size();
     forwarder_->setRoutes(std::make_shared<const Route::RouteTable>(std::move(*configuration)));
     events_.write(now, Importance::Notable, "configuration_in_force",
@@ -223,19 +264,11 @@
 void GatewayProcess::takeServerList(const Wire::ServerList &list)
 {
     const auto now = clock_.now();
-    const auto readAt = now - Base::milliseconds(list.ageMs);
-    if (serverListKnown_ && readAt <= serverListReadAt_)
-        return;
-    const bool same = serverListKnown_ && list.digest == serverListDigest_;
-    if (!same && list.servers.empty())
-        return; // The registry supposed that this content is held; it sends the content next time.
-    serverListReadAt_ = readAt;
-    serverListKnown_ = true;
-    if (same) {
-        forwarder_->confirmServers(now, list.ageMs);
+    if (!serverList_.offer(now, list)) {
+        if (list.digest == serverList_.digest())
+            forwarder_->confirmServers(serverList_.readAt());
         return;
     }
-    serverListDigest_ = list.digest;
     forwarder_->setServers(now, list);
     events_.write(now, Importance::Notable, "server_list_changed",
                   {{"servers", list.servers.size()}, {"age_ms", list.ageMs}, {"digest", list.digest}});
@@ -247,6 +280,12 @@
         return;
     directoryDigest_ = reply.directoryDigest;
     directory_ = reply.directory;
+    std::vector<std::string> others;
+    for (const auto &gateway : directory_) {
+        if (gateway.gatewayId != settings_.nodeId)
+            others.push_back(peerAddressOf(gateway));
+    }
+    watcher_->setGateways(std::move(others));
     if (!directory_.empty())
         forwarder_->setGatewayCount(std::max(directory_.size(), AssumedGateways / 2));
     events_.write(clock_.now(), Importance::Notable, "directory_changed", {{"serving", directory_.size()}});
@@ -277,6 +316,8 @@
 {
     const auto now = clock_.now();
     forwarder_->maintain(now);
+    otherGateways_.tick(now);
+    watchers_.answer(now);
     reloadSettings(false);
     if (leavingSince_)
         continueLeaving(now);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -5,8 +5,11 @@
 #include "LibEdge/CallerServer.h"
 #include "LibEdge/Loop.h"
 #include "LibPeer/Endpoint.h"
+#include "LibRegistry/GatewayTable.h"
+#include "LibRegistry/ServerListHolder.h"
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
+#include "Services/Common/WatchDesk.h"
 #include "Services/Gateway/Forwarder.h"
 #include "Services/Gateway/GatewayMetrics.h"
 #include "Services/Gateway/RegistryWatcher.h"
@@ -42,6 +45,9 @@
     void takeConfiguration(const Wire::WatchReply &reply, bool fresh);
     void takeDirectory(const Wire::WatchReply &reply);
     void takeServerList(const Wire::ServerList &list);
+    void watch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder);
+    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request) const;
+    std::string peerAddressOf(const Wire::GatewayRecord &gateway) const;
     void lookUp(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const;
     void tick();
     void reloadSettings(bool force);
@@ -64,9 +70,11 @@
     std::optional<Base::Instant> leavingSince_;
     bool stoppedAccepting_ = false;
     std::string refusedConfiguration_; ///< Detail of the last one that could not be decoded.
-    std::uint64_t serverListDigest_ = 0;
-    Base::Instant serverListReadAt_;
-    bool serverListKnown_ = false;
+    std::string configurationText_; ///< In force, for gateways that reach no registry.
+    Registry::ServerListHolder serverList_;
+    Registry::GatewayTable otherGateways_; ///< Those that report here because they reach no registry.
+    Base::Instant leaderHeardAt_; ///< Last moment at which a registry is known to have heard its leader.
+    WatchDesk watchers_;
     std::uint64_t directoryDigest_ = 0;
     std::vector<Wire::GatewayRecord> directory_;
     std::unique_ptr<Forwarder> forwarder_;
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/RegistryWatcher.h"
 
+#include <algorithm>
+
 namespace Services {
 
 namespace {
@@ -13,6 +15,10 @@
 constexpr std::uint32_t MaxLeaderSilenceMs = 700;
 constexpr Base::Duration SearchInterval = Base::milliseconds(100);
 constexpr Base::Duration SearchTimeout = Base::milliseconds(400);
+/// Registries that restart are back within this, and first-hand knowledge is better.
+constexpr Base::Duration GatewayFallbackDelay = Base::milliseconds(400);
+/// Gateways asked in each round of the search.
+constexpr std::size_t GatewaysAsked = 2;
 
 } // namespace
 
@@ -36,8 +42,9 @@
 
 void RegistryWatcher::start()
 {
+    searchingSince_ = clock_.now();
     loop_.repeat(SearchInterval, [this] {
-        if (!isConnected())
+        if (!isConnected() || !isFirstHand())
             search();
     });
     search();
@@ -79,17 +86,26 @@
 
 void RegistryWatcher::search()
 {
-    for (const auto &address : registries_) {
-        if (!asked_.insert(address).second)
-            continue;
-        auto request = makeRequest_();
-        request.mayWait = false;
-        endpoint_.call(
-            address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
-            [this, address](Base::Result<Base::Bytes> payload) {
-                loop_.post([this, address, payload = std::move(payload)] { finishSearch(address, payload); });
-            });
-    }
+    for (const auto &address : registries_)
+        ask(address);
+    if (isConnected() || gateways_.empty() || clock_.now() - searchingSince_ < GatewayFallbackDelay)
+        return;
+    for (std::size_t count = 0; count < std::min(GatewaysAsked, gateways_.size()); ++count)
+        ask(gateways_[nextGateway_++ % gateways_.size()]);
+}
+
+void RegistryWatcher::ask(const std::string &address)
+{
+    if (!asked_.insert(address).second)
+        return;
+    auto request = makeRequest_();
+    request.mayWait = false;
+    endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
+                   [this, address](Base::Result<Base::Bytes> payload) {
+                       loop_.post([this, address, payload = std::move(payload)] {
+                           finishSearch(address, payload);
+                       });
+                   });
 }
 
 void RegistryWatcher::finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload)
@@ -97,8 +113,11 @@
     asked_.erase(address);
     const auto reply =
         payload.and_then([](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
-    // A registry that cannot be reached is asked again with the next round.
-    if (reply && take(*reply) && !isConnected())
+    // Who cannot be reached is asked again with the next round.
+    if (!reply || !take(*reply))
+        return;
+    const bool better = isConnected() && !isFirstHand() && registries_.contains(address);
+    if (!isConnected() || better)
         connect(address);
 }
 
@@ -124,6 +143,7 @@
     events_.write(clock_.now(), Importance::Notable, "dependency_lost",
                   {{"dependency", "registry"}, {"address", target_}, {"detail", detail}});
     target_.clear();
+    searchingSince_ = clock_.now();
     search();
 }
 
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -15,7 +15,8 @@
 
 /// Keeps a gateway up to date. While a registry that hears its leader is known, one call to it stays open and
 /// is answered when something changes. Otherwise all registries are asked side by side, so that the first one
-/// to recover is found at once.
+/// to recover is found at once; after a moment some gateways are asked too, since a VM that is cut off from the
+/// registries may still reach one that is not.
 class RegistryWatcher
 {
 public:
@@ -29,15 +30,20 @@
 
     /// Adds addresses to those known; none is forgotten, because an old one may be the only one reachable.
     void addRegistries(const std::vector<std::string> &addresses);
+    /// Peer addresses of the other gateways.
+    void setGateways(std::vector<std::string> addresses) { gateways_ = std::move(addresses); }
     void start();
     /// Reports a change of this gateway without waiting for the open call.
     void reportNow();
     bool isConnected() const { return !target_.empty(); }
+    /// Connected to a registry, and not to a gateway that relays.
+    bool isFirstHand() const { return registries_.contains(target_); }
 
 private:
     void watch();
     void finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload);
     void search();
+    void ask(const std::string &address);
     void finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload);
     void connect(const std::string &address);
     void disconnect(const std::string &detail);
@@ -50,7 +56,10 @@
     TakeReply takeReply_;
     Base::SystemClock clock_;
     std::set<std::string> registries_;
-    std::string target_; ///< Registry with the open call; empty while searching.
+    std::vector<std::string> gateways_;
+    std::size_t nextGateway_ = 0;
+    Base::Instant searchingSince_;
+    std::string target_; ///< Registry or gateway with the open call; empty while searching.
     std::uint64_t sequence_ = 0; ///< Of the latest watch; replies to earlier ones are dropped.
     Peer::CallId openCall_ = 0;
     std::set<std::string> asked_; ///< Registries with an open call of the search.
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -106,7 +106,7 @@
                           {{"version", configuration.version()},
                            {"bytes", configuration.text().size()},
                            {"log_index", cluster_->core().appliedIndex()}});
-            answerWatchers(clock_.now());
+            watchers_.answer(clock_.now());
         }
         if (const auto compacted = cluster_->compactIfDue(payloadBytes(*ready)); !compacted)
             return closeCluster(compacted.error());
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -12,8 +12,6 @@
 using Base::ErrorKind;
 using Importance = Base::EventLog::Importance;
 
-/// A watching gateway gets an answer after this time even if nothing changed, as a sign of life.
-constexpr Base::Duration WatchHold = Base::milliseconds(300);
 constexpr Base::Duration ShareInterval = Base::milliseconds(300);
 constexpr Base::Duration ShareTimeout = Base::seconds(1);
 /// Pause after a failed read of the server list.
@@ -83,9 +81,9 @@
 {
     const auto now = clock_.now();
     gateways_.report(now, request.gateway);
+    gateways_.relay(now, request.relayed);
     updateDirectory(now);
-    watchers_.push_back({request, responder, request.mayWait ? now + WatchHold : now});
-    answerWatchers(now);
+    watchers_.add(now, request, responder);
 }
 
 void RegistryProcess::updateDirectory(Base::Instant now)
@@ -99,22 +97,6 @@
     directoryDigest_ = Registry::digestOf(directory_);
 }
 
-void RegistryProcess::answerWatchers(Base::Instant now)
-{
-    std::vector<Watcher> later;
-    for (auto &watcher : std::exchange(watchers_, {})) {
-        const auto &held = watcher.request;
-        const bool news = (cluster_ && cluster_->core().configuration().version() > held.configurationVersion)
-                          || (serverList_.isKnown() && serverList_.digest() != held.serverListDigest)
-                          || directoryDigest_ != held.directoryDigest;
-        if (news || now >= watcher.heldUntil)
-            watcher.responder->reply(Wire::encode(watchReply(now, held)));
-        else
-            later.push_back(std::move(watcher));
-    }
-    watchers_ = std::move(later);
-}
-
 Wire::WatchReply RegistryProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request)
 {
     Wire::WatchReply reply;
@@ -169,7 +151,7 @@
         serverList_.offer(now, *request.serverList);
     responder->reply(Wire::encode(Wire::ShareStateReply {serverList_.digest()}));
     updateDirectory(now);
-    answerWatchers(now);
+    watchers_.answer(now);
 }
 
 void RegistryProcess::readServerListIfDue(Base::Instant now)
@@ -199,7 +181,7 @@
                            {"unreadable", unreadable},
                            {"age_ms", list->ageMs},
                            {"digest", list->digest}});
-            answerWatchers(readAt);
+            watchers_.answer(readAt);
         }
     });
 }
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -47,6 +47,7 @@
         writeClusterEvent(level, sentence, fields);
     })
     , startedAt_(clock_.now())
+    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
 {
 }
 
@@ -128,7 +129,7 @@
     updateDirectory(now);
     readServerListIfDue(now);
     shareState(now);
-    answerWatchers(now);
+    watchers_.answer(now);
     events_.flush();
 }
 
@@ -153,9 +154,7 @@
 {
     if (cluster_)
         cluster_->core().abandon();
-    for (const auto &watcher : watchers_)
-        watcher.responder->fail({Base::ErrorKind::ShuttingDown, {}});
-    watchers_.clear();
+    watchers_.abandon();
     events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopping",
                   {{"node", settings_.nodeId}});
     loop_.stop();
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -13,6 +13,7 @@
 #include "LibWire/IntroduceMessages.h"
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
+#include "Services/Common/WatchDesk.h"
 #include "Services/Control/AddressBook.h"
 #include "Services/Registry/ClusterNode.h"
 #include "Services/Registry/ServerListReader.h"
@@ -45,13 +46,6 @@
 private:
     using ResponderPointer = std::shared_ptr<Peer::Responder>;
 
-    struct Watcher
-    {
-        Wire::WatchRequest request;
-        ResponderPointer responder;
-        Base::Instant heldUntil;
-    };
-
     RegistryProcess(const std::string &settingsPath, NodeSettings settings,
                     const Adapter::PlatformAdapter &adapter);
 
@@ -88,7 +82,6 @@
     void takeSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder);
     void submitForPeer(const Wire::SubmitConfigurationRequest &request, const ResponderPointer &responder);
     void readForPeer(const Wire::ReadConfigurationRequest &request, const ResponderPointer &responder);
-    void answerWatchers(Base::Instant now);
     Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request);
     void shareState(Base::Instant now);
     void updateDirectory(Base::Instant now);
@@ -134,7 +127,7 @@
     bool listReachable_ = true;
     std::map<std::string, std::uint64_t> peerListDigests_; ///< What other registries hold, by address.
     Base::Instant nextShare_;
-    std::vector<Watcher> watchers_;
+    WatchDesk watchers_;
     std::unique_ptr<Edge::CallerServer> operatorServer_;
     std::unique_ptr<Edge::CallerServer> metricsServer_;
     std::unique_ptr<Peer::Endpoint> endpoint_; ///< Last, so that its thread ends before what it posts to.
--- a/Tests/LibRegistry/TestSoftState.cpp
+++ b/Tests/LibRegistry/TestSoftState.cpp
@@ -59,6 +59,16 @@
     EXPECT_EQ(table.heardDirectly(Start)[0].gateway.gatewayId, "b");
 }
 
+// A gateway that is cut off from the registries stays known while another one relays its reports.
+TEST(GatewayTable, RelayedReportsCountAsHeardWithTheirAge)
+{
+    GatewayTable table;
+    table.relay(Start, {{gateway("a", GatewayState::Serving), 200}});
+    ASSERT_EQ(table.heardDirectly(Start).size(), 1U);
+    EXPECT_EQ(table.heardDirectly(Start)[0].ageMs, 200U);
+    EXPECT_TRUE(table.serving(Start + GatewayTable::SilenceLimit - milliseconds(200)).empty());
+}
+
 // A list that was read earlier must not bring drained servers back, whatever way it came.
 TEST(ServerListHolder, LaterReadWins)
 {
