Let callers keep a look-up for three seconds

Ruled out: the content of the directory, which lacked the dead VMs 1.3 s after the loss; relaying between gateways.

--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -16,8 +16,9 @@
 using Importance = Base::EventLog::Importance;
 
 constexpr Base::Duration TickInterval = Base::milliseconds(250);
-/// Callers ask again this often, so that they leave a VM that is gone soon.
-constexpr Base::Duration LookupMaxAge = Base::milliseconds(1000);
+/// Callers ask again this often. Each look-up delays a request, and at a VM without power by a second; on the
+/// other side callers must leave a VM that is gone soon.
+constexpr Base::Duration LookupMaxAge = Base::milliseconds(3000);
 /// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
 constexpr Base::Duration StaleConfigurationDelay = Base::milliseconds(500);
 /// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers
