--- a/Libraries/LibEdge/CallerConnection.cpp
+++ b/Libraries/LibEdge/CallerConnection.cpp
@@ -181,7 +181,7 @@
         callerLeft_ = std::move(left);
 }
 
-void CallerConnection::write(std::string text)
+void CallerConnection::write(std::string_view text)
 {
     output_ += text;
     if (!writing_)
--- a/Libraries/LibEdge/CallerConnection.h
+++ b/Libraries/LibEdge/CallerConnection.h
@@ -49,7 +49,7 @@
     void parseInput();
     void handleRequest();
     void refuse(int status);
-    void write(std::string text);
+    void write(std::string_view text);
     void continueWrite();
     void finishWrite();
     void noteCallerGone();
--- a/Libraries/LibEdge/Loop.h
+++ b/Libraries/LibEdge/Loop.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <memory>
 
-namespace boost::asio {
+namespace boost::asio { // NOLINT(readability-identifier-naming): the library's own name.
 class io_context;
 }
 
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -26,6 +26,8 @@
 constexpr Base::Duration LoadReportAge = Base::milliseconds(150);
 /// Equal servers share the work when their estimates are drawn apart by up to this fraction.
 constexpr double TieSpread = 0.15;
+/// Round trip to another data centre of the region; bytes between data centres also cost money.
+constexpr double OtherDataCentreMs = 2.0;
 /// Weight of one attempt in the moving averages.
 constexpr double SlownessWeight = 0.15;
 constexpr double ErrorWeight = 0.25;
@@ -131,8 +133,9 @@
         if (!backend->acceptsWork() || backend->openSince.size() >= connectionShare
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
+        const auto distance = backend->record.dataCentre == dataCentre_ ? 0.0 : OtherDataCentreMs;
         const auto estimate =
-            expectedMilliseconds(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit());
+            expectedMilliseconds(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit()) + distance;
         if (!best || estimate < bestEstimate) {
             best = backend;
             bestEstimate = estimate;
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -15,8 +15,10 @@
 class BackendTable
 {
 public:
-    explicit BackendTable(std::uint64_t seed)
+    /// `dataCentre` is where this gateway runs; servers there are reached sooner.
+    BackendTable(std::uint64_t seed, std::string dataCentre)
         : random_(seed)
+        , dataCentre_(std::move(dataCentre))
     {
     }
 
@@ -62,6 +64,7 @@
     std::map<Identity, BackendPointer> backends_;
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     Base::RandomSource random_;
+    std::string dataCentre_;
     bool loaded_ = false;
 };
 
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -17,7 +17,7 @@
 
 ForwardCore::ForwardCore(const ForwardOptions &options)
     : options_(options)
-    , backends_(options.seed)
+    , backends_(options.seed, options.dataCentre)
     , random_(options.seed + 1)
 {
 }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -79,6 +79,7 @@
 /// Bounds of the deployment, as the platform states them.
 struct ForwardOptions
 {
+    std::string dataCentre; ///< Of this gateway.
     std::uint64_t seed = 0;
     double extraLoadRatio = 0.0; ///< Extra arrivals per request of a service, of all gateways together.
     double extraLoadSlack = 0.0; ///< Extra arrivals beyond the ratio, of all gateways together.
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -40,7 +40,7 @@
     static constexpr int AssumedTargetMultiple = 6;
     static constexpr int AssumedHedgeMultiple = 4;
     /// Service times spread by about a third of their mean; beyond twice the median come stalls and tails.
-    static constexpr double HedgeMedianMultiple = 2.0;
+    static constexpr int HedgeMedianMultiple = 2;
     /// About the last thirty attempts decide.
     static constexpr int MeanWeight = 30;
 
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -78,7 +78,7 @@
 
 Forward::ForwardOptions GatewayProcess::forwardOptions() const
 {
-    return {incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack};
+    return {settings_.dataCentre, incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack};
 }
 
 Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -10,8 +10,8 @@
 constexpr std::size_t MaxLogBytes = std::size_t {512} * 1024;
 /// The registries of one deployment are milliseconds apart. The timeout covers the sync of a slow disk, which
 /// delays a leader's heartbeats.
-constexpr Base::Duration HeartbeatInterval = Base::milliseconds(75);
-constexpr Base::Duration ElectionTimeout = Base::milliseconds(350);
+constexpr Base::Duration HeartbeatInterval = Base::milliseconds(60);
+constexpr Base::Duration ElectionTimeout = Base::milliseconds(250);
 /// A VM without a disk keeps its log here. It is gone after a restart, and the node joins as a new one.
 constexpr const char *VolatileDirectory = "/tmp/daisyroute-registry";
 
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -25,7 +25,7 @@
 protected:
     static constexpr int Shards = 10;
 
-    ForwardFixture() { useOptions({1, 0.2, 1000.0}); }
+    ForwardFixture() { useOptions({"dc-a", 1, 0.2, 1000.0}); }
 
     void useOptions(const Forward::ForwardOptions &options)
     {
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -21,7 +21,7 @@
 // A drained or vanished server that still gets work breaks the promise about leaving servers.
 TEST(BackendTable, GivesNoWorkToServersThatLeave)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     auto leaving = serverRecord("b", "s", 2);
     leaving.state = Wire::ServerState::Draining;
     table.update(Start, listOf({serverRecord("a", "s", 1), leaving}));
@@ -33,7 +33,7 @@
 // The list is read page by page; a server that moves between pages during one read must not be lost.
 TEST(BackendTable, KeepsAServerThatOneReadLacks)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1)}));
     table.update(Start, listOf({}));
     EXPECT_EQ(table.eligibleCount("s"), 1U);
@@ -45,7 +45,7 @@
 // count as load on the other server's service (csf-waxroute trouble-3: 718 such requests in one day).
 TEST(BackendTable, GivesNoWorkToAServerWhoseAddressIsTaken)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2)}));
     table.update(Start + Base::seconds(1), listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2),
                                                    serverRecord("new", "t", 1)}));
@@ -56,7 +56,7 @@
 // In one read only the starts tell which of two servers at one address is the older one.
 TEST(BackendTable, ComparesStartsOfServersThatAppearTogether)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     auto young = serverRecord("a-young", "t", 1);
     young.bornAt = 2000;
     auto old = serverRecord("b-old", "s", 1);
@@ -64,7 +64,7 @@
     table.update(Start, listOf({old, young}));
     EXPECT_EQ(table.eligibleCount("t"), 1U);
     EXPECT_EQ(table.eligibleCount("s"), 0U);
-    BackendTable unknown(1);
+    BackendTable unknown(1, "dc-a");
     unknown.update(Start, listOf({serverRecord("a", "t", 1), serverRecord("b", "s", 1)}));
     EXPECT_EQ(unknown.eligibleCount("t") + unknown.eligibleCount("s"), 2U);
 }
@@ -72,7 +72,7 @@
 // Pauses: an attempt that has been open for several times the mean shows that its server has stopped.
 TEST(BackendTable, GoesRoundAServerThatStalls)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
     const auto stalled = table.choose(Start, "s", {}, Share, Mean);
     BackendTable::noteSent(*stalled, Start);
@@ -90,7 +90,7 @@
 // Grey failure: good health, part of the requests failed.
 TEST(BackendTable, PrefersServersWithoutErrorsAndForgetsThemInTime)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
     const auto failing = table.choose(Start, "s", {}, Share, Mean);
     BackendTable::noteError(Start, *failing);
@@ -106,10 +106,25 @@
 // Servers limit their connections, and refuse what comes beyond.
 TEST(BackendTable, KeepsToTheConnectionShare)
 {
-    BackendTable table(1);
+    BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1)}));
     const auto backend = table.choose(Start, "s", {}, 1, Mean);
     BackendTable::noteSent(*backend, Start);
     EXPECT_EQ(table.choose(Start, "s", {}, 1, Mean), nullptr);
     EXPECT_NE(table.choose(Start, "s", {}, 2, Mean), nullptr);
 }
+
+// Bytes between data centres cost money and time; equal servers elsewhere are left for when they are needed.
+TEST(BackendTable, PrefersServersOfItsOwnDataCentre)
+{
+    BackendTable table(1, "dc-a");
+    auto far = serverRecord("far", "s", 2);
+    far.dataCentre = "dc-b";
+    table.update(Start, listOf({serverRecord("near", "s", 1), far}));
+    for (int i = 0; i < 20; ++i)
+        EXPECT_EQ(table.choose(Start, "s", {}, Share, Base::milliseconds(5))->record.id, "near");
+    const auto near = table.choose(Start, "s", {}, Share, Mean);
+    for (int i = 0; i < 3; ++i)
+        BackendTable::noteSent(*near, Start);
+    EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean)->record.id, "far");
+}
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -94,7 +94,7 @@
 // Extra arrivals must stay under the deployment's budget even when every attempt stalls.
 TEST_F(ForwardFixture, ExtraAttemptsStayWithinTheBudget)
 {
-    useOptions({1, 0.2, 10.0});
+    useOptions({"dc-a", 1, 0.2, 10.0});
     constexpr int Requests = 200;
     for (int i = 0; i < Requests; ++i) {
         begin("/s/x");
