--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -54,9 +54,10 @@
     std::string callerAddress; ///< Where callers connect.
     std::string dataCentre;
     GatewayState state = GatewayState::Joining;
+    double processorShare = 1.0; ///< Of a core.
 
     bool operator==(const GatewayRecord &) const = default;
-    MSGPACK_DEFINE(gatewayId, incarnation, callerAddress, dataCentre, state)
+    MSGPACK_DEFINE(gatewayId, incarnation, callerAddress, dataCentre, state, processorShare)
 };
 
 /// A gateway's record with the time since it was received from the gateway itself.
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -60,6 +60,7 @@
     settings.dataDirectory = table.optionalText("data_directory");
     settings.serverListAddress = address(table, "server_list_address");
     settings.serverListCallsPerSecond = table.number("server_list_calls_per_second", {0.1, 1e6, 1.0});
+    settings.processorShare = table.number("processor_share", {0.001, 1024.0, 1.0});
     settings.lookupMaxAge = Base::Duration(
         static_cast<Base::Duration::rep>(table.number("lookup_max_age_s", {0.0, 3600.0, 2.0}) * 1e6));
     settings.shutdownGrace = Base::Duration(
@@ -99,6 +100,7 @@
         if (mistakes.empty())
             return settings;
         std::vector<std::string> lines;
+        lines.reserve(mistakes.size());
         for (const auto &mistake : mistakes)
             lines.push_back(Configuration::describe(mistake));
         return Base::fail(Base::ErrorKind::SettingInvalid, fmt::format("{}", fmt::join(lines, "\n")));
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -30,6 +30,7 @@
     std::string serverListAddress; ///< Where the platform lists backend servers.
     double serverListCallsPerSecond = 1.0; ///< Of all processes together.
 
+    double processorShare = 1.0; ///< Of a core, for all processes of this VM.
     Base::Duration lookupMaxAge {}; ///< Longest time that counts for a look-up's answer.
     Base::Duration shutdownGrace {}; ///< From the stop signal to the kill.
     double extraLoadRatio = 0.0; ///< Extra arrivals per request of a service, of all gateways together.
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -79,15 +79,17 @@
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
     const auto now = clock_.now();
-    const auto id =
-        core_.begin(now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)),
-                          caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay});
+    const auto callerDelay = (caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay)
+                             + answerLag_.allowance();
+    const auto id = core_.begin(
+        now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)), callerDelay});
     auto &pending = pending_[id];
     pending.caller = caller;
     pending.requestId = request.header(adapter_.headers().requestId);
     pending.routeName = route->name;
     pending.version = table_->version();
     pending.arrivedAt = now;
+    pending.answerBy = now + std::max(Base::Duration::zero(), route->latencyTarget - callerDelay);
     pending.head = forwardedHead(request);
     pending.body = request.body;
     pending.headRequest = request.method == "HEAD";
@@ -251,6 +253,8 @@
     const auto response = responseFor(pending, action.outcome);
     pending.caller.respond(response);
     const auto now = clock_.now();
+    if (action.outcome.kind == Forward::Outcome::Kind::Gathered && action.outcome.missingParts > 0)
+        answerLag_.record(pending.answerBy, now);
     metrics_.requestAnswered(pending.routeName, std::string(outcomeName(action.outcome)),
                              now - pending.arrivedAt);
     logAnswer(now, pending, action.outcome, response.status);
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -4,6 +4,7 @@
 #include "LibBase/Clock.h"
 #include "LibBase/EventLog.h"
 #include "LibEdge/CallerServer.h"
+#include "LibForward/AnswerLag.h"
 #include "LibForward/ForwardCore.h"
 #include "Services/Gateway/BackendPool.h"
 #include "Services/Gateway/GatewayMetrics.h"
@@ -45,6 +46,7 @@
         std::string routeName;
         std::uint64_t version = 0;
         Base::Instant arrivedAt;
+        Base::Instant answerBy; ///< Last moment at which a partial answer is in time.
         std::string head; ///< Request line and headers for backend servers, without those of one attempt.
         std::string body;
         bool headRequest = false;
@@ -76,6 +78,7 @@
     std::shared_ptr<const Route::RouteTable> table_;
     std::unordered_map<Forward::ExchangeId, Pending> pending_;
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_; ///< Expected echo by attempt.
+    Forward::AnswerLag answerLag_;
     Base::Instant serversReadAt_;
     Base::Instant armedFor_ = Base::Instant::max();
     bool performing_ = false;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "Services/Gateway/GatewayProcess.h"
 
 #include "LibBase/AddressText.h"
+#include "LibRegistry/GatewayChoice.h"
 #include "Services/Common/MetricsEndpoint.h"
 
 #include <algorithm>
@@ -19,6 +20,9 @@
 /// Callers ask again this often. Each look-up delays a request, and at a VM without power by a second; on the
 /// other side callers must leave a VM that is gone soon.
 constexpr Base::Duration LookupMaxAge = Base::milliseconds(3000);
+/// Gateways that callers are sent to. With more of them each would see too few requests to keep its connections
+/// to the backend servers open; the others stand by.
+constexpr std::size_t PreferredGateways = 24;
 /// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
 constexpr Base::Duration StaleConfigurationDelay = Base::milliseconds(500);
 /// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers
@@ -28,6 +32,8 @@
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(100);
 /// Gateways assumed before the directory is known: connections and budgets are then shared by this many.
 constexpr std::size_t AssumedGateways = 12;
+/// A directory that lacks most gateways for a moment must not make the others take all connections.
+constexpr std::size_t MinGatewayCount = 5;
 
 std::uint64_t randomNumber()
 {
@@ -287,8 +293,9 @@
             others.push_back(peerAddressOf(gateway));
     }
     watcher_->setGateways(std::move(others));
-    if (!directory_.empty())
-        forwarder_->setGatewayCount(std::max(directory_.size(), AssumedGateways / 2));
+    const auto inUse = Registry::chooseGateways(directory_, PreferredGateways).size();
+    if (inUse > 0)
+        forwarder_->setGatewayCount(std::max(inUse, MinGatewayCount));
     events_.write(clock_.now(), Importance::Notable, "directory_changed", {{"serving", directory_.size()}});
 }
 
@@ -297,7 +304,7 @@
     if (adapter_.classify(request.method, request.path()) != Adapter::Call::LookUpGateways)
         return caller.respond(emptyResponse(404));
     std::vector<std::string> addresses;
-    for (const auto &gateway : directory_) {
+    for (const auto &gateway : Registry::chooseGateways(directory_, PreferredGateways)) {
         const bool leaving = leavingSince_ && gateway.gatewayId == settings_.nodeId;
         if (!leaving)
             addresses.push_back(gateway.callerAddress);
