--- a/Libraries/LibForward/AnswerLag.h
+++ b/Libraries/LibForward/AnswerLag.h
@@ -7,8 +7,8 @@
 namespace Forward {
 
 /// How late answers leave that are due at a set moment: timers fire late and merging takes time, more so on a
-/// VM with a small share of a processor. Follows increases fast and decreases slowly, so that it stays near the
-/// upper end of what was seen.
+/// VM with a small share of a processor. Follows increases fast and decreases slowly, so that it stays near
+/// the upper end of what was seen.
 class AnswerLag
 {
 public:
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -30,17 +30,15 @@
     Base::Duration hedgeDelay() const
     {
         const auto median = record_.quantile(0.5);
-        return median
-                   ? Base::Duration(static_cast<Base::Duration::rep>(HedgeMedianMultiple * median->count()))
-                   : latencyTarget_ / AssumedHedgeMultiple;
+        return median ? *median * HedgeMedianPercent / 100 : latencyTarget_ / AssumedHedgeMultiple;
     }
 
 private:
     /// Before anything was measured: targets are set to several times the usual latency.
     static constexpr int AssumedTargetMultiple = 6;
     static constexpr int AssumedHedgeMultiple = 4;
-    /// Service times spread by about a third of their mean; beyond twice the median come stalls and tails.
-    static constexpr int HedgeMedianMultiple = 2;
+    /// Service times spread by about a third of their mean; well beyond the median come stalls and tails.
+    static constexpr int HedgeMedianPercent = 150;
     /// About the last thirty attempts decide.
     static constexpr int MeanWeight = 30;
 
--- a/Libraries/LibRegistry/GatewayChoice.cpp
+++ b/Libraries/LibRegistry/GatewayChoice.cpp
@@ -16,7 +16,8 @@
 
 } // namespace
 
-std::vector<Wire::GatewayRecord> chooseGateways(std::vector<Wire::GatewayRecord> serving, std::size_t preferred)
+std::vector<Wire::GatewayRecord> chooseGateways(std::vector<Wire::GatewayRecord> serving,
+                                                std::size_t preferred)
 {
     double largest = 0.0;
     for (const auto &gateway : serving)
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -79,8 +79,8 @@
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
     const auto now = clock_.now();
-    const auto callerDelay = (caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay)
-                             + answerLag_.allowance();
+    const auto callerDelay =
+        (caller.isFirstOnConnection() ? NewConnectionDelay : KeptConnectionDelay) + answerLag_.allowance();
     const auto id = core_.begin(
         now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)), callerDelay});
     auto &pending = pending_[id];
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -20,8 +20,8 @@
 /// Callers ask again this often. Each look-up delays a request, and at a VM without power by a second; on the
 /// other side callers must leave a VM that is gone soon.
 constexpr Base::Duration LookupMaxAge = Base::milliseconds(3000);
-/// Gateways that callers are sent to. With more of them each would see too few requests to keep its connections
-/// to the backend servers open; the others stand by.
+/// Gateways that callers are sent to. With more of them each would see too few requests to keep its
+/// connections to the backend servers open; the others stand by.
 constexpr std::size_t PreferredGateways = 24;
 /// A new gateway waits this long for a registry that hears its leader before it takes an older configuration.
 constexpr Base::Duration StaleConfigurationDelay = Base::milliseconds(500);
@@ -72,7 +72,8 @@
     , settingsWatch_(settingsPath)
     , incarnation_(randomNumber())
     , startedAt_(clock_.now())
-    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
+    , watchers_(
+          [this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
 {
 }
 
@@ -191,7 +192,8 @@
     return request;
 }
 
-void GatewayProcess::watch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder)
+void GatewayProcess::watch(const Wire::WatchRequest &request,
+                           const std::shared_ptr<Peer::Responder> &responder)
 {
     const auto now = clock_.now();
     otherGateways_.report(now, request.gateway);
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -102,9 +102,8 @@
     request.mayWait = false;
     endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), SearchTimeout,
                    [this, address](Base::Result<Base::Bytes> payload) {
-                       loop_.post([this, address, payload = std::move(payload)] {
-                           finishSearch(address, payload);
-                       });
+                       loop_.post(
+                           [this, address, payload = std::move(payload)] { finishSearch(address, payload); });
                    });
 }
 
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -15,8 +15,8 @@
 
 /// Keeps a gateway up to date. While a registry that hears its leader is known, one call to it stays open and
 /// is answered when something changes. Otherwise all registries are asked side by side, so that the first one
-/// to recover is found at once; after a moment some gateways are asked too, since a VM that is cut off from the
-/// registries may still reach one that is not.
+/// to recover is found at once; after a moment some gateways are asked too, since a VM that is cut off from
+/// the registries may still reach one that is not.
 class RegistryWatcher
 {
 public:
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -47,7 +47,8 @@
         writeClusterEvent(level, sentence, fields);
     })
     , startedAt_(clock_.now())
-    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
+    , watchers_(
+          [this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
 {
 }
 
--- a/Tests/LibForward/TestAnswerLag.cpp
+++ b/Tests/LibForward/TestAnswerLag.cpp
@@ -4,7 +4,8 @@
 
 using Base::milliseconds;
 
-// csf-waxroute-grown: on a tenth of a core, answers at the cutoff reached callers 3 ms after the target, all day.
+// csf-waxroute-grown: on a tenth of a core, answers at the cutoff reached callers 3 ms after the target, all
+// day.
 TEST(AnswerLag, FollowsLateAnswersFastAndForgetsThemSlowly)
 {
     Forward::AnswerLag lag;
