Add a randomised soak over real processes

Registries and gateways run as processes on loopback addresses of their own against a stand-in list and stand-in servers; signals, server faults and a lost disk come in overlapping series while callers and an operator go on. Checked: whole and own answers, parts as stated, at most once, true refusals, attempts, reads never older than the bound, nothing acknowledged lost, recovery.

--- /dev/null
+++ b/Tests/Soak/Cluster.cpp
@@ -0,0 +1,91 @@
+#include "Soak/Cluster.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+
+namespace Soak {
+
+Cluster::Cluster(std::string network, std::string directory, std::string listAddress)
+    : network_(std::move(network))
+    , directory_(std::move(directory))
+    , listAddress_(std::move(listAddress))
+    , processes_(Registries + Gateways)
+{
+}
+
+std::string Cluster::address(int vm, int port) const
+{
+    return fmt::format("{}{}:{}", network_, vm + 1, port);
+}
+
+std::string Cluster::dataDirectory(int vm) const
+{
+    return fmt::format("{}/disk-{}", directory_, vm);
+}
+
+std::string Cluster::logPath(int vm) const
+{
+    return fmt::format("{}/vm-{}.log", directory_, vm);
+}
+
+void Cluster::writeSettings(int vm) const
+{
+    std::ofstream file(fmt::format("{}/vm-{}.toml", directory_, vm));
+    file << fmt::format(R"(node = "vm-{0}"
+data_centre = "dc-a"
+ip = "{1}{2}"
+caller_address = "{3}"
+readiness_address = "{4}"
+lookup_address = "{5}"
+operator_address = "{6}"
+first_peer_port = 19380
+cluster_key = "soak"
+seeds = "{7},{8},{9}"
+first_start = {10}
+data_directory = "{11}"
+server_list_address = "{12}"
+server_list_calls_per_second = 50.0
+processor_share = 1.0
+lookup_max_age_s = 5
+shutdown_grace_s = 3
+extra_load_ratio = 0.2
+extra_load_slack = 60
+lost_vms_tolerated = 1
+)",
+                        vm, network_, vm + 1, address(vm, 19004), address(vm, 19008), address(vm, 19000),
+                        address(vm, 19006), operatorAddress(0), operatorAddress(1), operatorAddress(2),
+                        firstStart_, isRegistry(vm) ? dataDirectory(vm) : "", listAddress_);
+}
+
+void Cluster::startAll()
+{
+    for (int vm = 0; vm < count(); ++vm)
+        start(vm);
+    firstStart_ = false;
+}
+
+void Cluster::start(int vm)
+{
+    writeSettings(vm);
+    auto &process = processes_[static_cast<std::size_t>(vm)];
+    process.reset();
+    process = std::make_unique<Sessions::Process>(
+        std::vector<std::string> {"daisyroute", isRegistry(vm) ? "registry" : "gateway",
+                                  fmt::format("--config={}/vm-{}.toml", directory_, vm)},
+        logPath(vm));
+}
+
+void Cluster::signal(int vm, int number)
+{
+    processes_[static_cast<std::size_t>(vm)]->signal(number);
+}
+
+void Cluster::killAndWipe(int vm)
+{
+    processes_[static_cast<std::size_t>(vm)].reset();
+    std::filesystem::remove_all(dataDirectory(vm));
+}
+
+} // namespace Soak
--- /dev/null
+++ b/Tests/Soak/SoakRun.cpp
@@ -0,0 +1,350 @@
+#include "Soak/SoakRun.h"
+
+#include "Soak/HttpCall.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace Soak {
+
+namespace {
+
+const std::vector<std::string> Shards {"shard-0", "shard-1", "shard-2", "shard-3"};
+constexpr const char *PlainService = "plain";
+constexpr std::size_t MinimumParts = 3;
+constexpr std::uint64_t Attempts = 2;
+/// Bound of the pages for a read after an acknowledgement.
+constexpr Base::Duration ReadBound = Base::seconds(3);
+/// All processes must work again this long after the last fault.
+constexpr Base::Duration RecoveryBound = Base::seconds(12);
+
+std::string networkOf(std::uint64_t seed)
+{
+    const auto process = static_cast<std::uint64_t>(::getpid()) * 31 + seed;
+    return fmt::format("127.{}.{}.", 64 + process / 251 % 128, 1 + process % 251);
+}
+
+} // namespace
+
+SoakRun::SoakRun(std::uint64_t seed, const std::string &directory)
+    : seed_(seed)
+    , network_(networkOf(seed))
+    , random_(seed)
+    , platform_(loop_, network_, seed)
+    , cluster_(network_, directory, platform_.listAddress())
+{
+    for (const auto &shard : Shards) {
+        platform_.addServer(shard);
+        platform_.addServer(shard);
+    }
+    for (int count = 0; count < 3; ++count)
+        platform_.addServer(PlainService);
+}
+
+std::vector<std::string> SoakRun::run(Base::Duration duration)
+{
+    cluster_.startAll();
+    submitNextVersion();
+    waitUntilReady();
+    const auto end = clock_.now() + duration;
+    while (clock_.now() < end) {
+        for (std::uint64_t count = random_.below(4); count > 0; --count)
+            sendRequest();
+        if (random_.below(20) == 0)
+            submitNextVersion();
+        if (random_.below(15) == 0)
+            readVersion();
+        if (random_.below(12) == 0)
+            injectFault();
+        runFor(Base::milliseconds(20));
+    }
+    repair();
+    checkAtEnd();
+    return broken_;
+}
+
+std::string SoakRun::summary() const
+{
+    return fmt::format(
+        "seed={} served={} refused={} failed={} faults={} versions={} acknowledged={} broken={}", seed_,
+        served_, refused_, failed_, faults_, nextVersion_ - 1, acknowledged_.size(), broken_.size());
+}
+
+void SoakRun::report(const std::string &what)
+{
+    broken_.push_back(fmt::format("seed {}: {}", seed_, what));
+}
+
+void SoakRun::runFor(Base::Duration duration)
+{
+    const auto end = clock_.now() + duration;
+    do {
+        loop_.runFor(Base::milliseconds(2));
+        const auto now = clock_.now();
+        std::vector<std::function<void()>> due;
+        std::erase_if(scheduled_, [&](auto &item) {
+            if (item.first > now)
+                return false;
+            due.push_back(std::move(item.second));
+            return true;
+        });
+        for (const auto &task : due)
+            task();
+    } while (clock_.now() < end);
+}
+
+std::string SoakRun::configuration(std::uint64_t version) const
+{
+    nlohmann::json services = nlohmann::json::array();
+    for (const auto &shard : Shards)
+        services.push_back({{"name", shard}, {"maxConnections", 40}});
+    services.push_back({{"name", PlainService}, {"maxConnections", 40}});
+    const auto route = [](const char *prefix, const char *kind) {
+        return nlohmann::json {{"name", prefix},      {"host", "soak.example"}, {"pathPrefix", prefix},
+                               {"routeType", kind},   {"timeoutMs", 1500},      {"targetLatencyMs", 200},
+                               {"attempts", Attempts}};
+    };
+    auto gather = route("/g/", "safe");
+    gather["gather"] = Shards;
+    gather["topK"] = 2;
+    gather["minCoverage"] = 0.75;
+    auto safe = route("/s/", "safe");
+    safe["service"] = PlainService;
+    auto once = route("/o/", "unsafe");
+    once["service"] = PlainService;
+    return nlohmann::json({{"version", version}, {"routes", {gather, safe, once}}, {"services", services}})
+        .dump();
+}
+
+void SoakRun::waitUntilReady()
+{
+    const auto end = clock_.now() + RecoveryBound;
+    bool ready = false;
+    while (!ready && clock_.now() < end) {
+        const std::string request =
+            "GET /s/ready HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: ready\r\n\r\n";
+        HttpCall::start(loop_, cluster_.callerAddress(0), request,
+                        [&ready](const Edge::ResponseMessage *response) {
+                            ready = ready || (response != nullptr && response->status == 200);
+                        });
+        runFor(Base::milliseconds(150));
+    }
+    runFor(Base::milliseconds(1500)); // Calls of this loop that refer to `ready` end within their timeout.
+    if (!ready)
+        report("the system was not ready in time");
+}
+
+void SoakRun::submitNextVersion()
+{
+    sendVersion(nextVersion_++, 0);
+}
+
+/// As an operator does: the same change again, to another registry, until the answer is clear.
+void SoakRun::sendVersion(std::uint64_t version, int tries)
+{
+    constexpr int MaxTries = 60;
+    const auto body = configuration(version);
+    const auto request = fmt::format(
+        "PUT /v1/config HTTP/1.1\r\nHost: registry\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+    const auto registry = static_cast<int>(random_.below(Cluster::Registries));
+    HttpCall::start(loop_, cluster_.operatorAddress(registry), request,
+                    [this, version, tries](const Edge::ResponseMessage *response) {
+                        if (response != nullptr && response->status == 200)
+                            acknowledged_.push_back({version, clock_.now()});
+                        else if (response != nullptr && response->status / 100 == 4)
+                            report(fmt::format("version {} was refused with {}", version, response->status));
+                        else if (tries < MaxTries)
+                            scheduled_.emplace_back(
+                                clock_.now() + Base::milliseconds(200),
+                                [this, version, tries] { sendVersion(version, tries + 1); });
+                    });
+}
+
+void SoakRun::readVersion()
+{
+    const auto sentAt = clock_.now();
+    const auto registry = static_cast<int>(random_.below(Cluster::Registries));
+    HttpCall::start(loop_, cluster_.operatorAddress(registry),
+                    "GET /v1/config HTTP/1.1\r\nHost: registry\r\n\r\n",
+                    [this, sentAt](const Edge::ResponseMessage *response) {
+                        if (response == nullptr || response->status != 200)
+                            return;
+                        const auto document = nlohmann::json::parse(response->body, nullptr, false);
+                        if (document.is_discarded())
+                            return report("a read returned no whole configuration");
+                        const auto version = document.value("version", std::uint64_t {0});
+                        finalVersion_ = std::max(finalVersion_, version);
+                        for (const auto &change : acknowledged_) {
+                            if (change.version > version && sentAt - change.acknowledgedAt > ReadBound)
+                                return report(fmt::format("read version {} although {} was acknowledged",
+                                                          version, change.version));
+                        }
+                    });
+}
+
+void SoakRun::sendRequest()
+{
+    static constexpr const char *Paths[] = {"/g/", "/s/", "/o/"};
+    const auto kind = static_cast<Kind>(random_.below(3));
+    const auto requestId = fmt::format("r{}-{}", seed_, nextRequest_++);
+    kinds_[requestId] = kind;
+    const auto request =
+        fmt::format("GET {}{} HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: {}\r\n"
+                    "X-Daisyroute-Deadline-Ms: 1500\r\n\r\n",
+                    Paths[static_cast<int>(kind)], requestId, requestId);
+    const auto gateway = static_cast<int>(random_.below(Cluster::Gateways));
+    HttpCall::start(loop_, cluster_.callerAddress(gateway), request,
+                    [this, kind, requestId](const Edge::ResponseMessage *response) {
+                        if (response == nullptr)
+                            ++failed_;
+                        else
+                            checkAnswer(kind, requestId, *response);
+                    });
+}
+
+void SoakRun::checkAnswer(Kind kind, const std::string &requestId, const Edge::ResponseMessage &response)
+{
+    if (response.status == 503 || response.status == 429) {
+        ++refused_;
+        ++refusedOnce_[requestId];
+        return;
+    }
+    if (response.status != 200) {
+        ++failed_;
+        if (response.status / 100 == 4)
+            report(fmt::format("request {} was answered {}", requestId, response.status));
+        return;
+    }
+    ++served_;
+    if (response.header("X-Daisyroute-Request-Id") != requestId)
+        report(fmt::format("request {} got the answer to another one", requestId));
+    if (kind == Kind::Gather)
+        return checkGather(requestId, response);
+    if (response.body != StandInPlatform::bodyOf(PlainService, requestId)
+        || response.header("X-Daisyroute-Server-Stamp") != StandInPlatform::proofOf(PlainService, requestId))
+        report(fmt::format("request {} got a body that is not the server's", requestId));
+}
+
+void SoakRun::checkGather(const std::string &requestId, const Edge::ResponseMessage &response)
+{
+    const std::string proofs(response.header("X-Daisyroute-Part-Stamps"));
+    const auto missing = std::stoul("0" + std::string(response.header("X-Daisyroute-Missing-Parts")));
+    std::vector<std::string> records;
+    for (const auto &shard : Shards) {
+        if (proofs.find(StandInPlatform::proofOf(shard, requestId)) != std::string::npos)
+            records.push_back(StandInPlatform::bodyOf(shard, requestId));
+    }
+    const auto named = static_cast<std::size_t>(std::count(proofs.begin(), proofs.end(), ',')) + 1;
+    std::sort(records.rbegin(), records.rend());
+    std::string expected;
+    for (std::size_t index = 0; index < std::min<std::size_t>(2, records.size()); ++index)
+        expected += records[index];
+    if (records.size() != named || records.size() + missing != Shards.size() || records.size() < MinimumParts
+        || response.body != expected)
+        report(fmt::format("gather {} states parts that it does not hold: {}", requestId, proofs));
+}
+
+void SoakRun::injectFault()
+{
+    ++faults_;
+    const auto length = Base::milliseconds(static_cast<std::int64_t>(100 + random_.below(2000)));
+    const auto vm = static_cast<int>(random_.below(static_cast<std::uint64_t>(cluster_.count())));
+    const auto server = static_cast<std::size_t>(random_.below(platform_.serverCount()));
+    const auto restartLater = [&] {
+        scheduled_.emplace_back(clock_.now() + length, [this, vm] {
+            if (!cluster_.isRunning(vm))
+                cluster_.start(vm);
+        });
+    };
+    ServerFaults faults;
+    switch (random_.below(9)) {
+    case 0:
+        cluster_.signal(vm, SIGKILL);
+        return restartLater();
+    case 1:
+        cluster_.signal(vm, SIGTERM);
+        scheduled_.emplace_back(clock_.now() + Base::seconds(4), [this, vm] {
+            if (!cluster_.isRunning(vm))
+                cluster_.start(vm);
+        });
+        return;
+    case 2:
+        cluster_.signal(vm, SIGSTOP);
+        scheduled_.emplace_back(clock_.now() + length, [this, vm] { cluster_.signal(vm, SIGCONT); });
+        return;
+    case 3:
+        cluster_.signal(vm, SIGHUP);
+        return;
+    case 4:
+        faults.paused = true;
+        break;
+    case 5:
+        faults.sheds = true;
+        break;
+    case 6:
+        faults.fails = true;
+        break;
+    case 7:
+        faults.loses = true;
+        break;
+    default:
+        faults.foreign = true;
+        break;
+    }
+    platform_.setFaults(server, faults);
+    scheduled_.emplace_back(clock_.now() + length, [this] { platform_.clearFaults(); });
+}
+
+/// Ends all faults; now and then a registry has lost its disk by then.
+void SoakRun::repair()
+{
+    platform_.clearFaults();
+    if (random_.below(2) == 0)
+        cluster_.killAndWipe(static_cast<int>(random_.below(Cluster::Registries)));
+    runFor(Base::seconds(4));
+    for (int vm = 0; vm < cluster_.count(); ++vm) {
+        if (cluster_.isRunning(vm))
+            cluster_.signal(vm, SIGCONT);
+        else
+            cluster_.start(vm);
+    }
+    waitUntilReady();
+}
+
+void SoakRun::checkAtEnd()
+{
+    const auto end = clock_.now() + RecoveryBound;
+    std::uint64_t newest = 0;
+    for (const auto &change : acknowledged_)
+        newest = std::max(newest, change.version);
+    while (finalVersion_ < newest && clock_.now() < end) {
+        readVersion();
+        runFor(Base::milliseconds(200));
+    }
+    if (finalVersion_ < newest)
+        report(fmt::format("acknowledged version {} is gone; read {}", newest, finalVersion_));
+    const auto servedBefore = served_;
+    for (int count = 0; count < 20; ++count) {
+        sendRequest();
+        runFor(Base::milliseconds(20));
+    }
+    runFor(Base::seconds(2));
+    if (served_ - servedBefore < 10)
+        report(fmt::format("only {} of 20 requests were served after the recovery", served_ - servedBefore));
+    for (const auto &[requestId, seen] : platform_.seen()) {
+        const auto kind = kinds_.find(requestId);
+        if (kind == kinds_.end())
+            continue;
+        for (const auto &[service, servers] : seen.ranOn) {
+            if (servers.size() > (kind->second == Kind::Once ? 1 : Attempts))
+                report(fmt::format("request {} ran on {} servers of {}", requestId, servers.size(), service));
+        }
+        if (kind->second == Kind::Once && refusedOnce_.contains(requestId))
+            report(fmt::format("request {} was refused as not run, and ran", requestId));
+    }
+}
+
+} // namespace Soak
