--- a/Services/Main.cpp
+++ b/Services/Main.cpp
@@ -1,6 +1,7 @@
 #include "Services/Cli/CallerCommands.h"
 #include "Services/Cli/CommandTable.h"
 #include "Services/Cli/DocumentCommands.h"
+#include "Services/Cli/ExplainCommand.h"
 #include "Services/Cli/RoutingCommands.h"
 #include "Services/Cli/ServiceCommands.h"
 #include "Services/Cli/StatusCommand.h"
@@ -33,6 +34,7 @@
                                                              {"entry", Services::runEntryCommand},
                                                              {"gateway", runGateway},
                                                              {"registry", runRegistry},
+                                                             {"explain", Services::runExplain},
                                                              {"check-settings", Services::runCheckSettings},
                                                              {"validate", Services::runValidate},
                                                              {"diff", Services::runDiff},
--- /dev/null
+++ b/Tests/LibEdge/TestEdge.cpp
@@ -0,0 +1,241 @@
+#include "LibEdge/BackendConnection.h"
+#include "LibEdge/CallerServer.h"
+
+#include "Support/RawSocket.h"
+
+#include <gtest/gtest.h>
+#include <optional>
+#include <thread>
+
+namespace {
+
+using Base::milliseconds;
+using Support::RawSocket;
+
+/// A server on a loop of its own thread that answers each request with its target and body.
+class EdgeTest : public ::testing::Test
+{
+protected:
+    EdgeTest()
+    {
+        auto created = Edge::CallerServer::create(
+            loop, "127.0.0.1:0",
+            [this](const Edge::RequestMessage &request, const Edge::CallerExchange &exchange) {
+                ++handled;
+                Edge::ResponseMessage response;
+                response.body = request.target + " " + request.body;
+                if (request.target == "/held") {
+                    exchange.onCallerLeft([this] { ++left; });
+                    held = exchange;
+                } else {
+                    exchange.respond(response);
+                }
+            });
+        server = std::move(*created);
+        address = server->address();
+        thread = std::thread([this] { loop.run(); });
+    }
+
+    ~EdgeTest() override
+    {
+        loop.post([this] {
+            held = {};
+            server.reset();
+            loop.stop();
+        });
+        thread.join();
+    }
+
+    std::string exchange(const std::string &request) const
+    {
+        const auto socket = RawSocket::connectTo(address);
+        socket.send(request);
+        socket.finishSending();
+        return socket.receiveAll();
+    }
+
+    template<typename Condition>
+    static bool eventually(Condition condition)
+    {
+        for (int i = 0; i < 200 && !condition(); ++i)
+            std::this_thread::sleep_for(milliseconds(10));
+        return condition();
+    }
+
+    Edge::Loop loop;
+    std::unique_ptr<Edge::CallerServer> server;
+    std::string address;
+    std::atomic<int> handled {0};
+    std::atomic<int> left {0};
+    Edge::CallerExchange held;
+    std::thread thread;
+};
+
+/// Records what one connection reports.
+struct Recorder final : Edge::BackendConnectionEvents
+{
+    void replyArrived(Edge::ResponseMessage response) override { reply = std::move(response); }
+    void exchangeFailed(Edge::ExchangeFailure kind, const std::string &) override { failure = kind; }
+    void idleConnectionEnded() override { ended = true; }
+
+    std::optional<Edge::ResponseMessage> reply;
+    std::optional<Edge::ExchangeFailure> failure;
+    bool ended = false;
+};
+
+/// Sends one request to a server that writes `answer` and closes.
+Recorder exchangeWith(const std::string &answer, bool &reusable)
+{
+    const auto listener = RawSocket::listening();
+    std::thread peer([&] {
+        const auto socket = listener.accept();
+        socket.receiveUntil("\r\n\r\n");
+        socket.send(answer);
+        std::this_thread::sleep_for(milliseconds(50));
+    });
+    Edge::Loop loop;
+    Recorder recorder;
+    Edge::BackendConnection connection(loop, listener.address(), milliseconds(1000), recorder);
+    connection.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < 200 && !recorder.reply && !recorder.failure; ++i)
+        loop.runFor(milliseconds(10));
+    reusable = connection.isReusable(Base::SystemClock().now());
+    peer.join();
+    return recorder;
+}
+
+} // namespace
+
+TEST_F(EdgeTest, ServesRequestsOnAKeptConnection)
+{
+    const auto socket = RawSocket::connectTo(address);
+    socket.send("GET /a?b=1 HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_NE(socket.receiveUntil("/a?b=1 ").find("200 OK"), std::string::npos);
+    socket.send("POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nxyz\r\n0\r\n\r\n");
+    EXPECT_NE(socket.receiveUntil("/c xyz").find("/c xyz"), std::string::npos);
+}
+
+// What follows a request whose end is unclear would be taken for a second request.
+TEST_F(EdgeTest, RefusesALengthBesideChunks)
+{
+    const auto answer =
+        exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+    EXPECT_EQ(answer.find("smuggled"), std::string::npos);
+    EXPECT_EQ(handled, 0);
+}
+
+TEST_F(EdgeTest, RefusesConflictingLengths)
+{
+    const auto answer =
+        exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 40\r\n\r\nxx"
+                 "GET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+    EXPECT_EQ(handled, 0);
+}
+
+// Slow callers must hold up nobody else.
+TEST_F(EdgeTest, StalledCallersDoNotDelayOthers)
+{
+    std::vector<RawSocket> stalled;
+    for (int i = 0; i < 160; ++i) {
+        stalled.push_back(RawSocket::connectTo(address));
+        stalled.back().send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\nx");
+    }
+    const auto start = std::chrono::steady_clock::now();
+    EXPECT_TRUE(exchange("GET /b HTTP/1.1\r\nHost: h\r\n\r\n").starts_with("HTTP/1.1 200"));
+    EXPECT_LT(std::chrono::steady_clock::now() - start, std::chrono::seconds(2));
+}
+
+TEST_F(EdgeTest, RefusesWhatIsNoProperRequest)
+{
+    EXPECT_TRUE(exchange("nonsense\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange("GET /a HTTP/1.1\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange("GET /a HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n").starts_with("HTTP/1.1 400"));
+    EXPECT_TRUE(exchange("GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(20000, 'x') + "\r\n\r\n")
+                    .starts_with("HTTP/1.1 431"));
+    EXPECT_TRUE(exchange("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\n")
+                    .starts_with("HTTP/1.1 413"));
+    EXPECT_EQ(handled, 0);
+}
+
+// The work for a caller who left must end; only a read while it runs shows that the caller is gone.
+TEST_F(EdgeTest, NoticesACallerThatLeaves)
+{
+    {
+        const auto socket = RawSocket::connectTo(address);
+        socket.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_TRUE(eventually([this] { return handled == 1; }));
+    }
+    EXPECT_TRUE(eventually([this] { return left == 1; }));
+}
+
+// A planned stop must not cut off a request, and callers must learn to go elsewhere.
+TEST_F(EdgeTest, DrainAnswersAndCloses)
+{
+    const auto socket = RawSocket::connectTo(address);
+    socket.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(eventually([this] { return handled == 1; }));
+    loop.post([this] {
+        server->stopAccepting();
+        held.respond({200, {}, {}, "late", true});
+    });
+    const auto answer = socket.receiveAll();
+    EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+    EXPECT_TRUE(answer.ends_with("late"));
+}
+
+TEST(BackendConnection, TakesWholeResponses)
+{
+    bool reusable = false;
+    const auto framed =
+        exchangeWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nKeep-Alive: timeout=9\r\n\r\nok", reusable);
+    ASSERT_TRUE(framed.reply.has_value());
+    EXPECT_EQ(framed.reply->body, "ok");
+    EXPECT_TRUE(reusable);
+    const auto chunked =
+        exchangeWith("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", reusable);
+    ASSERT_TRUE(chunked.reply.has_value());
+    EXPECT_EQ(chunked.reply->body, "ok");
+    const auto unframed = exchangeWith("HTTP/1.1 200 OK\r\n\r\nok", reusable);
+    ASSERT_TRUE(unframed.reply.has_value());
+    EXPECT_EQ(unframed.reply->body, "ok");
+    EXPECT_FALSE(reusable);
+}
+
+// A response that ends early must never pass for a whole one.
+TEST(BackendConnection, RefusesTruncatedAndMalformedResponses)
+{
+    bool reusable = true;
+    const auto truncated = exchangeWith("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", reusable);
+    EXPECT_FALSE(truncated.reply.has_value());
+    EXPECT_EQ(truncated.failure, Edge::ExchangeFailure::ReplyMalformed);
+    const auto garbage = exchangeWith("\x01\x02 nonsense\r\n\r\n", reusable);
+    EXPECT_FALSE(garbage.reply.has_value());
+    const auto silent = exchangeWith("", reusable);
+    EXPECT_EQ(silent.failure, Edge::ExchangeFailure::ReplyLost);
+}
+
+// Bytes after a complete response belong to no request; the connection must carry nothing more.
+TEST(BackendConnection, ExtraBytesEndTheConnection)
+{
+    bool reusable = true;
+    const auto extra =
+        exchangeWith("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n", reusable);
+    ASSERT_TRUE(extra.reply.has_value());
+    EXPECT_EQ(extra.reply->body, "ok");
+    EXPECT_FALSE(reusable);
+}
+
+// Whether a request may be sent again depends on this difference.
+TEST(BackendConnection, UnreachableServerGotNothing)
+{
+    Edge::Loop loop;
+    Recorder recorder;
+    Edge::BackendConnection connection(loop, "127.0.0.1:1", milliseconds(500), recorder);
+    connection.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    for (int i = 0; i < 100 && !recorder.failure; ++i)
+        loop.runFor(milliseconds(10));
+    EXPECT_EQ(recorder.failure, Edge::ExchangeFailure::NotSent);
+}
