Answer requests in flight before a stopping gateway ends

Change: after the listener is closed new requests are refused as not run, and what is in flight late in the grace gets the answer that it would get at its deadline. Leaving is checked every 40 ms. Test: ForwardFixture.StopAnswersEveryRequestInFlight.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -242,6 +242,20 @@
     }
 }
 
+void ForwardCore::endAll(Base::Instant now)
+{
+    std::vector<ExchangeId> open;
+    open.reserve(exchanges_.size());
+    for (const auto &[id, exchange] : exchanges_)
+        open.push_back(id);
+    for (const auto id : open) {
+        // At its deadline an exchange is answered with the parts it has, or with a failure that is true.
+        auto &exchange = exchanges_.at(id);
+        exchange.deadline = now;
+        concludeIfDecided(now, id, exchange);
+    }
+}
+
 void ForwardCore::runTimers(Base::Instant now)
 {
     while (const auto id = reviews_.popDue(now))
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -103,6 +103,9 @@
     /// The caller went away: nothing more is sent for it, and what runs is cut off unless it ends soon.
     void callerLeft(Base::Instant now, ExchangeId exchange);
 
+    /// Ends every exchange with what it has: the process stops before they can end by themselves.
+    void endAll(Base::Instant now);
+
     void runTimers(Base::Instant now);
     std::optional<Base::Instant> nextTimer() const;
     std::vector<Action> takeActions();
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -72,6 +72,8 @@
 
 void Forwarder::handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
 {
+    if (refusesNew_)
+        return refuse(request, caller, Base::ErrorKind::ShuttingDown, "this gateway stops now");
     if (!table_ || !hasServers())
         return refuse(request, caller, Base::ErrorKind::ControlUnavailable,
                       table_ ? "the list of servers is not known yet" : "no configuration is known yet");
@@ -302,6 +304,12 @@
                                         {"cause", outcome.cause}});
 }
 
+void Forwarder::endAll()
+{
+    core_.endAll(clock_.now());
+    perform();
+}
+
 void Forwarder::armTimer()
 {
     const auto next = core_.nextTimer();
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -33,6 +33,11 @@
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
 
+    /// Refuses requests from now on, because there is no time left to serve them.
+    void refuseNewRequests() { refusesNew_ = true; }
+    /// Answers all requests in flight with what they have.
+    void endAll();
+
     /// Regular work: unused connections, gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight(); }
@@ -82,6 +87,7 @@
     Base::Instant serversReadAt_;
     Base::Instant armedFor_ = Base::Instant::max();
     bool performing_ = false;
+    bool refusesNew_ = false;
 };
 
 } // namespace Services
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -28,7 +28,10 @@
 /// Parts of the shutdown grace: connections without a request close, then what is left is cut off. Callers
 /// may use an old look-up for several seconds, so nearly all of the grace is spent serving.
 constexpr double StopAcceptingShare = 0.84;
-constexpr double ExitShare = 0.95;
+constexpr double EndRequestsShare = 0.93;
+constexpr double ExitShare = 0.96;
+/// Interval of the steps above.
+constexpr Base::Duration LeavingInterval = Base::milliseconds(40);
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(100);
 /// Gateways assumed before the directory is known: connections and budgets are then shared by this many.
 constexpr std::size_t AssumedGateways = 12;
@@ -329,8 +332,6 @@
     otherGateways_.tick(now);
     watchers_.answer(now);
     reloadSettings(false);
-    if (leavingSince_)
-        continueLeaving(now);
     events_.flush();
 }
 
@@ -362,6 +363,7 @@
     if (leavingSince_)
         return;
     leavingSince_ = clock_.now();
+    loop_.repeat(LeavingInterval, [this] { continueLeaving(clock_.now()); });
     callerServer_->beginDrain();
     watcher_->reportNow();
     events_.write(*leavingSince_, Importance::Notable, "stopping",
@@ -374,9 +376,14 @@
     const auto grace = std::chrono::duration<double>(settings_.shutdownGrace);
     if (elapsed < StopAcceptingShare * grace)
         return;
-    if (!std::exchange(stoppedAccepting_, true))
+    if (!std::exchange(stoppedAccepting_, true)) {
         callerServer_->stopAccepting();
-    if (forwarder_->requestsInFlight() == 0 || elapsed >= ExitShare * grace)
+        forwarder_->refuseNewRequests();
+    }
+    // The answers of the last requests need a turn of the loop to leave.
+    if (elapsed >= EndRequestsShare * grace && forwarder_->requestsInFlight() > 0)
+        forwarder_->endAll();
+    else if (callerServer_->connectionCount() == 0 || elapsed >= ExitShare * grace)
         loop_.stop();
 }
 
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -249,6 +249,24 @@
     EXPECT_LT(sends[1].timeLeft, milliseconds(1000));
 }
 
+// inyuguti-search trouble-2 seed 777469639406: a request that came 5.3 s after the stop signal was still in
+// flight when the process ended, and its connection closed without an answer.
+TEST_F(ForwardFixture, StopAnswersEveryRequestInFlight)
+{
+    begin("/g/1");
+    for (int shard = 1; shard < Shards; ++shard)
+        reply(sends[shard].attempt, success());
+    begin("/o/2");
+    EXPECT_TRUE(answers.empty());
+    core->endAll(now);
+    collect();
+    ASSERT_EQ(answers.size(), 2U);
+    EXPECT_EQ(answers[0].outcome.kind, Outcome::Kind::Gathered);
+    EXPECT_EQ(answers[0].outcome.missingParts, 1U);
+    EXPECT_EQ(Base::errorAnswer(answers[1].outcome.error).runState, Base::RunState::MayHaveRun);
+    EXPECT_EQ(core->exchangesInFlight(), 0U);
+}
+
 // Each service of a split gets its share also when only a few requests come.
 TEST_F(ForwardFixture, SplitsByWeight)
 {
