--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -15,7 +15,8 @@
 
 bool isReadyLearner(const Consensus::MemberStatus &member, std::uint64_t commitIndex)
 {
-    return !member.member.voter && isHeard(member) && member.matchIndex >= commitIndex;
+    return !member.member.voter && member.member.mayVote && isHeard(member)
+           && member.matchIndex >= commitIndex;
 }
 
 /// Tells whether `member` is an earlier incarnation of a voter that is heard.
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -10,9 +10,9 @@
 class MembershipPlanner
 {
 public:
-    /// Returns the membership to propose next: a learner that holds the log becomes a voter, and an unheard
-    /// voter whose node has another, heard voter is removed. The new copy comes first, so that no step leaves
-    /// fewer copies of the log.
+    /// Returns the membership to propose next: a learner that holds the log and may vote becomes a voter, and
+    /// an unheard voter whose node has another, heard voter is removed. The new copy comes first, so that no
+    /// step leaves fewer copies of the log.
     static std::optional<Wire::RaftMembership> next(const Consensus::RaftStatus &status);
 
     /// Returns the membership without a node that is gone: a learner or voter that has been unheard for
--- a/Libraries/LibWire/RaftMessages.h
+++ b/Libraries/LibWire/RaftMessages.h
@@ -40,9 +40,10 @@
     std::uint64_t incarnation = 0;
     std::string peerAddress;
     bool voter = true;
+    bool mayVote = true; ///< False for a node without a disk: it follows, but forgets what it confirmed.
 
     bool operator==(const RaftMember &) const = default;
-    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, voter)
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, voter, mayVote)
 };
 
 struct RaftMembership
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -106,8 +106,9 @@
     std::uint64_t incarnation = 0;
     std::string peerAddress;
     bool holdsLog = false;
+    bool hasDisk = true;
 
-    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, holdsLog)
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, holdsLog, hasDisk)
 };
 
 struct JoinReply
--- a/Services/Cli/CommandTable.cpp
+++ b/Services/Cli/CommandTable.cpp
@@ -94,7 +94,7 @@
          "Keeps the routes and the list of servers for the gateways.",
          {SettingsFile, MetricsPort}},
         {"explain",
-         "REQUEST-ID FILE...",
+         "REQUEST FILE...",
          "Shows what the logs of gateways and registries say about one request.",
          {}},
         {"check-settings", "FILE", "Reports all mistakes of a settings file of a gateway or registry.", {}},
--- a/Services/Cli/ExplainCommand.cpp
+++ b/Services/Cli/ExplainCommand.cpp
@@ -96,7 +96,7 @@
         }
         logs.push_back({path, &files.back()});
     }
-    const auto requestId = line.argument("REQUEST-ID").front();
+    const auto requestId = line.argument("REQUEST").front();
     if (explainRequest(requestId, logs, std::cout) > 0)
         return ExitSuccess;
     fmt::print(
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -226,7 +226,8 @@
         joinHints_.erase(hint);
     }
     const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(),
-                                     settings_.registryPeerAddress(), cluster_->holdsLog()};
+                                     settings_.registryPeerAddress(), cluster_->holdsLog(),
+                                     !settings_.dataDirectory.empty()};
     endpoint_->call(
         target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
         [this, target](Base::Result<Base::Bytes> payload) {
@@ -279,7 +280,8 @@
         reply.mustReset = true;
         return reply;
     }
-    membership.members.push_back({request.nodeId, request.incarnation, request.peerAddress, false});
+    membership.members.push_back(
+        {request.nodeId, request.incarnation, request.peerAddress, false, request.hasDisk});
     if (cluster_->raft().proposeMembership(now, membership))
         events_.write(now, Importance::Notable, "member_added",
                       {{"node", request.nodeId},
--- a/Tests/LibControl/TestMembershipPlanner.cpp
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -46,3 +46,28 @@
     EXPECT_FALSE(MembershipPlanner::findUnheard(status, "c1").has_value());
     EXPECT_TRUE(MembershipPlanner::findUnheard(status, "c2").has_value());
 }
+
+// A node without a disk forgets what it confirmed, so a majority that counts it could lose what it accepted.
+TEST(MembershipPlanner, NodesWithoutADiskNeverVote)
+{
+    Consensus::RaftStatus status;
+    status.commitIndex = 10;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, false, 10)};
+    status.members[1].member.mayVote = false;
+    EXPECT_FALSE(MembershipPlanner::next(status).has_value());
+}
+
+// With three voters of which one is gone for good, the loss of another would stop the cluster.
+TEST(MembershipPlanner, GoneNodesLeaveWhenEnoughOthersAreHeard)
+{
+    Consensus::RaftStatus status;
+    status.members = {member("c1", 1, true, 0), member("c2", 1, true, 0, milliseconds(5000)),
+                      member("c3", 1, true, 0), member("c4", 1, true, 0)};
+    const auto shrunk = MembershipPlanner::withoutGone(status, 3, milliseconds(4000));
+    ASSERT_TRUE(shrunk.has_value());
+    EXPECT_EQ(shrunk->members.size(), 3U);
+    EXPECT_FALSE(MembershipPlanner::withoutGone(status, 4, milliseconds(4000)).has_value());
+    EXPECT_FALSE(MembershipPlanner::withoutGone(status, 3, milliseconds(6000)).has_value());
+    status.members[1].member.voter = false;
+    EXPECT_TRUE(MembershipPlanner::withoutGone(status, 9, milliseconds(4000)).has_value());
+}
