--- a/Libraries/LibRegistry/ConfigurationRegister.h
+++ b/Libraries/LibRegistry/ConfigurationRegister.h
@@ -13,7 +13,7 @@
 struct StoreConfiguration
 {
     std::uint64_t version = 0;
-    std::string text;
+    std::string text; ///< Compressed (Base::compress): it travels to every node, and names repeat in it.
 
     MSGPACK_DEFINE(version, text)
 };
@@ -32,6 +32,7 @@
 
     /// 0 while no configuration was stored.
     std::uint64_t version() const { return content_.version; }
+    /// Compressed.
     const std::string &text() const { return content_.text; }
 
 private:
--- a/Libraries/LibRegistry/ServerListHolder.cpp
+++ b/Libraries/LibRegistry/ServerListHolder.cpp
@@ -17,13 +17,19 @@
     return true;
 }
 
-std::optional<Wire::ServerList> ServerListHolder::copyFor(Base::Instant now, std::uint64_t heldDigest) const
+std::uint32_t ServerListHolder::ageMs(Base::Instant now) const
 {
-    if (!readAt_)
+    return readAt_ ? static_cast<std::uint32_t>((now - *readAt_) / Base::milliseconds(1)) : UINT32_MAX;
+}
+
+std::optional<Wire::ServerList> ServerListHolder::copyFor(Base::Instant now, std::uint64_t heldDigest,
+                                                          std::uint32_t heldAgeMs) const
+{
+    if (!readAt_ || heldAgeMs <= ageMs(now))
         return std::nullopt;
     Wire::ServerList copy;
     copy.digest = list_.digest;
-    copy.ageMs = static_cast<std::uint32_t>((now - *readAt_) / Base::milliseconds(1));
+    copy.ageMs = ageMs(now);
     if (heldDigest != list_.digest)
         copy.servers = list_.servers;
     return copy;
--- a/Libraries/LibRegistry/ServerListHolder.h
+++ b/Libraries/LibRegistry/ServerListHolder.h
@@ -25,8 +25,11 @@
     std::uint64_t digest() const { return list_.digest; }
     Base::Instant readAt() const { return readAt_.value_or(Base::Instant {}); }
     /// Returns the list with its age; without servers when `heldDigest` is its digest. Nothing when none is
-    /// known.
-    std::optional<Wire::ServerList> copyFor(Base::Instant now, std::uint64_t heldDigest) const;
+    /// known, or when what is held was read later: it would be refused, and asked for again at once.
+    std::optional<Wire::ServerList> copyFor(Base::Instant now, std::uint64_t heldDigest,
+                                            std::uint32_t heldAgeMs = UINT32_MAX) const;
+    /// Age of the list in milliseconds; the largest value when none is known.
+    std::uint32_t ageMs(Base::Instant now) const;
 
     /// Tells whether this process should read the list now.
     bool shouldRead(Base::Instant now, bool isLeader) const;
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -79,8 +79,10 @@
     std::uint64_t directoryDigest = 0;
     bool mayWait = true; ///< False asks for an answer at once.
     std::vector<GatewayReport> relayed; ///< Of gateways that reach the sender but no registry.
+    std::uint32_t serverListAgeMs = UINT32_MAX; ///< Since the list held was read; an older one is not wanted.
 
-    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait, relayed)
+    MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait, relayed,
+                   serverListAgeMs)
 };
 
 struct WatchReply
@@ -89,7 +91,7 @@
     std::uint32_t leaderSilentMs =
         0; ///< Since the registry last heard the leader; bounds how old the rest is.
     std::uint64_t configurationVersion = 0;
-    std::string configurationText; ///< Empty unless it is newer than what the gateway holds.
+    std::string configurationText; ///< Compressed; empty unless it is newer than what the gateway holds.
     std::optional<ServerList> serverList; ///< Without servers when the gateway holds the same ones.
     std::uint64_t directoryDigest = 0;
     std::vector<GatewayRecord> directory; ///< Serving gateways; empty when the gateway holds the same ones.
@@ -140,7 +142,7 @@
 struct SubmitConfigurationRequest
 {
     std::uint64_t version = 0;
-    std::string text;
+    std::string text; ///< Compressed.
 
     MSGPACK_DEFINE(version, text)
 };
@@ -163,7 +165,7 @@
 struct ReadConfigurationReply
 {
     std::uint64_t version = 0;
-    std::string text; ///< Empty when the caller holds this version.
+    std::string text; ///< Compressed; empty when the caller holds this version.
 
     MSGPACK_DEFINE(version, text)
 };
--- a/Meta/install-packages.sh
+++ b/Meta/install-packages.sh
@@ -5,7 +5,7 @@
     ccache clang-format clang-tidy cmake curl g++ git make ninja-build
     libboost-dev libcivetweb-dev libdocopt-dev libexpected-dev libfmt-dev libgmock-dev libgtest-dev
     libmsgpack-cxx-dev libnghttp2-dev librapidcheck-dev libssl-dev libtomlplusplus-dev libxxhash-dev
-    nlohmann-json3-dev zlib1g-dev
+    nlohmann-json3-dev python3 zlib1g-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -9,6 +9,9 @@
 
 namespace Services {
 
+/// Largest configuration text that an operator may send.
+constexpr std::size_t MaxConfigurationBytes = std::size_t {4} * 1024 * 1024;
+
 /// Settings of a gateway or registry process, from its settings file. Addresses that its role does not use
 /// are empty.
 struct NodeSettings
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -1,6 +1,7 @@
 #include "Services/Gateway/GatewayProcess.h"
 
 #include "LibBase/AddressText.h"
+#include "LibBase/Compression.h"
 #include "LibRegistry/GatewayChoice.h"
 #include "Services/Common/MetricsEndpoint.h"
 
@@ -190,6 +191,7 @@
                        state()};
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     request.serverListDigest = serverList_.digest();
+    request.serverListAgeMs = serverList_.ageMs(clock_.now());
     request.directoryDigest = directoryDigest_;
     request.relayed = otherGateways_.heardDirectly(clock_.now());
     return request;
@@ -212,7 +214,7 @@
     reply.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     if (reply.configurationVersion > request.configurationVersion)
         reply.configurationText = configurationText_;
-    reply.serverList = serverList_.copyFor(now, request.serverListDigest);
+    reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directoryDigest = directoryDigest_;
     if (directoryDigest_ != request.directoryDigest)
         reply.directory = directory_;
@@ -249,7 +251,9 @@
     // A registry without a leader may hold an old one, but an old one is better than none for long.
     if (held == 0 && !fresh && now - startedAt_ < StaleConfigurationDelay)
         return;
-    auto configuration = adapter_.decodeConfiguration(reply.configurationText);
+    auto configuration =
+        Base::decompress(reply.configurationText, MaxConfigurationBytes)
+            .and_then([this](const std::string &text) { return adapter_.decodeConfiguration(text); });
     if (!configuration) {
         if (std::exchange(refusedConfiguration_, configuration.error().detail) != refusedConfiguration_)
             events_.write(now, Importance::Notable, "configuration_refused",
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -14,7 +14,8 @@
 /// decided.
 constexpr std::uint32_t MaxLeaderSilenceMs = 700;
 constexpr Base::Duration SearchInterval = Base::milliseconds(100);
-constexpr Base::Duration SearchTimeout = Base::milliseconds(400);
+/// Leaves time for a large configuration on a narrow link; a dark registry holds up nobody, as all are asked.
+constexpr Base::Duration SearchTimeout = Base::milliseconds(1200);
 /// Registries that restart are back within this, and first-hand knowledge is better.
 constexpr Base::Duration GatewayFallbackDelay = Base::milliseconds(400);
 /// Gateways asked in each round of the search.
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -1,5 +1,6 @@
 // The operators' interface: reading and replacing the configuration.
 
+#include "LibBase/Compression.h"
 #include "Services/Registry/RegistryProcess.h"
 
 #include <algorithm>
@@ -108,15 +109,15 @@
     if (!cluster_)
         return answer(Base::fail(ErrorKind::StorageFailed, "the data directory is not usable now"));
     if (isLeader(clock_.now()))
-        return submit(version, request.body, answer);
+        return submit(version, Base::compress(request.body), answer);
     if (cluster_->core().configuration().version() >= version)
         return answer(cluster_->core().configuration().version());
     const auto leader = leaderAddress(cluster_->raft().status(clock_.now()));
     if (leader.empty() || leader == settings_.registryPeerAddress())
         return answer(Base::fail(ErrorKind::ControlUnavailable, "no leader is known"));
     endpoint_->call(leader, Wire::Method::SubmitConfiguration,
-                    Wire::encode(Wire::SubmitConfigurationRequest {version, request.body}), ForwardTimeout,
-                    [this, answer](const Base::Result<Base::Bytes> &payload) {
+                    Wire::encode(Wire::SubmitConfigurationRequest {version, Base::compress(request.body)}),
+                    ForwardTimeout, [this, answer](const Base::Result<Base::Bytes> &payload) {
                         auto held = payload.and_then([](const Base::Bytes &bytes) {
                             return Wire::decode<Wire::SubmitConfigurationReply>(bytes);
                         });
@@ -128,7 +129,11 @@
 
 void RegistryProcess::readConfiguration(const Edge::CallerExchange &exchange)
 {
-    const auto answer = [this, exchange](std::uint64_t version, const Base::Result<std::string> &text) {
+    const auto answer = [this, exchange](std::uint64_t version, const Base::Result<std::string> &compressed) {
+        const auto text = compressed.and_then([](const std::string &bytes) {
+            return bytes.empty() ? Base::Result<std::string>()
+                                 : Base::decompress(bytes, MaxConfigurationBytes);
+        });
         auto response = text ? jsonResponse(200, *text) : errorResponse(text.error());
         if (text && version == 0)
             response = errorResponse({ErrorKind::ControlUnavailable, {}});
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -112,7 +112,7 @@
         if (configuration.version() > request.configurationVersion)
             reply.configurationText = configuration.text();
     }
-    reply.serverList = serverList_.copyFor(now, request.serverListDigest);
+    reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directoryDigest = directoryDigest_;
     if (directoryDigest_ != request.directoryDigest)
         reply.directory = directory_;
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -16,8 +16,6 @@
 constexpr Base::Duration SettingsPollInterval = Base::seconds(1);
 /// Time for the replies of the last calls to leave.
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(300);
-/// Largest configuration that an operator may send.
-constexpr std::uint64_t MaxConfigurationBytes = std::uint64_t {4} * 1024 * 1024;
 
 } // namespace
 
--- a/Tests/LibRegistry/TestSoftState.cpp
+++ b/Tests/LibRegistry/TestSoftState.cpp
@@ -95,6 +95,19 @@
     EXPECT_EQ(holder.readAt(), Start + milliseconds(100));
 }
 
+// csf-waxroute-grown trouble-3: a registry with an older list answered its gateways at once, again and again,
+// with a list that they refused, and filled the links.
+TEST(ServerListHolder, OffersNothingOlderThanWhatIsHeld)
+{
+    ServerListHolder holder;
+    EXPECT_EQ(holder.ageMs(Start), UINT32_MAX);
+    holder.offer(Start, listRead(500, 1, 3));
+    EXPECT_FALSE(holder.copyFor(Start, 2, 100).has_value());
+    EXPECT_TRUE(holder.copyFor(Start, 2, 900).has_value());
+    EXPECT_EQ(holder.copyFor(Start, 2, 900)->servers.size(), 3U);
+    EXPECT_EQ(holder.ageMs(Start), 500U);
+}
+
 // One reader is enough while it works; any other process takes over when it does not.
 TEST(ServerListHolder, OthersTakeOverFromTheLeader)
 {
