Rename the path prefix of a route; remove dead members and a repeated step

RouteRule used the platform's own field name; it is now called prefix. The three places that end an attempt share takeAttempt(). Removed: members that nothing called (connection state, request counts, the service of an attempt) and a look-up of the leader's address that could only give back the membership's address. Behaviour is unchanged.

--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -131,7 +131,6 @@
     void send(std::string request, bool headRequest)
     {
         busy_ = true;
-        carried_ = true;
         output_ = std::move(request);
         sent_ = 0;
         parser_.emplace(headRequest);
@@ -279,7 +278,6 @@
     bool wroteAll_ = false;
     bool connected_ = false;
     bool busy_ = false;
-    bool carried_ = false;
     bool headRequest_ = false;
     bool reusable_ = true;
     Base::Instant idleSince_;
@@ -314,22 +312,12 @@
     return implementation_->events_ != nullptr;
 }
 
-bool BackendConnection::isConnected() const
-{
-    return isOpen() && implementation_->connected_;
-}
-
 bool BackendConnection::isReusable(Base::Instant now) const
 {
     return isOpen() && implementation_->reusable_
            && now - implementation_->idleSince_ < implementation_->idleLimit_;
 }
 
-bool BackendConnection::hasCarriedRequests() const
-{
-    return implementation_->carried_;
-}
-
 Base::Instant BackendConnection::idleSince() const
 {
     return implementation_->idleSince_;
--- a/Libraries/LibEdge/BackendConnection.h
+++ b/Libraries/LibEdge/BackendConnection.h
@@ -51,10 +51,8 @@
     void abort();
 
     bool isOpen() const;
-    bool isConnected() const;
     /// False once the server announced that it closes, or its idle timeout is near.
     bool isReusable(Base::Instant now) const;
-    bool hasCarriedRequests() const;
     Base::Instant idleSince() const;
 
 private:
--- a/Libraries/LibEdge/CallerConnection.h
+++ b/Libraries/LibEdge/CallerConnection.h
@@ -38,7 +38,6 @@
     void closeIfIdle();
     /// Cuts the connection off; the context is not used any more.
     void detach();
-    bool hasRequest() const { return state_ == State::Handling; }
 
 private:
     enum class State : std::uint8_t { Reading, Handling, Lingering, Closed };
--- a/Libraries/LibEdge/CallerServer.cpp
+++ b/Libraries/LibEdge/CallerServer.cpp
@@ -172,14 +172,6 @@
     return implementation_->connections_.size();
 }
 
-std::size_t CallerServer::requestsInFlight() const
-{
-    std::size_t count = 0;
-    for (const auto &connection : implementation_->connections_)
-        count += connection.hasRequest() ? 1 : 0;
-    return count;
-}
-
 CallerExchange::CallerExchange(boost::intrusive_ptr<CallerConnection> connection, std::uint64_t sequence)
     : connection_(std::move(connection))
     , sequence_(sequence)
--- a/Libraries/LibEdge/CallerServer.h
+++ b/Libraries/LibEdge/CallerServer.h
@@ -73,7 +73,6 @@
     /// Refuses new connections and closes those without a request.
     void stopAccepting();
     std::size_t connectionCount() const;
-    std::size_t requestsInFlight() const;
 
 private:
     class Implementation;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -124,14 +124,22 @@
     return std::nullopt;
 }
 
+/// Removes an attempt that has ended; nothing when it was aborted before.
+std::optional<ForwardCore::Attempt> ForwardCore::takeAttempt(AttemptId id)
+{
+    auto node = attempts_.extract(id);
+    if (node.empty())
+        return std::nullopt;
+    BackendTable::noteEnded(*node.mapped().backend, node.mapped().sentAt);
+    return std::move(node.mapped());
+}
+
 void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
 {
-    const auto found = attempts_.find(attemptId);
-    if (found == attempts_.end())
+    const auto taken = takeAttempt(attemptId);
+    if (!taken)
         return;
-    const auto attempt = std::move(found->second);
-    attempts_.erase(found);
-    BackendTable::noteEnded(*attempt.backend, attempt.sentAt);
+    const auto &attempt = *taken;
     if (reply.load)
         BackendTable::noteLoad(now, *attempt.backend, *reply.load);
     const bool succeeded =
@@ -197,12 +205,10 @@
 
 void ForwardCore::attemptFailed(Base::Instant now, AttemptId attemptId, Edge::ExchangeFailure failure)
 {
-    const auto found = attempts_.find(attemptId);
-    if (found == attempts_.end())
+    const auto taken = takeAttempt(attemptId);
+    if (!taken)
         return;
-    const auto attempt = std::move(found->second);
-    attempts_.erase(found);
-    BackendTable::noteEnded(*attempt.backend, attempt.sentAt);
+    const auto &attempt = *taken;
     if (failure == Edge::ExchangeFailure::ReplyMalformed)
         BackendTable::noteError(now, *attempt.backend);
     else
@@ -261,12 +267,8 @@
     while (const auto id = reviews_.popDue(now))
         review(now, *id);
     while (const auto attemptId = aborts_.popDue(now)) {
-        const auto found = attempts_.find(*attemptId);
-        if (found == attempts_.end())
-            continue;
-        BackendTable::noteEnded(*found->second.backend, found->second.sentAt);
-        attempts_.erase(found);
-        actions_.emplace_back(AbortAttempt {*attemptId});
+        if (takeAttempt(*attemptId))
+            actions_.emplace_back(AbortAttempt {*attemptId});
     }
     dispatchWaiting(now);
 }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -166,7 +166,6 @@
         BackendPointer backend;
         Base::Instant sentAt;
         std::string routeName;
-        std::string service;
     };
 
     struct WaitingLeg
@@ -175,6 +174,7 @@
         std::size_t leg = 0;
     };
 
+    std::optional<Attempt> takeAttempt(AttemptId id);
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseHopeless(const Exchange &exchange);
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service) const;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -132,7 +132,7 @@
     auto &leg = exchange.legs[legIndex];
     const auto &route = *exchange.facts.route;
     const auto attemptId = ++lastId_;
-    attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name, std::string(leg.service)});
+    attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name});
     BackendTable::noteSent(*backend, now);
     leg.state = LegState::Open;
     leg.tried.push_back(backend);
--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -45,10 +45,10 @@
     std::vector<std::string> mistakes;
     std::set<std::pair<std::string_view, std::string_view>> places;
     for (const auto &route : configuration.routes) {
-        if (!places.emplace(route.host, route.pathPrefix).second)
+        if (!places.emplace(route.host, route.prefix).second)
             mistakes.push_back(fmt::format("route {}: {}{} is taken by another route", route.name, route.host,
-                                           route.pathPrefix));
-        if (!route.pathPrefix.starts_with('/') || !route.pathPrefix.ends_with('/'))
+                                           route.prefix));
+        if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/'))
             mistakes.push_back(
                 fmt::format("route {}: its path prefix must begin and end with a slash", route.name));
         if (route.timeout <= Base::Duration::zero())
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -38,7 +38,7 @@
 {
     std::string name;
     std::string host; ///< Lower case.
-    std::string pathPrefix; ///< Begins and ends with a slash.
+    std::string prefix; ///< Of the path; begins and ends with a slash.
     Repeatability repeatability = Repeatability::AtMostOnce;
     Base::Duration timeout {}; ///< Longest time that a caller is kept waiting.
     Base::Duration latencyTarget {};
--- a/Libraries/LibRoute/RouteTable.cpp
+++ b/Libraries/LibRoute/RouteTable.cpp
@@ -20,7 +20,7 @@
 {
     routes_.reserve(configuration_.routes.size());
     for (const auto &route : configuration_.routes)
-        routes_.emplace(normaliseHost(route.host) + route.pathPrefix, &route);
+        routes_.emplace(normaliseHost(route.host) + route.prefix, &route);
 }
 
 const RouteRule *RouteTable::find(std::string_view host, std::string_view path) const
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -185,9 +185,7 @@
 {
     for (const auto &member : status.members) {
         if (!status.leaderId.empty() && member.member.nodeId == status.leaderId)
-            return addresses_.find(member.member.nodeId, member.member.incarnation).empty()
-                       ? member.member.peerAddress
-                       : addresses_.find(member.member.nodeId, member.member.incarnation);
+            return member.member.peerAddress;
     }
     return {};
 }
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -54,7 +54,7 @@
         Route::RouteRule gather;
         gather.name = "gather";
         gather.host = "h";
-        gather.pathPrefix = "/g/";
+        gather.prefix = "/g/";
         gather.repeatability = Route::Repeatability::Idempotent;
         gather.timeout = milliseconds(1000);
         gather.latencyTarget = milliseconds(100);
@@ -67,12 +67,12 @@
         }
         auto single = gather;
         single.name = "single";
-        single.pathPrefix = "/s/";
+        single.prefix = "/s/";
         single.gather.reset();
         single.targets = {{"s0", 1.0}};
         auto once = single;
         once.name = "once";
-        once.pathPrefix = "/o/";
+        once.prefix = "/o/";
         once.repeatability = Route::Repeatability::AtMostOnce;
         configuration.routes = {gather, single, once};
         return std::make_shared<const Route::RouteTable>(std::move(configuration));
--- a/Tests/LibRoute/TestRouteTable.cpp
+++ b/Tests/LibRoute/TestRouteTable.cpp
@@ -9,7 +9,7 @@
     Route::RouteRule route;
     route.name = name;
     route.host = host;
-    route.pathPrefix = prefix;
+    route.prefix = prefix;
     route.timeout = Base::milliseconds(100);
     route.targets = {{"s", 1.0}};
     return route;
