Ignore soak signals to a VM that has no process

A SIGCONT that ends a freeze is scheduled ahead; when repair() had taken the disk of that VM meanwhile, its process object was gone. Ruled out: a crash of daisyroute; only the harness dereferenced the pointer. Test: SoakCluster.SignalsToAVmWithoutAProcessAreIgnored crashes without the change and passes with it.

--- a/Tests/Soak/Cluster.cpp
+++ b/Tests/Soak/Cluster.cpp
@@ -79,7 +79,9 @@
 
 void Cluster::signal(int vm, int number)
 {
-    processes_[static_cast<std::size_t>(vm)]->signal(number);
+    // A VM whose disk was taken away has no process until it starts again.
+    if (const auto &process = processes_[static_cast<std::size_t>(vm)])
+        process->signal(number);
 }
 
 void Cluster::killAndWipe(int vm)
