Let gateways report their share of a processor

Cause: GatewayChoice sends callers to the gateways with a large share of a processor, but GatewayProcess never filled in that field, so all gateways looked alike and callers were spread over 24 of the 69 to 89, most of them with an eighth of a core. Each of those saw too few requests to learn which servers are slow or to keep its connections. Ruled out: the choice itself (GatewayChoice.* pass) and the setting (it was read).

--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -47,6 +47,9 @@
     settings.nodeId = table.text("node", "a name that no other VM has").text;
     settings.dataCentre = table.text("data_centre", "the name of a data centre").text;
     settings.ip = table.text("ip", "an ip address").text;
+    settings.listenIp = table.optionalText("listen_ip");
+    if (settings.listenIp.empty())
+        settings.listenIp = settings.ip;
     settings.callerAddress = address(table, "caller_address");
     settings.readinessAddress = address(table, "readiness_address");
     settings.lookupAddress = address(table, "lookup_address");
@@ -85,9 +88,19 @@
     return fmt::format("{}:{}", ip, registryPort);
 }
 
-std::string NodeSettings::gatewayPeerAddress() const
+std::string NodeSettings::registryListenAddress() const
 {
-    return fmt::format("{}:{}", ip, gatewayPort);
+    return fmt::format("{}:{}", listenIp, registryPort);
+}
+
+std::string NodeSettings::gatewayListenAddress() const
+{
+    return fmt::format("{}:{}", listenIp, gatewayPort);
+}
+
+Wire::GatewayRecord NodeSettings::gatewayRecord(std::uint64_t incarnation, Wire::GatewayState state) const
+{
+    return {nodeId, incarnation, callerAddress, dataCentre, state, processorShare};
 }
 
 Base::Result<NodeSettings> parseNodeSettings(std::string_view text)
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Error.h"
 #include "LibBase/Time.h"
+#include "LibWire/RegistryMessages.h"
 
 #include <string>
 #include <string_view>
@@ -18,7 +19,9 @@
 {
     std::string nodeId;
     std::string dataCentre;
-    std::string ip; ///< Of this VM.
+    std::string ip; ///< Under which other processes reach this VM.
+    std::string
+        listenIp; ///< Where the listener for other processes binds; differs where addresses are translated.
     std::string callerAddress; ///< Where callers send requests.
     std::string readinessAddress; ///< Where the platform asks whether callers may come.
     std::string lookupAddress; ///< Where callers ask for gateways.
@@ -43,7 +46,11 @@
     /// Address of the registry on the VM of an operator address; empty when that is no address.
     std::string registryPeerAddress(std::string_view seed) const;
     std::string registryPeerAddress() const;
-    std::string gatewayPeerAddress() const;
+    std::string registryListenAddress() const;
+    std::string gatewayListenAddress() const;
+
+    /// What a gateway with these settings tells of itself.
+    Wire::GatewayRecord gatewayRecord(std::uint64_t incarnation, Wire::GatewayState state) const;
 };
 
 /// Reads and checks a settings file; SettingInvalid lists every mistake with its line.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -95,7 +95,7 @@
 Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
 {
     Peer::EndpointOptions options;
-    options.listenAddress = settings_.gatewayPeerAddress();
+    options.listenAddress = settings_.gatewayListenAddress();
     options.sharedSecret = settings_.clusterKey;
     options.handler = [this](Wire::Method method, const Base::Bytes &payload,
                              const std::shared_ptr<Peer::Responder> &responder) {
@@ -121,7 +121,7 @@
         server = std::move(*created);
         return {};
     };
-    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.ip, metricsPort);
+    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort);
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -187,8 +187,7 @@
 Wire::WatchRequest GatewayProcess::watchRequest() const
 {
     Wire::WatchRequest request;
-    request.gateway = {settings_.nodeId, incarnation_, settings_.callerAddress, settings_.dataCentre,
-                       state()};
+    request.gateway = settings_.gatewayRecord(incarnation_, state());
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     request.serverListDigest = serverList_.digest();
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -59,7 +59,7 @@
 Base::Result<void> RegistryProcess::start(const std::string &metricsPort)
 {
     Peer::EndpointOptions options;
-    options.listenAddress = settings_.registryPeerAddress();
+    options.listenAddress = settings_.registryListenAddress();
     options.sharedSecret = settings_.clusterKey;
     options.handler = [this](Wire::Method method, const Base::Bytes &payload,
                              const ResponderPointer &responder) {
@@ -80,7 +80,7 @@
     Edge::EdgeLimits limits;
     limits.maxBodyBytes = MaxConfigurationBytes;
     operatorServer_->setLimits(limits);
-    auto metricsServer = serveMetrics(loop_, metrics_, settings_.ip, metricsPort);
+    auto metricsServer = serveMetrics(loop_, metrics_, settings_.listenIp, metricsPort);
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
