Put the soak's processes and servers behind proxies that fail

The soak had no network faults. Callers, registries and backend servers are now reached through FaultProxy, which delays bytes, cuts one or both directions, resets connections, or silences them for good; a third of the faults are of this kind. Processes are still stopped, paused, killed and restarted by signals.

--- a/Tests/Soak/Cluster.cpp
+++ b/Tests/Soak/Cluster.cpp
@@ -30,22 +30,33 @@
     return fmt::format("{}/vm-{}.log", directory_, vm);
 }
 
+std::vector<std::pair<std::string, std::string>> Cluster::proxiedAddresses() const
+{
+    std::vector<std::pair<std::string, std::string>> addresses;
+    for (int vm = 0; vm < count(); ++vm) {
+        const auto port = isRegistry(vm) ? RegistryPeerPort : CallerPort;
+        addresses.emplace_back(outerAddress(vm, port), address(vm, port));
+    }
+    return addresses;
+}
+
 void Cluster::writeSettings(int vm) const
 {
     std::ofstream file(fmt::format("{}/vm-{}.toml", directory_, vm));
     file << fmt::format(R"(node = "vm-{0}"
 data_centre = "dc-a"
 ip = "{1}{2}"
-caller_address = "{3}"
-readiness_address = "{4}"
-lookup_address = "{5}"
-operator_address = "{6}"
-first_peer_port = 19380
+listen_ip = "{1}{3}"
+caller_address = "{4}"
+readiness_address = "{5}"
+lookup_address = "{6}"
+operator_address = "{7}"
+first_peer_port = {8}
 cluster_key = "soak"
-seeds = "{7},{8},{9}"
-first_start = {10}
-data_directory = "{11}"
-server_list_address = "{12}"
+seeds = "{9},{10},{11}"
+first_start = {12}
+data_directory = "{13}"
+server_list_address = "{14}"
 server_list_calls_per_second = 50.0
 processor_share = 1.0
 lookup_max_age_s = 5
@@ -54,8 +65,9 @@
 extra_load_slack = 60
 lost_vms_tolerated = 1
 )",
-                        vm, network_, vm + 1, address(vm, 19004), address(vm, 19008), address(vm, 19000),
-                        address(vm, 19006), operatorAddress(0), operatorAddress(1), operatorAddress(2),
+                        vm, network_, vm + 1 + OuterOffset, vm + 1, address(vm, CallerPort),
+                        address(vm, ReadinessPort), address(vm, LookupPort), outerAddress(vm, OperatorPort),
+                        RegistryPeerPort, operatorAddress(0), operatorAddress(1), operatorAddress(2),
                         firstStart_, isRegistry(vm) ? dataDirectory(vm) : "", listAddress_);
 }
 
--- a/Tests/Soak/Cluster.h
+++ b/Tests/Soak/Cluster.h
@@ -31,13 +31,24 @@
     int count() const { return Registries + Gateways; }
     bool isRegistry(int vm) const { return vm < Registries; }
 
-    std::string operatorAddress(int registry) const { return address(registry, 19006); }
-    std::string callerAddress(int gateway) const { return address(Registries + gateway, 19004); }
-    std::string lookupAddress(int gateway) const { return address(Registries + gateway, 19000); }
+    std::string operatorAddress(int registry) const { return outerAddress(registry, OperatorPort); }
+    std::string callerAddress(int gateway) const { return outerAddress(Registries + gateway, CallerPort); }
     std::string logPath(int vm) const;
 
+    /// Addresses of callers' and peers' traffic, which a proxy listens on, with those behind it.
+    std::vector<std::pair<std::string, std::string>> proxiedAddresses() const;
+
 private:
+    static constexpr int LookupPort = 19000;
+    static constexpr int CallerPort = 19004;
+    static constexpr int OperatorPort = 19006;
+    static constexpr int ReadinessPort = 19008;
+    static constexpr int RegistryPeerPort = 19380;
+    /// Difference between the addresses that others use and those that processes listen on.
+    static constexpr int OuterOffset = 50;
+
     std::string address(int vm, int port) const;
+    std::string outerAddress(int vm, int port) const { return address(vm + OuterOffset, port); }
     std::string dataDirectory(int vm) const;
     void writeSettings(int vm) const;
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -42,6 +42,11 @@
     }
     for (int count = 0; count < 3; ++count)
         platform_.addServer(PlainService);
+    auto addresses = cluster_.proxiedAddresses();
+    for (auto &pair : platform_.proxiedAddresses())
+        addresses.push_back(std::move(pair));
+    for (const auto &[listen, target] : addresses)
+        proxies_.push_back(std::make_unique<FaultProxy>(loop_, listen, target));
 }
 
 std::vector<std::string> SoakRun::run(Base::Duration duration)
@@ -251,57 +256,84 @@
 {
     ++faults_;
     const auto length = Base::milliseconds(static_cast<std::int64_t>(100 + random_.below(2000)));
+    switch (random_.below(3)) {
+    case 0:
+        return injectProcessFault(length);
+    case 1:
+        return injectServerFault(length);
+    default:
+        return injectNetworkFault(length);
+    }
+}
+
+void SoakRun::injectProcessFault(Base::Duration length)
+{
     const auto vm = static_cast<int>(random_.below(static_cast<std::uint64_t>(cluster_.count())));
-    const auto server = static_cast<std::size_t>(random_.below(platform_.serverCount()));
-    const auto restartLater = [&] {
-        scheduled_.emplace_back(clock_.now() + length, [this, vm] {
+    const auto restartAfter = [this, vm](Base::Duration pause) {
+        scheduled_.emplace_back(clock_.now() + pause, [this, vm] {
             if (!cluster_.isRunning(vm))
                 cluster_.start(vm);
         });
     };
-    ServerFaults faults;
-    switch (random_.below(9)) {
+    switch (random_.below(4)) {
     case 0:
         cluster_.signal(vm, SIGKILL);
-        return restartLater();
+        return restartAfter(length);
     case 1:
         cluster_.signal(vm, SIGTERM);
-        scheduled_.emplace_back(clock_.now() + Base::seconds(4), [this, vm] {
-            if (!cluster_.isRunning(vm))
-                cluster_.start(vm);
-        });
-        return;
+        return restartAfter(Base::seconds(4));
     case 2:
         cluster_.signal(vm, SIGSTOP);
         scheduled_.emplace_back(clock_.now() + length, [this, vm] { cluster_.signal(vm, SIGCONT); });
         return;
-    case 3:
-        cluster_.signal(vm, SIGHUP);
-        return;
-    case 4:
-        faults.paused = true;
-        break;
-    case 5:
-        faults.sheds = true;
+    default:
+        return cluster_.signal(vm, SIGHUP);
+    }
+}
+
+void SoakRun::injectServerFault(Base::Duration length)
+{
+    static constexpr bool ServerFaults::*Kinds[] = {&ServerFaults::paused, &ServerFaults::sheds,
+                                                    &ServerFaults::fails, &ServerFaults::loses,
+                                                    &ServerFaults::foreign};
+    ServerFaults faults;
+    faults.*Kinds[random_.below(std::size(Kinds))] = true;
+    platform_.setFaults(static_cast<std::size_t>(random_.below(platform_.serverCount())), faults);
+    scheduled_.emplace_back(clock_.now() + length, [this] { platform_.clearFaults(); });
+}
+
+void SoakRun::injectNetworkFault(Base::Duration length)
+{
+    auto &proxy = *proxies_[random_.below(proxies_.size())];
+    LinkFaults faults;
+    switch (random_.below(6)) {
+    case 0:
+        return proxy.resetConnections();
+    case 1:
+        return proxy.silenceConnections();
+    case 2:
+        faults.delay = Base::milliseconds(static_cast<std::int64_t>(5 + random_.below(200)));
         break;
-    case 6:
-        faults.fails = true;
+    case 3:
+        faults.cutToTarget = true;
         break;
-    case 7:
-        faults.loses = true;
+    case 4:
+        faults.cutFromTarget = true;
         break;
     default:
-        faults.foreign = true;
+        faults.cutToTarget = faults.cutFromTarget = true;
         break;
     }
-    platform_.setFaults(server, faults);
-    scheduled_.emplace_back(clock_.now() + length, [this] { platform_.clearFaults(); });
+    proxy.setFaults(faults);
+    scheduled_.emplace_back(clock_.now() + length, [&proxy] { proxy.setFaults({}); });
 }
 
 /// Ends all faults; now and then a registry has lost its disk by then.
 void SoakRun::repair()
 {
     platform_.clearFaults();
+    for (const auto &proxy : proxies_)
+        proxy->setFaults({});
     if (random_.below(2) == 0)
         cluster_.killAndWipe(static_cast<int>(random_.below(Cluster::Registries)));
     runFor(Base::seconds(4));
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -4,6 +4,7 @@
 #include "LibBase/RandomSource.h"
 #include "LibEdge/Loop.h"
 #include "Soak/Cluster.h"
+#include "Soak/FaultProxy.h"
 #include "Soak/StandInPlatform.h"
 
 #include <functional>
@@ -42,6 +43,9 @@
     void checkAnswer(Kind kind, const std::string &requestId, const Edge::ResponseMessage &response);
     void checkGather(const std::string &requestId, const Edge::ResponseMessage &response);
     void injectFault();
+    void injectProcessFault(Base::Duration length);
+    void injectServerFault(Base::Duration length);
+    void injectNetworkFault(Base::Duration length);
     void repair();
     void checkAtEnd();
     void report(const std::string &what);
@@ -55,6 +59,7 @@
     Edge::Loop loop_;
     StandInPlatform platform_;
     Cluster cluster_;
+    std::vector<std::unique_ptr<FaultProxy>> proxies_;
     std::vector<std::string> broken_;
     std::vector<Change> acknowledged_;
     std::vector<std::pair<Base::Instant, std::function<void()>>> scheduled_; ///< Ends of faults.
--- a/Tests/Soak/StandInPlatform.cpp
+++ b/Tests/Soak/StandInPlatform.cpp
@@ -11,6 +11,8 @@
 
 constexpr Base::Duration MinWork = Base::milliseconds(2);
 constexpr std::uint64_t WorkSpreadUs = 8000;
+/// Difference between the addresses that the list names and those of the servers.
+constexpr int OuterOffset = 70;
 
 std::unique_ptr<Edge::CallerServer> listen(Edge::Loop &loop, const std::string &address,
                                            Edge::CallerHandler handler)
@@ -44,6 +46,7 @@
     auto server = std::make_unique<Server>();
     server->id = fmt::format("i-{}", nextServer_);
     server->service = service;
+    server->listedAddress = fmt::format("{}{}:19080", network_, nextServer_ + OuterOffset);
     server->address = fmt::format("{}{}:19080", network_, nextServer_++);
     auto *added = server.get();
     server->listener =
@@ -54,6 +57,14 @@
     servers_.push_back(std::move(server));
 }
 
+std::vector<std::pair<std::string, std::string>> StandInPlatform::proxiedAddresses() const
+{
+    std::vector<std::pair<std::string, std::string>> addresses;
+    for (const auto &server : servers_)
+        addresses.emplace_back(server->listedAddress, server->address);
+    return addresses;
+}
+
 void StandInPlatform::removeServer(std::size_t index)
 {
     const auto id = servers_[index]->id;
@@ -140,7 +151,7 @@
     for (const auto &server : servers_)
         entries.push_back({{"id", server->id},
                            {"service", server->service},
-                           {"address", server->address},
+                           {"address", server->listedAddress},
                            {"zone", "dc-a"},
                            {"version", "v1"},
                            {"slots", 4},
--- a/Tests/Soak/StandInPlatform.h
+++ b/Tests/Soak/StandInPlatform.h
@@ -47,6 +47,8 @@
     void clearFaults();
 
     std::string listAddress() const { return network_ + "250:19002"; }
+    /// Addresses that the list names, which a proxy listens on, with those of the servers.
+    std::vector<std::pair<std::string, std::string>> proxiedAddresses() const;
     const std::map<std::string, RequestSeen> &seen() const { return seen_; }
 
     /// Body that the server returns for a request id, so that a caller can check it.
@@ -58,6 +60,7 @@
     {
         std::string id;
         std::string service;
+        std::string listedAddress; ///< Of a proxy.
         std::string address;
         ServerFaults faults;
         std::unique_ptr<Edge::CallerServer> listener;
