--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -22,7 +22,9 @@
     std::uint32_t absentReads = 0; ///< Reads of the list in a row that lacked it.
 
     std::vector<Base::Instant> openSince; ///< Send times of attempts without a reply, oldest first.
-    double slowness = 1.0; ///< Moving average of its latency relative to the route's mean.
+    double slowness =
+        1.0; ///< Moving average of its latency relative to the route's mean, as of `slownessAt`.
+    Base::Instant slownessAt;
     double errorRate = 0.0; ///< Moving average over attempts, as of `errorRateAt`.
     Base::Instant errorRateAt;
     std::uint32_t failuresInRow = 0; ///< Attempts that could not be sent or got no reply.
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -26,13 +26,19 @@
 constexpr Base::Duration LoadReportAge = Base::milliseconds(150);
 /// Equal servers share the work when their estimates are drawn apart by up to this fraction.
 constexpr double TieSpread = 0.15;
-/// Round trip to another data centre of the region; bytes between data centres also cost money.
+/// Round trip to another data centre of the region.
 constexpr double OtherDataCentreMs = 2.0;
+/// Fraction of the latency target that may be spent to keep bytes within the data centre. Targets are several
+/// times the usual latency, and a second attempt still fits.
+constexpr double OtherDataCentreShare = 0.08;
 /// Weight of one attempt in the moving averages.
 constexpr double SlownessWeight = 0.15;
 constexpr double ErrorWeight = 0.25;
 /// Errors are forgotten by half in this time, so that a server that recovered gets work again.
 constexpr double ErrorHalfLifeMs = 2500.0;
+/// What a server's latency said fades by half in this time without a new sample: pauses and slow phases pass,
+/// and a server that gets no work could not show that it has recovered.
+constexpr double SlownessHalfLifeMs = 2000.0;
 /// First and longest time without work after failures in a row.
 constexpr Base::Duration MinAvoidance = Base::milliseconds(250);
 constexpr Base::Duration MaxAvoidance = Base::seconds(2);
@@ -45,6 +51,12 @@
     return backend.errorRate * std::exp2(-age / ErrorHalfLifeMs);
 }
 
+double decayedSlowness(Base::Instant now, const Backend &backend)
+{
+    const auto age = std::max(0.0, Base::toMilliseconds(now - backend.slownessAt));
+    return 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeMs);
+}
+
 void addErrorSample(Base::Instant now, Backend &backend, double sample)
 {
     const auto rate = decayedErrorRate(now, backend);
@@ -122,7 +134,7 @@
 
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
                                     std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
-                                    Base::Duration meanLatency)
+                                    Base::Duration meanLatency, Base::Duration latencyTarget)
 {
     const auto found = byService_.find(std::string(service));
     if (found == byService_.end())
@@ -133,7 +145,10 @@
         if (!backend->acceptsWork() || backend->openSince.size() >= connectionShare
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
-        const auto distance = backend->record.dataCentre == dataCentre_ ? 0.0 : OtherDataCentreMs;
+        const auto distance =
+            backend->record.dataCentre == dataCentre_
+                ? 0.0
+                : OtherDataCentreMs + OtherDataCentreShare * Base::toMilliseconds(latencyTarget);
         const auto estimate =
             expectedMilliseconds(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit()) + distance;
         if (!best || estimate < bestEstimate) {
@@ -147,11 +162,14 @@
 double BackendTable::expectedMilliseconds(Base::Instant now, const Backend &backend,
                                           Base::Duration meanLatency)
 {
-    const auto mean = Base::toMilliseconds(meanLatency) * backend.slowness;
-    const bool loadIsFresh = backend.loadKnown && now - backend.loadAt < LoadReportAge;
+    const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
+    const auto loadAge = now - backend.loadAt;
+    const bool loadIsFresh = backend.loadKnown && loadAge < LoadReportAge;
     const double own = static_cast<double>(backend.openSince.size());
-    const double work =
-        loadIsFresh ? std::max(own, static_cast<double>(backend.load.running + backend.load.waiting)) : own;
+    // What a server reported as running and waiting ends at about the rate of its service times.
+    const double reported = static_cast<double>(backend.load.running + backend.load.waiting)
+                            * std::exp2(-Base::toMilliseconds(loadAge) / std::max(0.1, mean));
+    const double work = loadIsFresh ? std::max(own, reported) : own;
     const double slots = std::max(1U, backend.record.slots);
     auto estimate = mean * (1.0 + std::max(0.0, work + 1.0 - slots) / slots);
     if (loadIsFresh)
@@ -186,7 +204,9 @@
 {
     const auto mean = std::max(0.1, Base::toMilliseconds(meanLatency));
     const auto ratio = std::clamp(Base::toMilliseconds(latency) / mean, 0.2, 10.0);
-    backend.slowness += SlownessWeight * (ratio - backend.slowness);
+    const auto slowness = decayedSlowness(now, backend);
+    backend.slowness = slowness + SlownessWeight * (ratio - slowness);
+    backend.slownessAt = now;
     backend.failuresInRow = 0;
     backend.avoidUntil = now;
     addErrorSample(now, backend, 0.0);
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -28,10 +28,12 @@
 
     /// Placing under load: returns the server of the service that is expected to answer first and has fewer
     /// than `connectionShare` attempts open, or null. Work goes round servers that stall (pause), fail part
-    /// of their requests, are cold, or report a queue. Servers in `excluded` are left out.
+    /// of their requests, are cold, or report a queue. A server in another data centre must answer sooner by
+    /// a part of the latency target, because bytes between data centres cost money. Servers in `excluded` are
+    /// left out.
     BackendPointer choose(Base::Instant now, std::string_view service,
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
-                          Base::Duration meanLatency);
+                          Base::Duration meanLatency, Base::Duration latencyTarget);
 
     /// Number of servers that may take work.
     std::size_t eligibleCount(std::string_view service) const;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -73,9 +73,9 @@
 bool ForwardCore::dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
 {
     auto &leg = exchange.legs[legIndex];
-    const auto backend = backends_.choose(now, leg.service, leg.tried,
-                                          connectionShare(exchange.facts.table->configuration(), leg.service),
-                                          timesOf(*exchange.facts.route).mean());
+    const auto backend = backends_.choose(
+        now, leg.service, leg.tried, connectionShare(exchange.facts.table->configuration(), leg.service),
+        timesOf(*exchange.facts.route).mean(), exchange.facts.route->latencyTarget);
     if (backend) {
         send(now, id, exchange, legIndex, backend, false);
         return true;
@@ -173,9 +173,9 @@
     auto &budget = budgetOf(leg.service);
     if (!budget.available())
         return false;
-    const auto backend = backends_.choose(now, leg.service, leg.tried,
-                                          connectionShare(exchange.facts.table->configuration(), leg.service),
-                                          timesOf(*exchange.facts.route).mean());
+    const auto backend = backends_.choose(
+        now, leg.service, leg.tried, connectionShare(exchange.facts.table->configuration(), leg.service),
+        timesOf(*exchange.facts.route).mean(), exchange.facts.route->latencyTarget);
     // Another server that is known to fail brings nothing while the first one may still answer.
     if (!backend || (leg.open > 0 && now < backend->avoidUntil))
         return false;
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -20,7 +20,9 @@
     void add(Base::Duration latency)
     {
         record_.add(latency);
-        mean_ += (latency - mean_) / MeanWeight;
+        // Converges quickly from the assumed value.
+        samples_ = std::min(samples_ + 1, MeanWeight);
+        mean_ += (latency - mean_) / samples_;
     }
 
     Base::Duration mean() const { return mean_; }
@@ -39,11 +41,13 @@
     static constexpr int AssumedHedgeMultiple = 4;
     /// Service times spread by about a third of their mean; well beyond the median come stalls and tails.
     static constexpr int HedgeMedianPercent = 150;
-    /// About the last thirty attempts decide.
-    static constexpr int MeanWeight = 30;
+    /// About the last three hundred attempts decide: the replies of one gather come in the order of their
+    /// latency, so fewer would follow the slow end of the last gather.
+    static constexpr int MeanWeight = 300;
 
     Query::LatencyRecord record_;
     Base::Duration mean_;
+    int samples_ = 1;
     Base::Duration latencyTarget_;
 };
 
