Read the first server list without waiting for a leader

Change: the registry with the lowest address reads at once, the others later one after the other; a list that was read is shared at once. Ruled out: an older configuration at once; a registry that has restarted applies its log only once a leader confirms it. Test: ServerListHolder.OneOfTheRegistriesThatStartTogetherReadsAtOnce.

--- a/Libraries/LibRegistry/ServerListHolder.cpp
+++ b/Libraries/LibRegistry/ServerListHolder.cpp
@@ -2,8 +2,18 @@
 
 #include "LibWire/Packed.h"
 
+#include <algorithm>
+
 namespace Registry {
 
+Base::Duration ServerListHolder::firstReadDelay(const std::string &ownAddress,
+                                                std::span<const std::string> others)
+{
+    const auto before = std::count_if(others.begin(), others.end(),
+                                      [&](const std::string &other) { return other < ownAddress; });
+    return before * FirstReadStagger;
+}
+
 bool ServerListHolder::offer(Base::Instant now, const Wire::ServerList &list)
 {
     const auto readAt = now - Base::milliseconds(list.ageMs);
--- a/Libraries/LibRegistry/ServerListHolder.h
+++ b/Libraries/LibRegistry/ServerListHolder.h
@@ -5,6 +5,7 @@
 #include "LibWire/RegistryMessages.h"
 
 #include <optional>
+#include <span>
 #include <string>
 
 namespace Registry {
@@ -19,6 +20,15 @@
     /// Age at which any other process reads for itself: the leader has missed a read.
     static constexpr Base::Duration TakeOverAge = Base::milliseconds(2500);
 
+    /// Time for a read of a large list and for telling the others.
+    static constexpr Base::Duration FirstReadStagger = Base::milliseconds(200);
+
+    /// Load pattern: all registries start together, none holds a list, and there is no leader yet. Returns
+    /// how long after its start a registry waits for a list from another one; the first in the order of the
+    /// addresses reads at once, and each further one later, so that the list is read once and a dead registry
+    /// delays little.
+    static Base::Duration firstReadDelay(const std::string &ownAddress, std::span<const std::string> others);
+
     /// Takes over a list unless a later read is held. A list without servers stands for the same content when
     /// its digest is the one held. Returns true when the content changed.
     bool offer(Base::Instant now, const Wire::ServerList &list);
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -185,7 +185,9 @@
         || !serverList_.shouldRead(now, isLeader(now)))
         return;
     // A registry that has just started gets the list from another one if there is one that holds it.
-    if (!serverList_.isKnown() && now - startedAt_ < 2 * ShareInterval && !isLeader(now))
+    if (!serverList_.isKnown() && !isLeader(now)
+        && now - startedAt_ < Registry::ServerListHolder::firstReadDelay(settings_.registryPeerAddress(),
+                                                                         knownRegistries()))
         return;
     listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list, std::size_t unreadable) {
         const auto readAt = clock_.now();
@@ -206,6 +208,7 @@
                            {"age_ms", list->ageMs},
                            {"digest", list->digest}});
             watchers_.answer(readAt);
+            nextShare_ = readAt;
         }
     });
 }
--- a/Tests/LibRegistry/TestSoftState.cpp
+++ b/Tests/LibRegistry/TestSoftState.cpp
@@ -143,3 +143,19 @@
 {
     EXPECT_FALSE(Registry::unpack({"no list", 1, 0}).has_value());
 }
+
+// After a power loss of the whole deployment callers wait for the first list; all registries reading it at
+// once would exceed the platform's rate.
+TEST(ServerListHolder, OneOfTheRegistriesThatStartTogetherReadsAtOnce)
+{
+    const std::vector<std::string> addresses {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"};
+    std::vector<Base::Duration> delays;
+    for (const auto &own : addresses) {
+        auto others = addresses;
+        std::erase(others, own);
+        delays.push_back(ServerListHolder::firstReadDelay(own, others));
+    }
+    EXPECT_EQ(delays[0], Base::Duration::zero());
+    EXPECT_GE(delays[1], ServerListHolder::FirstReadStagger);
+    EXPECT_GE(delays[2] - delays[1], ServerListHolder::FirstReadStagger);
+}
