Count silence against a server

Cause: a server that goes dark keeps its connections open. Callers are answered without it at the latency target, and the attempt was aborted a second later without a trace, so the server got work again as if nothing had happened. Test: ForwardFixture.ServersThatStaySilentGetNoMoreWork.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -13,6 +13,11 @@
 /// Work that an answer did not wait for usually ends soon, and ending it early would cost a connection.
 constexpr Base::Duration AnsweredGrace = Base::milliseconds(1000);
 
+/// A server that has not answered for this long is gone rather than pausing (pauses last 120 to 150 ms) or
+/// slow.
+constexpr Base::Duration MinSilence = Base::milliseconds(600);
+constexpr int SilentMeans = 8;
+
 } // namespace
 
 ForwardCore::ForwardCore(const ForwardOptions &options)
@@ -134,6 +139,16 @@
     return std::move(node.mapped());
 }
 
+/// Load pattern: servers fall silent without closing their connections. Nothing fails on such an attempt
+/// before its caller was answered without it, so the silence itself must count, or the server would get work
+/// again.
+bool ForwardCore::isSilent(Base::Instant now, const Attempt &attempt) const
+{
+    const auto times = routeTimes_.find(attempt.routeName);
+    const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
+    return now - attempt.sentAt >= std::max(MinSilence, mean * SilentMeans);
+}
+
 void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
 {
     const auto taken = takeAttempt(attemptId);
@@ -267,8 +282,12 @@
     while (const auto id = reviews_.popDue(now))
         review(now, *id);
     while (const auto attemptId = aborts_.popDue(now)) {
-        if (takeAttempt(*attemptId))
-            actions_.emplace_back(AbortAttempt {*attemptId});
+        const auto attempt = takeAttempt(*attemptId);
+        if (!attempt)
+            continue;
+        if (isSilent(now, *attempt))
+            BackendTable::noteUnreachable(now, *attempt->backend);
+        actions_.emplace_back(AbortAttempt {*attemptId});
     }
     dispatchWaiting(now);
 }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -175,6 +175,7 @@
     };
 
     std::optional<Attempt> takeAttempt(AttemptId id);
+    bool isSilent(Base::Instant now, const Attempt &attempt) const;
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseHopeless(const Exchange &exchange);
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service) const;
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -312,3 +312,23 @@
     progress = {20, 20, 0, 0, 0.89, start + milliseconds(80)};
     EXPECT_EQ(decideGather(progress, start), Forward::GatherDecision::Answer);
 }
+
+// Load pattern: a server falls silent and keeps its connections open. Nothing fails on them, so its silence
+// must count against it, or every second request pays for a hedge.
+TEST_F(ForwardFixture, ServersThatStaySilentGetNoMoreWork)
+{
+    begin("/s/x");
+    const auto silent = sends[0].backend;
+    advance(milliseconds(40));
+    ASSERT_EQ(sends.size(), 2U);
+    reply(sends[1].attempt, success());
+    advance(milliseconds(1001));
+    ASSERT_EQ(aborts.size(), 1U);
+    for (int i = 0; i < 20; ++i) {
+        sends.clear();
+        begin("/s/x");
+        ASSERT_EQ(sends.size(), 1U);
+        EXPECT_NE(sends[0].backend, silent);
+        reply(sends[0].attempt, success());
+    }
+}
