Hedge only what is late for its own server

Cause: the hedge delay followed the route's median only. When all servers of some shards work several times as long (srv_slow "across"), every request to them was hedged after a fraction of its time, which doubled the load on servers near saturation and brought nothing. Change: a second attempt waits for 1.5 times the usual reply of the first one's server at its present speed and load, if that is longer. Test: ForwardFixture.ShardsThatAreSlowAsAWholeAreNotHedged (fails with the multiple set to 0).

--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -159,8 +159,7 @@
     return best;
 }
 
-double BackendTable::expectedMilliseconds(Base::Instant now, const Backend &backend,
-                                          Base::Duration meanLatency)
+double BackendTable::usualMilliseconds(Base::Instant now, const Backend &backend, Base::Duration meanLatency)
 {
     const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
     const auto loadAge = now - backend.loadAt;
@@ -176,8 +175,16 @@
         estimate *= std::max(1.0, backend.load.slowdown);
     if (now < backend.warmAt)
         estimate *= ColdFactor;
+    return estimate;
+}
+
+double BackendTable::expectedMilliseconds(Base::Instant now, const Backend &backend,
+                                          Base::Duration meanLatency)
+{
+    auto estimate = usualMilliseconds(now, backend, meanLatency);
     if (!backend.openSince.empty()) {
         const auto openFor = Base::toMilliseconds(now - backend.openSince.front());
+        const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
         if (openFor > std::max(MinStallMs, StallFactor * mean))
             estimate += StallPenaltyMs;
     }
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -54,7 +54,9 @@
     static void noteDisplaced(Backend &backend) { backend.displaced = true; }
     static void noteLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
-    /// Expected time to a reply in milliseconds, with penalties; the measure of choose().
+    /// Time in milliseconds that the server's replies take at its speed and load.
+    static double usualMilliseconds(Base::Instant now, const Backend &backend, Base::Duration meanLatency);
+    /// The same with penalties for stalls and failures; the measure of choose().
     static double expectedMilliseconds(Base::Instant now, const Backend &backend, Base::Duration meanLatency);
 
 private:
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -191,6 +191,7 @@
     void takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
                      AttemptReply &reply);
     void review(Base::Instant now, ExchangeId id);
+    Base::Duration hedgeDelay(Base::Instant now, const Route::RouteRule &route, const Backend &backend);
     void hedgeDueLegs(Base::Instant now, ExchangeId id, Exchange &exchange);
     bool concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange);
     bool concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange);
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -21,6 +21,8 @@
 constexpr Base::Duration MaxRecoveryPause = Base::milliseconds(160);
 /// Fraction of the caller's time that is spent on them; the rest is left for a try elsewhere.
 constexpr int RecoveryShare = 3;
+/// A reply that takes longer than its server's usual time by this factor is late for a reason of its own.
+constexpr double HedgeUsualMultiple = 1.5;
 /// A second attempt that has less time than this fraction of the mean latency cannot help.
 constexpr double LeastUsefulTime = 0.7;
 
@@ -133,6 +135,7 @@
     const auto &route = *exchange.facts.route;
     const auto attemptId = ++lastId_;
     attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name});
+    const auto untilHedge = hedgeDelay(now, route, *backend);
     BackendTable::noteSent(*backend, now);
     leg.state = LegState::Open;
     leg.tried.push_back(backend);
@@ -140,11 +143,23 @@
     ++leg.sends;
     ++exchange.sends;
     exchange.extraSends += extra ? 1 : 0;
-    leg.hedgeAt = exchange.isRepeatable() && leg.sends < route.attempts ? now + timesOf(route).hedgeDelay()
-                                                                        : Base::Instant::max();
+    leg.hedgeAt =
+        exchange.isRepeatable() && leg.sends < route.attempts ? now + untilHedge : Base::Instant::max();
     actions_.emplace_back(SendAttempt {attemptId, id, backend, exchange.deadline - now});
 }
 
+/// Load pattern: all servers of a few shards are slow, for example behind one slow disk. A second attempt
+/// there would wait as long as the first and double the load, so it goes out only when the first takes longer
+/// than its server's replies usually do by now.
+Base::Duration ForwardCore::hedgeDelay(Base::Instant now, const Route::RouteRule &route,
+                                       const Backend &backend)
+{
+    auto &times = timesOf(route);
+    const auto usual = BackendTable::usualMilliseconds(now, backend, times.mean());
+    return std::max(times.hedgeDelay(),
+                    Base::Duration(static_cast<Base::Duration::rep>(HedgeUsualMultiple * usual * 1000.0)));
+}
+
 /// Load pattern: a server pauses or is slow while the others of its service answer. A second attempt goes out
 /// once the first is slower than nearly all are, within the budget that all gateways share.
 void ForwardCore::hedgeDueLegs(Base::Instant now, ExchangeId id, Exchange &exchange)
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -332,3 +332,36 @@
         reply(sends[0].attempt, success());
     }
 }
+
+// Load pattern: both servers of one shard work seven times as long. Second attempts there doubled the load on
+// servers that were nearly busy and brought nothing (inyuguti-search-grown scale-1); a stalled server
+// elsewhere is still hedged.
+TEST_F(ForwardFixture, ShardsThatAreSlowAsAWholeAreNotHedged)
+{
+    const auto replyAll = [this](std::size_t from, bool slow) {
+        for (auto index = from; index < sends.size(); ++index) {
+            if ((sends[index].backend->record.service == "s0") == slow)
+                reply(sends[index].attempt, success());
+        }
+    };
+    for (int round = 0; round < 30; ++round) {
+        sends.clear();
+        begin("/g/x");
+        advance(milliseconds(10));
+        replyAll(0, false);
+        advance(milliseconds(60));
+        replyAll(0, true);
+        advance(milliseconds(100));
+    }
+    sends.clear();
+    begin("/g/x");
+    ASSERT_EQ(sends.size(), std::size_t {Shards});
+    advance(milliseconds(10));
+    for (const auto &send : std::vector(sends)) {
+        if (send.backend->record.service != "s0" && send.backend->record.service != "s1")
+            reply(send.attempt, success());
+    }
+    advance(milliseconds(30));
+    ASSERT_EQ(sends.size(), std::size_t {Shards} + 1);
+    EXPECT_EQ(sends.back().backend->record.service, "s1");
+}
