Refuse gathers at once that silent servers or long queues make hopeless

Requests that could not reach their minimum coverage hung until their deadline, loaded the other shards for nothing, and those that waited for a connection were late even when they got one. Changes: a service whose servers all have been silent for 600 ms counts as lost for new requests, but for one in 200 ms that shows when they are back; time-outs of the network are told apart from resets, because only the latter are a sign of life; a gather is refused when what waits in this gateway takes longer than its target, by the present speed of the servers that do not stall. Tests: ForwardFixture.RequestsThatNeedSilentServersAreRefusedAtOnce, ForwardFixture.GathersBehindALongQueueAreRefusedAtOnce.

--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -63,10 +63,14 @@
 std::string_view exchangeFailureName(ExchangeFailure failure)
 {
     switch (failure) {
+    case ExchangeFailure::NoConnection:
+        return "no_connection";
     case ExchangeFailure::NotSent:
         return "not_sent";
     case ExchangeFailure::ReplyLost:
         return "reply_lost";
+    case ExchangeFailure::PeerSilent:
+        return "peer_silent";
     case ExchangeFailure::ReplyMalformed:
         return "reply_malformed";
     }
@@ -97,8 +101,10 @@
         }
         timer_.expires_after(timeout);
         timer_.async_wait([self = Pointer(this)](const error_code &error) {
-            if (!error && !self->connected_)
-                self->fail("no connection within the timeout");
+            if (error || self->connected_)
+                return;
+            self->connectTimedOut_ = true;
+            self->fail("no connection within the timeout");
         });
         socket_.async_connect(*endpoint, [self = Pointer(this)](const error_code &error) {
             if (self->events_ == nullptr)
@@ -183,8 +189,10 @@
             return waitReadable();
         if (error == asio::error::eof)
             return endOfInput();
-        if (error)
+        if (error) {
+            peerSilent_ = error == asio::error::timed_out;
             return fail(error.message());
+        }
         takeInput({buffer.data(), size});
     }
 
@@ -247,9 +255,11 @@
         auto *events = events_;
         const bool wasBusy = busy_;
         const bool received = parser_ && parser_->hasStarted();
-        const auto failure = malformed || received                    ? ExchangeFailure::ReplyMalformed
-                             : connected_ && (sent_ > 0 || wroteAll_) ? ExchangeFailure::ReplyLost
-                                                                      : ExchangeFailure::NotSent;
+        const auto failure = malformed || received ? ExchangeFailure::ReplyMalformed
+                             : connected_ && (sent_ > 0 || wroteAll_)
+                                 ? (peerSilent_ ? ExchangeFailure::PeerSilent : ExchangeFailure::ReplyLost)
+                             : connectTimedOut_ ? ExchangeFailure::NoConnection
+                                                : ExchangeFailure::NotSent;
         closeSocket();
         if (wasBusy)
             events->exchangeFailed(failure, detail);
@@ -277,6 +287,8 @@
     std::size_t sent_ = 0;
     bool wroteAll_ = false;
     bool connected_ = false;
+    bool connectTimedOut_ = false;
+    bool peerSilent_ = false;
     bool busy_ = false;
     bool headRequest_ = false;
     bool reusable_ = true;
--- a/Libraries/LibEdge/BackendConnection.h
+++ b/Libraries/LibEdge/BackendConnection.h
@@ -13,8 +13,10 @@
 
 /// How an exchange on a backend connection ended without a whole response.
 enum class ExchangeFailure : std::uint8_t {
+    NoConnection, ///< No connection within the timeout, so no byte of the request left this process.
     NotSent, ///< No byte of the request left this process.
-    ReplyLost, ///< The connection ended or timed out after bytes were sent; the request may have run.
+    ReplyLost, ///< The connection ended after bytes were sent; the request may have run.
+    PeerSilent, ///< The same, because the server acknowledged nothing for the timeout.
     ReplyMalformed, ///< The bytes received are no response, or belong to another request.
 };
 
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -22,6 +22,7 @@
     std::uint32_t absentReads = 0; ///< Reads of the list in a row that lacked it.
 
     std::vector<Base::Instant> openSince; ///< Send times of attempts without a reply, oldest first.
+    Base::Instant unansweredSince = Base::Instant::max(); ///< Earliest send since it was last heard.
     double slowness =
         1.0; ///< Moving average of its latency relative to the route's mean, as of `slownessAt`.
     Base::Instant slownessAt;
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -178,24 +178,60 @@
     return estimate;
 }
 
+bool BackendTable::isStalled(Base::Instant now, const Backend &backend, Base::Duration meanLatency)
+{
+    if (backend.openSince.empty())
+        return false;
+    const auto openFor = Base::toMilliseconds(now - backend.openSince.front());
+    const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
+    return openFor > std::max(MinStallMs, StallFactor * mean);
+}
+
+double BackendTable::attemptsPerMillisecond(Base::Instant now, std::string_view service,
+                                            std::uint32_t connectionShare, Base::Duration meanLatency) const
+{
+    const auto found = byService_.find(std::string(service));
+    if (found == byService_.end())
+        return 0.0;
+    double rate = 0.0;
+    for (const auto &backend : found->second) {
+        if (backend->acceptsWork() && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
+            rate += connectionShare / std::max(0.1, usualMilliseconds(now, *backend, meanLatency));
+    }
+    return rate;
+}
+
 double BackendTable::expectedMilliseconds(Base::Instant now, const Backend &backend,
                                           Base::Duration meanLatency)
 {
     auto estimate = usualMilliseconds(now, backend, meanLatency);
-    if (!backend.openSince.empty()) {
-        const auto openFor = Base::toMilliseconds(now - backend.openSince.front());
-        const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
-        if (openFor > std::max(MinStallMs, StallFactor * mean))
-            estimate += StallPenaltyMs;
-    }
+    if (isStalled(now, backend, meanLatency))
+        estimate += StallPenaltyMs;
     estimate += ErrorPenaltyMs * decayedErrorRate(now, backend);
     if (now < backend.avoidUntil)
         estimate += AvoidPenaltyMs;
     return estimate;
 }
 
+bool BackendTable::isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const
+{
+    const auto found = byService_.find(std::string(service));
+    if (found == byService_.end())
+        return false;
+    bool silent = false;
+    for (const auto &backend : found->second) {
+        if (!backend->acceptsWork())
+            continue;
+        if (backend->unansweredSince == Base::Instant::max() || now - backend->unansweredSince < silence)
+            return false;
+        silent = true;
+    }
+    return silent;
+}
+
 void BackendTable::noteSent(Backend &backend, Base::Instant now)
 {
+    backend.unansweredSince = std::min(backend.unansweredSince, now);
     backend.openSince.push_back(now);
 }
 
@@ -206,6 +242,19 @@
         backend.openSince.erase(open);
 }
 
+void BackendTable::noteHeard(Base::Instant now, Backend &backend)
+{
+    backend.unansweredSince = backend.openSince.empty() ? Base::Instant::max() : now;
+}
+
+void BackendTable::noteGivenUp(Base::Instant now, Backend &backend, Base::Duration silence)
+{
+    if (now - backend.unansweredSince >= silence)
+        noteUnreachable(now, backend);
+    else if (backend.openSince.empty())
+        backend.unansweredSince = Base::Instant::max();
+}
+
 void BackendTable::noteReply(Base::Instant now, Backend &backend, Base::Duration latency,
                              Base::Duration meanLatency)
 {
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -37,12 +37,24 @@
 
     /// Number of servers that may take work.
     std::size_t eligibleCount(std::string_view service) const;
+    /// True when the service has servers for work and none of them has been heard for `silence` although
+    /// attempts were sent.
+    bool isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const;
+    /// Attempts of this gateway that the service's servers finish in a millisecond at their present speed and
+    /// load, with up to `connectionShare` at once on each. Servers that are avoided or stall count for
+    /// nothing.
+    double attemptsPerMillisecond(Base::Instant now, std::string_view service, std::uint32_t connectionShare,
+                                  Base::Duration meanLatency) const;
     /// True once a list has been taken over.
     bool isLoaded() const { return loaded_; }
     std::size_t size() const { return backends_.size(); }
 
     static void noteSent(Backend &backend, Base::Instant now);
     static void noteEnded(Backend &backend, Base::Instant sentAt);
+    /// The server answered or refused something, so it is there.
+    static void noteHeard(Base::Instant now, Backend &backend);
+    /// An attempt was given up without an answer; counts against the server when it had `silence` to answer.
+    static void noteGivenUp(Base::Instant now, Backend &backend, Base::Duration silence);
     static void noteReply(Base::Instant now, Backend &backend, Base::Duration latency,
                           Base::Duration meanLatency);
     /// The server answered with an error or with bytes that make no sense.
@@ -60,6 +72,8 @@
     static double expectedMilliseconds(Base::Instant now, const Backend &backend, Base::Duration meanLatency);
 
 private:
+    static bool isStalled(Base::Instant now, const Backend &backend, Base::Duration meanLatency);
+
     using Identity = std::pair<std::string, std::int64_t>; ///< Id and start.
 
     void displaceOlder(const Backend &newcomer);
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -17,6 +17,9 @@
 /// slow.
 constexpr Base::Duration MinSilence = Base::milliseconds(600);
 constexpr int SilentMeans = 8;
+/// Requests of one route that try silent servers are this far apart; half of it passes on average until a
+/// gateway sees that they are back.
+constexpr Base::Duration ProbeInterval = Base::milliseconds(200);
 
 } // namespace
 
@@ -105,16 +108,23 @@
     return route.targets[best].service;
 }
 
-/// Refuses at once what cannot become a success, while nothing of it has run.
+/// Refuses at once what cannot become a success, while nothing of it has run. Load pattern: all servers of
+/// some services are silent. A request that needs them would hang until its deadline and load the other
+/// services for nothing; one in each ProbeInterval goes through and shows when they are back.
 std::optional<Outcome> ForwardCore::refuseHopeless(const Exchange &exchange)
 {
-    const auto timeLeft = exchange.deadline - exchange.arrivedAt;
+    const auto silence = silenceLimit(exchange.facts.route->name);
+    std::size_t silent = 0;
+    // A gather that waits past its target blocks every shard for an answer that is hardly worth anything, and
+    // the ones behind it as well. Fewer of them in time are worth more.
+    const auto timeLeft = (exchange.isGather() ? exchange.answerBy : exchange.deadline) - exchange.arrivedAt;
     std::size_t reachable = 0;
     std::size_t inTime = 0;
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(leg.service) == 0)
             continue;
         ++reachable;
+        silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
         inTime += expectedWait(exchange, leg.service) < timeLeft ? 1 : 0;
     }
     const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
@@ -123,12 +133,25 @@
         return failedOutcome(exchange, Base::ErrorKind::NoEligibleReplica,
                              backends_.isLoaded() ? "too few services have a server that takes work"
                                                   : "the list of servers is not known yet");
+    if (static_cast<double>(reachable - silent) < needed && !probeIsDue(exchange))
+        return failedOutcome(exchange, Base::ErrorKind::NoEligibleReplica,
+                             "the servers of too many services have been silent");
     if (static_cast<double>(inTime) < needed)
         return failedOutcome(exchange, Base::ErrorKind::Overloaded,
-                             "the work that waits already takes longer than the caller will");
+                             "the work that waits already takes longer than this request may");
     return std::nullopt;
 }
 
+/// Tells whether this request should try servers that have been silent, and counts it as such.
+bool ForwardCore::probeIsDue(const Exchange &exchange)
+{
+    auto &next = nextProbes_[exchange.facts.route->name];
+    if (exchange.arrivedAt < next)
+        return false;
+    next = exchange.arrivedAt + ProbeInterval;
+    return true;
+}
+
 /// Removes an attempt that has ended; nothing when it was aborted before.
 std::optional<ForwardCore::Attempt> ForwardCore::takeAttempt(AttemptId id)
 {
@@ -140,13 +163,13 @@
 }
 
 /// Load pattern: servers fall silent without closing their connections. Nothing fails on such an attempt
-/// before its caller was answered without it, so the silence itself must count, or the server would get work
-/// again.
-bool ForwardCore::isSilent(Base::Instant now, const Attempt &attempt) const
+/// before its caller was answered without it, so silence for this long counts against the server, or it would
+/// get work again.
+Base::Duration ForwardCore::silenceLimit(const std::string &routeName) const
 {
-    const auto times = routeTimes_.find(attempt.routeName);
+    const auto times = routeTimes_.find(routeName);
     const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
-    return now - attempt.sentAt >= std::max(MinSilence, mean * SilentMeans);
+    return std::max(MinSilence, mean * SilentMeans);
 }
 
 void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
@@ -155,6 +178,7 @@
     if (!taken)
         return;
     const auto &attempt = *taken;
+    BackendTable::noteHeard(now, *attempt.backend);
     if (reply.load)
         BackendTable::noteLoad(now, *attempt.backend, *reply.load);
     const bool succeeded =
@@ -224,6 +248,8 @@
     if (!taken)
         return;
     const auto &attempt = *taken;
+    if (failure != Edge::ExchangeFailure::NoConnection && failure != Edge::ExchangeFailure::PeerSilent)
+        BackendTable::noteHeard(now, *attempt.backend);
     if (failure == Edge::ExchangeFailure::ReplyMalformed)
         BackendTable::noteError(now, *attempt.backend);
     else
@@ -236,7 +262,7 @@
     --leg.open;
     if (leg.state != LegState::Present) {
         leg.failure = Edge::exchangeFailureName(failure);
-        if (failure == Edge::ExchangeFailure::NotSent) {
+        if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection) {
             // Nothing reached the server, so the attempt is not used up.
             --leg.sends;
             leg.unreached.push_back(attempt.backend);
@@ -285,8 +311,7 @@
         const auto attempt = takeAttempt(*attemptId);
         if (!attempt)
             continue;
-        if (isSilent(now, *attempt))
-            BackendTable::noteUnreachable(now, *attempt->backend);
+        BackendTable::noteGivenUp(now, *attempt->backend, silenceLimit(attempt->routeName));
         actions_.emplace_back(AbortAttempt {*attemptId});
     }
     dispatchWaiting(now);
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -175,7 +175,8 @@
     };
 
     std::optional<Attempt> takeAttempt(AttemptId id);
-    bool isSilent(Base::Instant now, const Attempt &attempt) const;
+    Base::Duration silenceLimit(const std::string &routeName) const;
+    bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseHopeless(const Exchange &exchange);
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service) const;
@@ -216,6 +217,7 @@
     std::unordered_map<std::string, RouteTimes> routeTimes_; ///< By route name.
     std::unordered_map<std::string, Query::ExtraLoadBudget> budgets_; ///< By service.
     std::unordered_map<std::string, std::vector<double>> splitCredits_; ///< By route name.
+    std::unordered_map<std::string, Base::Instant> nextProbes_; ///< By route name.
     Query::TimerQueue reviews_; ///< Of exchanges.
     Query::TimerQueue aborts_; ///< Of attempts whose caller is gone.
     std::vector<Action> actions_;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -55,6 +55,7 @@
         .first->second;
 }
 
+/// Time until a new attempt would leave this gateway, behind what waits already and is no less urgent.
 Base::Duration ForwardCore::expectedWait(const Exchange &exchange, std::string_view service) const
 {
     const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &waiting) {
@@ -66,9 +67,11 @@
         return {};
     const auto times = routeTimes_.find(exchange.facts.route->name);
     const auto mean = times == routeTimes_.end() ? exchange.facts.route->latencyTarget : times->second.mean();
-    const auto lanes =
-        backends_.eligibleCount(service) * connectionShare(exchange.facts.table->configuration(), service);
-    return mean * ahead / static_cast<Base::Duration::rep>(std::max<std::size_t>(1, lanes));
+    const auto rate = backends_.attemptsPerMillisecond(
+        exchange.arrivedAt, service, connectionShare(exchange.facts.table->configuration(), service), mean);
+    if (rate <= 0.0)
+        return exchange.deadline - exchange.arrivedAt;
+    return Base::Duration(static_cast<Base::Duration::rep>(static_cast<double>(ahead) * 1000.0 / rate));
 }
 
 /// Sends the first attempt of a leg, or lets it wait for a connection. Returns true when it was sent.
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -365,3 +365,92 @@
     ASSERT_EQ(sends.size(), std::size_t {Shards} + 1);
     EXPECT_EQ(sends.back().backend->record.service, "s1");
 }
+
+// Load pattern: all servers of three shards of ten go dark. Requests that cannot reach their minimum without
+// them must be refused at once as not run, but for a few that show when the servers are back.
+TEST_F(ForwardFixture, RequestsThatNeedSilentServersAreRefusedAtOnce)
+{
+    const auto isDark = [](const Forward::SendAttempt &send) {
+        const auto &service = send.backend->record.service;
+        return service == "s0" || service == "s1" || service == "s2";
+    };
+    const auto replyOthers = [&] {
+        for (const auto &send : std::vector(sends)) {
+            if (!isDark(send))
+                reply(send.attempt, success());
+        }
+    };
+    begin("/g/x");
+    const auto first = sends;
+    replyOthers();
+    advance(milliseconds(800));
+    // The network gives up the connections; that is no sign of life.
+    for (const auto &send : first) {
+        if (isDark(send))
+            fail(send.attempt, Edge::ExchangeFailure::PeerSilent);
+    }
+    advance(milliseconds(1300));
+    std::size_t refused = 0;
+    for (int i = 0; i < 20; ++i) {
+        sends.clear();
+        answers.clear();
+        begin("/g/x");
+        if (!answers.empty()) {
+            ++refused;
+            EXPECT_TRUE(sends.empty());
+            EXPECT_EQ(answers[0].outcome.error, Base::ErrorKind::NoEligibleReplica);
+            EXPECT_TRUE(answers[0].outcome.retryAfter.has_value());
+        }
+        replyOthers();
+        advance(milliseconds(20));
+    }
+    EXPECT_GE(refused, 15U);
+    EXPECT_LT(refused, 20U);
+    advance(milliseconds(1000));
+    sends.clear();
+    begin("/g/x");
+    ASSERT_FALSE(sends.empty());
+    for (const auto &send : std::vector(sends))
+        reply(send.attempt, success());
+    advance(milliseconds(20));
+    for (int i = 0; i < 5; ++i) {
+        answers.clear();
+        sends.clear();
+        begin("/g/x");
+        EXPECT_FALSE(sends.empty());
+        for (const auto &send : std::vector(sends))
+            reply(send.attempt, success());
+    }
+}
+
+// Load pattern: one server of some shards is dark and the other one slow, so that more work waits there than
+// can end by the target (csf-waxroute scale-1). A gather that would be late is refused before it loads the
+// other shards.
+TEST_F(ForwardFixture, GathersBehindALongQueueAreRefusedAtOnce)
+{
+    Wire::ServerList servers = list();
+    std::erase_if(servers.servers, [](const auto &server) { return server.id.ends_with("-b"); });
+    servers.digest = 2;
+    core->setServers(now, servers);
+    core->setServers(now, servers);
+    core->setGatewayCount(34); // One connection to each server.
+    // The target leaves 90 ms and a reply takes 10 ms, so at most nine can wait.
+    std::size_t refusedAfter = 0;
+    for (std::size_t count = 0; count < 30 && refusedAfter == 0; ++count) {
+        begin("/g/x");
+        if (!answers.empty())
+            refusedAfter = count;
+        const auto sent = std::exchange(sends, {});
+        advance(milliseconds(10));
+        for (const auto &send : sent) {
+            const auto &service = send.backend->record.service;
+            if (service != "s0" && service != "s1" && service != "s2")
+                reply(send.attempt, success());
+        }
+    }
+    EXPECT_GT(refusedAfter, 1U);
+    EXPECT_LT(refusedAfter, 11U);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].outcome.error, Base::ErrorKind::Overloaded);
+    EXPECT_EQ(answers[0].outcome.attempts, 0U);
+}
