Serve gathers whose target is shorter than the way to the caller

Cause: found by reading: the limit for waiting work was compared although nothing waited, so a gather whose target the network uses up would always have been refused; and a gateway logged a refused directory when a registry that had just started knew of none. Also: names the kinds of a failed exchange in one function. Test: ForwardFixture.GathersWithAShortTargetAreServedLate.

--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -254,12 +254,7 @@
         const Pointer self(this);
         auto *events = events_;
         const bool wasBusy = busy_;
-        const bool received = parser_ && parser_->hasStarted();
-        const auto failure = malformed || received ? ExchangeFailure::ReplyMalformed
-                             : connected_ && (sent_ > 0 || wroteAll_)
-                                 ? (peerSilent_ ? ExchangeFailure::PeerSilent : ExchangeFailure::ReplyLost)
-                             : connectTimedOut_ ? ExchangeFailure::NoConnection
-                                                : ExchangeFailure::NotSent;
+        const auto failure = failureKind(malformed);
         closeSocket();
         if (wasBusy)
             events->exchangeFailed(failure, detail);
@@ -267,6 +262,15 @@
             events->idleConnectionEnded();
     }
 
+    ExchangeFailure failureKind(bool malformed) const
+    {
+        if (malformed || (parser_ && parser_->hasStarted()))
+            return ExchangeFailure::ReplyMalformed;
+        if (connected_ && (sent_ > 0 || wroteAll_))
+            return peerSilent_ ? ExchangeFailure::PeerSilent : ExchangeFailure::ReplyLost;
+        return connectTimedOut_ ? ExchangeFailure::NoConnection : ExchangeFailure::NotSent;
+    }
+
     void closeSocket()
     {
         events_ = nullptr;
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -23,8 +23,7 @@
 
     std::vector<Base::Instant> openSince; ///< Send times of attempts without a reply, oldest first.
     Base::Instant unansweredSince = Base::Instant::max(); ///< Earliest send since it was last heard.
-    double slowness =
-        1.0; ///< Moving average of its latency relative to the route's mean, as of `slownessAt`.
+    double slowness = 1.0; ///< Its latency relative to the route's mean, averaged as of `slownessAt`.
     Base::Instant slownessAt;
     double errorRate = 0.0; ///< Moving average over attempts, as of `errorRateAt`.
     Base::Instant errorRateAt;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -117,7 +117,8 @@
     std::size_t silent = 0;
     // A gather that waits past its target blocks every shard for an answer that is hardly worth anything, and
     // the ones behind it as well. Fewer of them in time are worth more.
-    const auto timeLeft = (exchange.isGather() ? exchange.answerBy : exchange.deadline) - exchange.arrivedAt;
+    const auto latest =
+        exchange.isGather() ? std::min(exchange.answerBy, exchange.deadline) : exchange.deadline;
     std::size_t reachable = 0;
     std::size_t inTime = 0;
     for (const auto &leg : exchange.legs) {
@@ -125,7 +126,8 @@
             continue;
         ++reachable;
         silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
-        inTime += expectedWait(exchange, leg.service) < timeLeft ? 1 : 0;
+        const auto wait = expectedWait(exchange, leg.service);
+        inTime += wait == Base::Duration::zero() || exchange.arrivedAt + wait < latest ? 1 : 0;
     }
     const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
     const auto needed = share * static_cast<double>(exchange.legs.size()) - 1e-9;
@@ -162,9 +164,9 @@
     return std::move(node.mapped());
 }
 
-/// Load pattern: servers fall silent without closing their connections. Nothing fails on such an attempt
-/// before its caller was answered without it, so silence for this long counts against the server, or it would
-/// get work again.
+/// Time without any answer after which a server counts as gone. Load pattern: servers fall silent without
+/// closing their connections. Nothing fails on such an attempt before its caller was answered without it, so
+/// without a limit the server would get work again.
 Base::Duration ForwardCore::silenceLimit(const std::string &routeName) const
 {
     const auto times = routeTimes_.find(routeName);
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -299,7 +299,10 @@
 {
     if (reply.directoryDigest == directoryDigest_)
         return;
-    auto directory = Wire::unpack<std::vector<Wire::GatewayRecord>>(reply.directory);
+    // A registry that has just started knows of no gateway and sends no text.
+    Base::Result<std::vector<Wire::GatewayRecord>> directory;
+    if (!reply.directory.empty())
+        directory = Wire::unpack<std::vector<Wire::GatewayRecord>>(reply.directory);
     if (!directory) {
         events_.write(clock_.now(), Importance::Notable, "directory_refused",
                       {{"detail", directory.error().detail}});
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -454,3 +454,18 @@
     EXPECT_EQ(answers[0].outcome.error, Base::ErrorKind::Overloaded);
     EXPECT_EQ(answers[0].outcome.attempts, 0U);
 }
+
+// A target that the way to the caller uses up leaves no time to wait, but it is no reason to refuse what need
+// not wait.
+TEST_F(ForwardFixture, GathersWithAShortTargetAreServedLate)
+{
+    const auto id =
+        core->begin(now, {table, table->find("h", "/g/x"), milliseconds(1000), milliseconds(150)});
+    collect();
+    EXPECT_NE(id, 0U);
+    ASSERT_EQ(sends.size(), std::size_t {Shards});
+    for (const auto &send : std::vector(sends))
+        reply(send.attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].outcome.kind, Outcome::Kind::Gathered);
+}
