Let no voter set its log aside before its removal is committed

Cause: a leader told a node that its own log no longer counted as soon as it had appended the node's removal. The next leader could undo the removal, and a voter had emptied its log without a disk being lost. A second late answer to one incarnation also emptied the next one, which could be a voter again.

Ruled out: losses by torn files or by power loss beside lost disks; the new explorer (3 to 7 nodes, automatic joins, replacements and removals, torn unsynced changes, as many wiped disks as tolerated) finds none.

Conclusion: the decision is in MembershipPlanner::join, and answers are matched to the incarnation that asked.

--- a/Libraries/LibConsensus/RaftNode.h
+++ b/Libraries/LibConsensus/RaftNode.h
@@ -55,6 +55,7 @@
     std::uint64_t commitIndex = 0;
     std::uint64_t appliedIndex = 0;
     std::uint64_t lastIndex = 0;
+    std::uint64_t membershipIndex = 0; ///< Entry that `members` come from; above commitIndex until committed.
     bool isolated = false; ///< No majority heard for longer than the election timeout allows.
     Base::Duration isolatedFor {};
     std::vector<MemberStatus> members;
--- a/Libraries/LibConsensus/StandardRaftNode.cpp
+++ b/Libraries/LibConsensus/StandardRaftNode.cpp
@@ -285,6 +285,7 @@
     status.commitIndex = commitIndex_;
     status.appliedIndex = appliedIndex_;
     status.lastIndex = store_.lastIndex();
+    status.membershipIndex = memberships_.latestIndex();
     const auto unheard = now - lastMajorityContact(now);
     status.isolated = unheard > IsolationTimeouts * options_.electionTimeout;
     status.isolatedFor = status.isolated ? unheard : Base::Duration {};
--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -62,6 +62,24 @@
     return std::nullopt;
 }
 
+MembershipPlanner::JoinStep MembershipPlanner::join(const Consensus::RaftStatus &status,
+                                                    const Wire::RaftMember &node, bool holdsLog)
+{
+    auto membership = present(status);
+    const bool isMember =
+        std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
+            return member.nodeId == node.nodeId && member.incarnation == node.incarnation;
+        });
+    if (isMember)
+        return {JoinAnswer::IsMember, {}};
+    if (status.membershipIndex > status.commitIndex)
+        return {JoinAnswer::AskAgain, {}};
+    if (holdsLog)
+        return {JoinAnswer::SetLogAside, {}};
+    membership.members.push_back(node);
+    return {JoinAnswer::Add, std::move(membership)};
+}
+
 Wire::RaftMembership MembershipPlanner::present(const Consensus::RaftStatus &status)
 {
     Wire::RaftMembership membership;
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -2,6 +2,7 @@
 
 #include "LibConsensus/RaftNode.h"
 
+#include <cstdint>
 #include <optional>
 
 namespace Control {
@@ -21,6 +22,23 @@
     static std::optional<Wire::RaftMembership> withoutGone(const Consensus::RaftStatus &status,
                                                            std::size_t voterTarget, Base::Duration goneAfter);
 
+    enum class JoinAnswer : std::uint8_t {
+        IsMember,
+        Add, ///< Propose `membership`, which has the node as learner.
+        SetLogAside, ///< It was removed: what its log says may differ from what was decided without it.
+        AskAgain ///< A change is under way, so whether it is a member is not decided yet.
+    };
+    struct JoinStep
+    {
+        JoinAnswer answer = JoinAnswer::AskAgain;
+        Wire::RaftMembership membership;
+    };
+
+    /// Decides what a leader that knows the newest membership answers to a node that asks to be a member. A
+    /// removal that is not committed may be undone by the next leader, and then the node's log still counts;
+    /// so nobody is told to set a log aside before.
+    static JoinStep join(const Consensus::RaftStatus &status, const Wire::RaftMember &node, bool holdsLog);
+
     /// Returns the present membership.
     static Wire::RaftMembership present(const Consensus::RaftStatus &status);
 
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -226,14 +226,16 @@
     const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(),
                                      settings_.registryPeerAddress(), cluster_->holdsLog(),
                                      !settings_.dataDirectory.empty()};
-    endpoint_->call(
-        target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
-        [this, target](Base::Result<Base::Bytes> payload) {
-            loop_.post([this, target, payload = std::move(payload)] { handleJoinReply(target, payload); });
-        });
+    endpoint_->call(target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
+                    [this, target, incarnation = request.incarnation](Base::Result<Base::Bytes> payload) {
+                        loop_.post([this, target, incarnation, payload = std::move(payload)] {
+                            handleJoinReply(target, incarnation, payload);
+                        });
+                    });
 }
 
-void RegistryProcess::handleJoinReply(const std::string &address, const Base::Result<Base::Bytes> &payload)
+void RegistryProcess::handleJoinReply(const std::string &address, std::uint64_t incarnation,
+                                      const Base::Result<Base::Bytes> &payload)
 {
     if (!payload || !cluster_)
         return; // The next target is asked soon.
@@ -242,7 +244,8 @@
         return;
     if (!reply->leaderAddress.empty())
         joinHints_[address] = reply->leaderAddress;
-    if (!reply->mustReset)
+    // The next incarnation may be a voter already when a second reply to the earlier one comes.
+    if (!reply->mustReset || incarnation != cluster_->incarnation())
         return;
     const auto now = clock_.now();
     events_.write(now, Importance::Notable, "removed_from_cluster",
@@ -266,26 +269,20 @@
         return reply;
     }
     addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
-    auto membership = Control::MembershipPlanner::present(status);
-    reply.isMember =
-        std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
-            return member.nodeId == request.nodeId && member.incarnation == request.incarnation;
-        });
-    if (reply.isMember)
+    using JoinAnswer = Control::MembershipPlanner::JoinAnswer;
+    const auto step = Control::MembershipPlanner::join(
+        status, {request.nodeId, request.incarnation, request.peerAddress, false, request.hasDisk},
+        request.holdsLog);
+    reply.isMember = step.answer == JoinAnswer::IsMember;
+    reply.mustReset = step.answer == JoinAnswer::SetLogAside;
+    if (step.answer != JoinAnswer::Add)
         return reply;
-    // Its log may end in entries that this cluster never had, and its vote was not asked for meanwhile.
-    if (request.holdsLog) {
-        reply.mustReset = true;
-        return reply;
-    }
-    membership.members.push_back(
-        {request.nodeId, request.incarnation, request.peerAddress, false, request.hasDisk});
-    if (cluster_->raft().proposeMembership(now, membership))
+    if (cluster_->raft().proposeMembership(now, step.membership))
         events_.write(now, Importance::Notable, "member_added",
                       {{"node", request.nodeId},
                        {"incarnation", request.incarnation},
                        {"address", request.peerAddress}});
-    step();
+    this->step();
     return reply;
 }
 
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -63,7 +63,8 @@
     void maintainMembership(Base::Instant now);
     void introduceToNewMembers(const Consensus::RaftStatus &status);
     void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
-    void handleJoinReply(const std::string &address, const Base::Result<Base::Bytes> &payload);
+    void handleJoinReply(const std::string &address, std::uint64_t incarnation,
+                         const Base::Result<Base::Bytes> &payload);
     Wire::JoinReply answerJoin(Base::Instant now, const Wire::JoinRequest &request);
     std::string leaderAddress(const Consensus::RaftStatus &status) const;
     bool isMember(const Consensus::RaftStatus &status) const;
@@ -86,7 +87,7 @@
     Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request);
     void shareState(Base::Instant now);
     void updateDirectory(Base::Instant now);
-    bool takeServerList(Base::Instant now, const Wire::PackedServerList &packed);
+    void takeServerList(Base::Instant now, const Wire::PackedServerList &packed);
     void readServerListIfDue(Base::Instant now);
     bool isLeader(Base::Instant now);
     /// Voters that a majority needs when as many VMs as tolerated are lost.
@@ -124,9 +125,11 @@
     std::vector<Wire::GatewayRecord> directory_;
     std::uint64_t directoryDigest_ = 0;
     std::string packedDirectory_;
+    Base::Instant nextDirectory_; ///< Earliest moment of the next change.
     Registry::ServerListHolder serverList_;
     std::unique_ptr<ServerListReader> listReader_;
     Base::Instant nextRead_;
+    std::size_t listPages_ = 1; ///< Most that a read took.
     bool listReachable_ = true;
     struct HeldList
     {
--- a/Tests/LibConsensus/SimulatedCluster.cpp
+++ b/Tests/LibConsensus/SimulatedCluster.cpp
@@ -112,10 +112,10 @@
         (void)node.raft->compact(node.appliedIndex, Base::toBytes(node.applied));
 }
 
-void SimulatedCluster::crash(std::size_t index)
+void SimulatedCluster::crash(std::size_t index, std::size_t keptChanges)
 {
     nodes_[index].raft.reset();
-    nodes_[index].store->crash();
+    nodes_[index].store->crash(keptChanges);
 }
 
 void SimulatedCluster::restart(std::size_t index)
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -35,7 +35,8 @@
     bool propose(std::size_t index, const std::string &text);
     void takeReady(std::size_t index);
     void compact(std::size_t index);
-    void crash(std::size_t index);
+    /// Ends the process; the first `keptChanges` unsynced changes of its disk survive.
+    void crash(std::size_t index, std::size_t keptChanges = 0);
     void restart(std::size_t index);
     /// Crashes the node and empties its disk; the restarted node is a new identity without members.
     void wipe(std::size_t index);
@@ -43,6 +44,7 @@
     void repairStep();
     /// Lets the leader remove a working member; repairStep() adds it again.
     void proposeRemoval(std::size_t removed);
+    const Wire::RaftMembership &committedMembership() const { return committedMembership_; }
     /// Whether the committed membership is all nodes, each as voter under its current identity.
     bool isFullyRepaired() const;
 
--- /dev/null
+++ b/Tests/LibControl/TestMembershipExplorer.cpp
@@ -0,0 +1,332 @@
+#include "LibBase/RandomSource.h"
+#include "LibConsensus/SimulatedCluster.h"
+#include "LibControl/MembershipPlanner.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <unordered_set>
+
+namespace {
+
+using Base::milliseconds;
+using Control::MembershipPlanner;
+using JoinAnswer = MembershipPlanner::JoinAnswer;
+
+constexpr std::uint64_t FirstSeed = 41;
+constexpr unsigned Episodes = 120;
+constexpr unsigned StepsPerEpisode = 2000;
+constexpr std::size_t RequiredStates = 20'000;
+constexpr std::size_t MaxMessages = 60;
+/// Times of the registries: silence after which a voter leaves, and a leader's after which a member asks.
+constexpr Base::Duration GoneAfter = milliseconds(4000);
+constexpr Base::Duration LeaderSilenceUntilJoin = milliseconds(2000);
+constexpr Base::Duration RecoveryBound = Base::seconds(60);
+
+struct Totals
+{
+    std::unordered_set<std::size_t> states;
+    std::size_t committed = 0;
+    unsigned powerLosses = 0;
+    unsigned disksLost = 0;
+    unsigned logsSetAside = 0;
+    unsigned removals = 0;
+};
+
+/// Registries that look after their membership by themselves, under random faults from one seed. As many
+/// disks are lost at once as the deployment tolerates, also together with the power of all VMs.
+class Episode
+{
+public:
+    Episode(std::uint64_t seed, Totals &totals)
+        : random_(seed)
+        , tolerated_(1 + seed % 2)
+        , cluster_(static_cast<unsigned>(2 * tolerated_ + 1 + seed % 3), seed * 1009)
+        , totals_(totals)
+    {
+    }
+
+    std::vector<std::string> run()
+    {
+        for (unsigned step = 0; step < StepsPerEpisode && cluster_.violations.empty(); ++step) {
+            stepOnce();
+            totals_.states.insert(cluster_.stateHash());
+        }
+        heal();
+        totals_.committed += cluster_.committedCount();
+        return cluster_.violations;
+    }
+
+private:
+    struct PendingAnswer
+    {
+        std::size_t node = 0;
+        std::uint64_t incarnation = 0; ///< That asked.
+        JoinAnswer answer = JoinAnswer::AskAgain;
+    };
+
+    bool chance(unsigned percent) { return random_.below(100) < percent; }
+    std::size_t anyNode() { return random_.below(cluster_.size()); }
+
+    void stepOnce()
+    {
+        const auto roll = random_.below(1000);
+        if (roll < 640)
+            deliverOne();
+        else if (roll < 800)
+            passTime(milliseconds(1 + static_cast<std::int64_t>(random_.below(60))));
+        else if (roll < 850)
+            (void)cluster_.propose(anyNode(), fmt::format("{}", ++commands_));
+        else if (roll < 900)
+            cluster_.restart(anyNode());
+        else if (roll < 915)
+            crash(anyNode());
+        else if (roll < 920)
+            loseAllPower();
+        else if (roll < 930)
+            loseDisks();
+        else if (roll < 940)
+            cluster_.compact(anyNode());
+        else if (roll < 950)
+            cut_ = anyNode();
+        else if (roll < 960)
+            cut_ = cluster_.size();
+        else if (roll < 985)
+            settle(milliseconds(static_cast<std::int64_t>(random_.below(3000))));
+    }
+
+    void deliverOne()
+    {
+        auto &pool = cluster_.messages();
+        if (pool.empty())
+            return passTime(milliseconds(10));
+        const auto position = chance(20) ? random_.below(pool.size()) : 0;
+        const auto message = pool[position];
+        if (!chance(5))
+            pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(position));
+        if (pool.size() > MaxMessages)
+            pool.erase(pool.begin(), pool.begin() + MaxMessages / 2);
+        const bool cut = cut_ < cluster_.size() && (message.from == idOf(cut_) || message.to == idOf(cut_));
+        if (!cut && !chance(4))
+            cluster_.deliver(message, !chance(3));
+    }
+
+    std::string idOf(std::size_t index) const { return cluster_.member(index, true).nodeId; }
+
+    void passTime(Base::Duration time)
+    {
+        cluster_.advance(time);
+        for (std::size_t index = 0; index < cluster_.size(); ++index) {
+            if (chance(80))
+                cluster_.tick(index);
+        }
+        maintain();
+    }
+
+    /// Time without new faults but with those that last, so that nodes are gone for long enough to be
+    /// removed.
+    void settle(Base::Duration time)
+    {
+        std::set<std::size_t> isolated;
+        if (cut_ < cluster_.size())
+            isolated.insert(cut_);
+        for (Base::Duration passed {}; passed < time && cluster_.violations.empty();
+             passed += milliseconds(30)) {
+            cluster_.run(milliseconds(30), isolated);
+            maintain();
+        }
+    }
+
+    // What each registry does in its tick.
+    void maintain()
+    {
+        for (std::size_t index = 0; index < cluster_.size(); ++index) {
+            if (cluster_.node(index) == nullptr)
+                continue;
+            if (cluster_.node(index)->isLeader(cluster_.now()))
+                lead(index);
+            else
+                askToJoin(index);
+        }
+        takeJoinAnswers();
+    }
+
+    void lead(std::size_t index)
+    {
+        auto &node = *cluster_.node(index);
+        const auto status = node.status(cluster_.now());
+        auto next = MembershipPlanner::next(status);
+        if (!next) {
+            next = MembershipPlanner::withoutGone(status, 2 * tolerated_ + 1, GoneAfter);
+            totals_.removals += next ? 1 : 0;
+        }
+        if (next && node.proposeMembership(cluster_.now(), *next))
+            cluster_.takeReady(index);
+    }
+
+    void askToJoin(std::size_t index)
+    {
+        const auto status = cluster_.node(index)->status(cluster_.now());
+        const auto self = cluster_.member(index, false);
+        Base::Duration silence {};
+        bool isMember = false;
+        for (const auto &member : status.members) {
+            silence = std::max(silence, member.silentFor);
+            isMember =
+                isMember
+                || (member.member.nodeId == self.nodeId && member.member.incarnation == self.incarnation);
+        }
+        const bool lost = status.leaderId.empty() || silence > LeaderSilenceUntilJoin;
+        const auto leader = cluster_.leader();
+        if ((isMember && !lost) || leader == cluster_.size() || index == cut_ || leader == cut_)
+            return;
+        answerJoin(leader, index, self);
+    }
+
+    void answerJoin(std::size_t leader, std::size_t applicant, const Wire::RaftMember &self)
+    {
+        auto &node = *cluster_.node(leader);
+        const auto status = node.status(cluster_.now());
+        // Before an entry of its own term is applied, a leader may not know the newest membership.
+        if (cluster_.store(leader).termAt(status.appliedIndex) != status.term)
+            return;
+        const auto &store = cluster_.store(applicant);
+        const bool holdsLog = store.snapshot().has_value() || store.lastIndex() > 0;
+        const auto step = MembershipPlanner::join(status, self, holdsLog);
+        if (step.answer == JoinAnswer::Add && node.proposeMembership(cluster_.now(), step.membership))
+            cluster_.takeReady(leader);
+        pending_.push_back({applicant, self.incarnation, step.answer});
+    }
+
+    // Answers may be late: the node may be another incarnation by then.
+    void takeJoinAnswers()
+    {
+        const auto answers = std::exchange(pending_, {});
+        for (const auto &answer : answers) {
+            if (chance(30)) {
+                pending_.push_back(answer);
+                continue;
+            }
+            const bool current = cluster_.member(answer.node, false).incarnation == answer.incarnation;
+            if (answer.answer != JoinAnswer::SetLogAside || !current || cluster_.node(answer.node) == nullptr)
+                continue;
+            // The tolerated losses are disks that fail; none may come from the repair on top of them.
+            if (isCommittedVoter(answer.node))
+                cluster_.violations.push_back(fmt::format("voter {} sets its log aside", idOf(answer.node)));
+            cluster_.wipe(answer.node);
+            cluster_.restart(answer.node);
+            ++totals_.logsSetAside;
+        }
+    }
+
+    void crash(std::size_t index)
+    {
+        const auto unsynced = cluster_.store(index).unsyncedChanges();
+        cluster_.crash(index, random_.below(unsynced + 1));
+    }
+
+    void loseAllPower()
+    {
+        for (std::size_t index = 0; index < cluster_.size(); ++index)
+            crash(index);
+        cluster_.messages().clear();
+        ++totals_.powerLosses;
+        if (chance(50))
+            loseDisks();
+    }
+
+    // The next disks may be lost once the cluster is whole again: all it counts as voters are there, and
+    // there are as many as it needs for the next loss.
+    void loseDisks()
+    {
+        std::size_t voters = 0;
+        for (const auto &member : cluster_.committedMembership().members) {
+            if (!member.voter)
+                continue;
+            ++voters;
+            if (!isCurrent(member))
+                return;
+        }
+        if (voters < 2 * tolerated_ + 1)
+            return;
+        for (std::size_t count = 1 + random_.below(tolerated_); count > 0; --count) {
+            cluster_.wipe(anyNode());
+            ++totals_.disksLost;
+        }
+    }
+
+    bool isCommittedVoter(std::size_t index) const
+    {
+        const auto &members = cluster_.committedMembership().members;
+        return std::find(members.begin(), members.end(), cluster_.member(index, true)) != members.end();
+    }
+
+    bool isCurrent(const Wire::RaftMember &member) const
+    {
+        for (std::size_t index = 0; index < cluster_.size(); ++index) {
+            const auto current = cluster_.member(index, true);
+            if (current.nodeId == member.nodeId && current.incarnation == member.incarnation)
+                return true;
+        }
+        return false;
+    }
+
+    bool hasRecovered() const
+    {
+        for (std::size_t index = 1; index < cluster_.size(); ++index) {
+            if (cluster_.applied(index) != cluster_.applied(0))
+                return false;
+        }
+        return cluster_.isFullyRepaired() && cluster_.applied(0).ends_with("last,");
+    }
+
+    // Without faults the cluster is whole again by itself.
+    void heal()
+    {
+        cut_ = cluster_.size();
+        for (std::size_t index = 0; index < cluster_.size(); ++index)
+            cluster_.restart(index);
+        for (Base::Duration passed {}; passed < RecoveryBound && cluster_.violations.empty();
+             passed += milliseconds(500)) {
+            settle(milliseconds(500));
+            if (cluster_.leader() < cluster_.size())
+                (void)cluster_.propose(cluster_.leader(), "last");
+            cluster_.run(milliseconds(200));
+            if (hasRecovered())
+                return;
+        }
+        if (cluster_.violations.empty())
+            cluster_.violations.emplace_back("a healed cluster is not whole again by itself");
+    }
+
+    Base::RandomSource random_;
+    std::size_t tolerated_;
+    SimulatedCluster cluster_;
+    Totals &totals_;
+    std::size_t cut_ = SIZE_MAX; ///< Node that is cut off; none when it is no index.
+    std::vector<PendingAnswer> pending_;
+    unsigned commands_ = 0;
+};
+
+} // namespace
+
+// Guards what was acknowledged against the loss of all power with unsynced changes torn off anywhere, of as
+// many disks as a deployment tolerates, and against the cluster's own repair while nodes come and go.
+TEST(MembershipExplorer, RepairsItselfAndLosesNothing)
+{
+    Totals totals;
+    for (unsigned episode = 0; episode < Episodes; ++episode) {
+        const auto violations = Episode(FirstSeed + episode, totals).run();
+        ASSERT_TRUE(violations.empty()) << "seed " << FirstSeed + episode << ": " << violations.front();
+    }
+    fmt::print("distinct states {}, committed entries {}, power losses {}, disks lost {}, logs set aside {}, "
+               "removals {}\n",
+               totals.states.size(), totals.committed, totals.powerLosses, totals.disksLost,
+               totals.logsSetAside, totals.removals);
+    EXPECT_GE(totals.states.size(), RequiredStates);
+    EXPECT_GT(totals.committed, Episodes * 10);
+    EXPECT_GT(totals.powerLosses, Episodes);
+    EXPECT_GT(totals.disksLost, Episodes);
+    EXPECT_GT(totals.logsSetAside, Episodes / 4);
+    EXPECT_GT(totals.removals, Episodes / 4);
+}
--- a/Tests/LibControl/TestMembershipPlanner.cpp
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -47,6 +47,25 @@
     EXPECT_TRUE(MembershipPlanner::findUnheard(status, "c2").has_value());
 }
 
+// Until its removal is committed, the log of a node that was silent may be what a majority needs.
+TEST(MembershipPlanner, NobodySetsALogAsideForARemovalThatMayBeUndone)
+{
+    using JoinAnswer = MembershipPlanner::JoinAnswer;
+    Consensus::RaftStatus status;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, true, 10)};
+    status.commitIndex = 9;
+    status.membershipIndex = 10;
+    const Wire::RaftMember removed {"c3", 1, "c3:9", false};
+    EXPECT_EQ(MembershipPlanner::join(status, removed, true).answer, JoinAnswer::AskAgain);
+    EXPECT_EQ(MembershipPlanner::join(status, status.members[1].member, true).answer, JoinAnswer::IsMember);
+    status.commitIndex = 10;
+    EXPECT_EQ(MembershipPlanner::join(status, removed, true).answer, JoinAnswer::SetLogAside);
+    const auto added = MembershipPlanner::join(status, {"c3", 2, "c3:9", false}, false);
+    EXPECT_EQ(added.answer, JoinAnswer::Add);
+    ASSERT_EQ(added.membership.members.size(), 3U);
+    EXPECT_FALSE(added.membership.members.back().voter);
+}
+
 // A node without a disk forgets what it confirmed, so a majority that counts it could lose what it accepted.
 TEST(MembershipPlanner, NodesWithoutADiskNeverVote)
 {
