Spread the gateways' open calls over the registries

Cause: all gateways kept the registry that answered first, the leader; at 300 VMs its VM used 64% of its processor, and lists crossed data centres.

Change: a gateway prefers a registry of its data centre, chosen by a hash of both names, and moves to it when it answers. Registries pass changes of the directory on at once, at most each 100 ms. A received list is not compressed again. The interval of reads grows where the platform's rate is short.

--- a/Libraries/LibRegistry/ServerListHolder.cpp
+++ b/Libraries/LibRegistry/ServerListHolder.cpp
@@ -6,6 +6,13 @@
 
 namespace Registry {
 
+namespace {
+
+/// Fraction of the platform's rate that one reader uses; the rest is for one that takes over from it.
+constexpr double RateUse = 0.5;
+
+} // namespace
+
 Base::Duration ServerListHolder::firstReadDelay(const std::string &ownAddress,
                                                 std::span<const std::string> others)
 {
@@ -14,7 +21,7 @@
     return before * FirstReadStagger;
 }
 
-bool ServerListHolder::offer(Base::Instant now, const Wire::ServerList &list)
+bool ServerListHolder::offer(Base::Instant now, const Wire::ServerList &list, std::string_view packed)
 {
     const auto readAt = now - Base::milliseconds(list.ageMs);
     if (readAt_ && readAt <= *readAt_)
@@ -26,7 +33,7 @@
     if (same)
         return false;
     digest_ = list.digest;
-    packedServers_ = Wire::pack(list.servers);
+    packedServers_ = packed.empty() ? Wire::pack(list.servers) : std::string(packed);
     return true;
 }
 
@@ -42,9 +49,9 @@
     return list;
 }
 
-std::uint32_t ServerListHolder::ageMs(Base::Instant now) const
+std::uint32_t readAgeMs(Base::Instant now, std::optional<Base::Instant> readAt)
 {
-    return readAt_ ? static_cast<std::uint32_t>((now - *readAt_) / Base::milliseconds(1)) : UINT32_MAX;
+    return readAt ? static_cast<std::uint32_t>((now - *readAt) / Base::milliseconds(1)) : UINT32_MAX;
 }
 
 std::optional<Wire::PackedServerList> ServerListHolder::copyFor(Base::Instant now, std::uint64_t heldDigest,
@@ -56,9 +63,16 @@
                                    ageMs(now)};
 }
 
-bool ServerListHolder::shouldRead(Base::Instant now, bool isLeader) const
+Base::Duration ServerListHolder::readInterval(std::size_t pages, double callsPerSecond)
+{
+    const auto seconds = static_cast<double>(pages) / (RateUse * callsPerSecond);
+    return std::max(ReadInterval,
+                    std::chrono::duration_cast<Base::Duration>(std::chrono::duration<double>(seconds)));
+}
+
+bool ServerListHolder::shouldRead(Base::Instant now, bool isLeader, Base::Duration interval) const
 {
-    return !readAt_ || now - *readAt_ >= (isLeader ? ReadInterval : TakeOverAge);
+    return !readAt_ || now - *readAt_ >= (isLeader ? interval : std::max(TakeOverAge, 2 * interval));
 }
 
 } // namespace Registry
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -104,9 +104,10 @@
     std::uint64_t directoryDigest = 0;
     std::string directory; ///< Serving gateways, as pack() gives; empty when the gateway holds the same ones.
     std::vector<std::string> registryAddresses; ///< Peer addresses of all known registries.
+    std::string dataCentre; ///< Of the process that answers.
 
     MSGPACK_DEFINE(leaderKnown, leaderSilentMs, configurationVersion, configurationText, serverList,
-                   directoryDigest, directory, registryAddresses)
+                   directoryDigest, directory, registryAddresses, dataCentre)
 };
 
 /// registry → registry: a node that is not a member asks to be added.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -155,7 +155,8 @@
                    {"caller_address", settings_.callerAddress},
                    {"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
     watcher_ = std::make_unique<RegistryWatcher>(
-        loop_, *endpoint_, events_, [this] { return watchRequest(); },
+        loop_, *endpoint_, events_, RegistryWatcher::Place {settings_.nodeId, settings_.dataCentre},
+        [this] { return watchRequest(); },
         [this](const Wire::WatchReply &reply, bool fresh) { takeReply(reply, fresh); });
     for (const auto &seed : settings_.seeds)
         watcher_->addRegistries({settings_.registryPeerAddress(seed)});
@@ -285,7 +286,7 @@
         events_.write(now, Importance::Notable, "server_list_refused", {{"detail", list.error().detail}});
         return;
     }
-    if (!serverList_.offer(now, *list)) {
+    if (!serverList_.offer(now, *list, packed.servers)) {
         if (list->digest == serverList_.digest())
             forwarder_->confirmServers(serverList_.readAt());
         return;
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/RegistryWatcher.h"
 
+#include "LibRegistry/RegistryChoice.h"
+
 #include <algorithm>
 
 namespace Services {
@@ -14,6 +16,10 @@
 /// decided.
 constexpr std::uint32_t MaxLeaderSilenceMs = 700;
 constexpr Base::Duration SearchInterval = Base::milliseconds(100);
+/// Interval at which a gateway looks for a registry that it prefers to the one it watches.
+constexpr Base::Duration ImproveInterval = Base::seconds(1);
+/// A registry that failed is left alone for this time, so that gateways do not move to and fro.
+constexpr Base::Duration FailedRegistryPause = Base::seconds(4);
 /// Leaves time for a large configuration on a narrow link; a dark registry holds up nobody, as all are asked.
 constexpr Base::Duration SearchTimeout = Base::milliseconds(1200);
 /// Registries that restart are back within this, and first-hand knowledge is better.
@@ -24,10 +30,11 @@
 } // namespace
 
 RegistryWatcher::RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events,
-                                 MakeRequest makeRequest, TakeReply takeReply)
+                                 Place place, MakeRequest makeRequest, TakeReply takeReply)
     : loop_(loop)
     , endpoint_(endpoint)
     , events_(events)
+    , place_(std::move(place))
     , makeRequest_(std::move(makeRequest))
     , takeReply_(std::move(takeReply))
 {
@@ -37,7 +44,7 @@
 {
     for (const auto &address : addresses) {
         if (!address.empty())
-            registries_.insert(address);
+            registries_.try_emplace(address);
     }
 }
 
@@ -48,6 +55,10 @@
         if (!isConnected() || !isFirstHand())
             search();
     });
+    loop_.repeat(ImproveInterval, [this] {
+        if (isConnected() && isFirstHand())
+            improveTarget();
+    });
     search();
 }
 
@@ -87,7 +98,7 @@
 
 void RegistryWatcher::search()
 {
-    for (const auto &address : registries_)
+    for (const auto &[address, registry] : registries_)
         ask(address);
     if (isConnected() || gateways_.empty() || clock_.now() - searchingSince_ < GatewayFallbackDelay)
         return;
@@ -114,13 +125,52 @@
     const auto reply =
         payload.and_then([](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
     // Who cannot be reached is asked again with the next round.
-    if (!reply || !take(*reply))
+    const auto registry = registries_.find(address);
+    if (reply && registry != registries_.end())
+        registry->second.dataCentre = reply->dataCentre;
+    if (!reply || !take(*reply)) {
+        avoid(address);
         return;
-    const bool better = isConnected() && !isFirstHand() && registries_.contains(address);
-    if (!isConnected() || better)
+    }
+    if (!isConnected() || (address != target_ && prefers(address, target_)))
         connect(address);
 }
 
+/// Asks the best registry that may be usable, unless the call is open to it already.
+void RegistryWatcher::improveTarget()
+{
+    for (const auto &address : preference()) {
+        if (address == target_)
+            return;
+        if (clock_.now() >= registries_.at(address).avoidUntil)
+            return ask(address);
+    }
+}
+
+std::vector<std::string> RegistryWatcher::preference() const
+{
+    std::vector<Registry::RegistryPlace> places;
+    for (const auto &[address, registry] : registries_)
+        places.push_back({address, registry.dataCentre});
+    return Registry::registryPreference(place_.gatewayId, place_.dataCentre, places);
+}
+
+/// Any registry is better than a gateway that relays.
+bool RegistryWatcher::prefers(const std::string &address, const std::string &other) const
+{
+    if (!registries_.contains(address) || !registries_.contains(other))
+        return registries_.contains(address);
+    const auto order = preference();
+    return std::find(order.begin(), order.end(), address) < std::find(order.begin(), order.end(), other);
+}
+
+void RegistryWatcher::avoid(const std::string &address)
+{
+    const auto registry = registries_.find(address);
+    if (registry != registries_.end())
+        registry->second.avoidUntil = clock_.now() + FailedRegistryPause;
+}
+
 /// Hands the reply on. Returns whether its registry hears a leader.
 bool RegistryWatcher::take(const Wire::WatchReply &reply)
 {
@@ -132,16 +182,21 @@
 
 void RegistryWatcher::connect(const std::string &address)
 {
-    target_ = address;
-    events_.write(clock_.now(), Importance::Notable, "dependency_regained",
-                  {{"dependency", "registry"}, {"address", address}});
+    const auto previous = std::exchange(target_, address);
+    const auto open = std::exchange(openCall_, 0);
+    events_.write(clock_.now(), Importance::Notable,
+                  previous.empty() ? "dependency_regained" : "registry_preferred",
+                  {{"dependency", "registry"}, {"address", address}, {"previous", previous}});
     watch();
+    if (open != 0)
+        endpoint_.cancel(open);
 }
 
 void RegistryWatcher::disconnect(const std::string &detail)
 {
     events_.write(clock_.now(), Importance::Notable, "dependency_lost",
                   {{"dependency", "registry"}, {"address", target_}, {"detail", detail}});
+    avoid(target_);
     target_.clear();
     searchingSince_ = clock_.now();
     search();
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -7,6 +7,7 @@
 #include "LibWire/RegistryMessages.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -14,9 +15,9 @@
 namespace Services {
 
 /// Keeps a gateway up to date. While a registry that hears its leader is known, one call to it stays open and
-/// is answered when something changes. Otherwise all registries are asked side by side, so that the first one
-/// to recover is found at once; after a moment some gateways are asked too, since a VM that is cut off from
-/// the registries may still reach one that is not.
+/// is answered when something changes; it moves to the registry that this gateway prefers. Otherwise all
+/// registries are asked side by side, so that the first one to recover is found at once; after a moment some
+/// gateways are asked too, since a VM that is cut off from the registries may still reach one that is not.
 class RegistryWatcher
 {
 public:
@@ -25,7 +26,14 @@
     /// Receives each reply; `fresh` when the registry hears its leader.
     using TakeReply = std::function<void(const Wire::WatchReply &reply, bool fresh)>;
 
-    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events,
+    /// The gateway itself.
+    struct Place
+    {
+        std::string gatewayId;
+        std::string dataCentre;
+    };
+
+    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events, Place place,
                     MakeRequest makeRequest, TakeReply takeReply);
 
     /// Adds addresses to those known; none is forgotten, because an old one may be the only one reachable.
@@ -40,10 +48,20 @@
     bool isFirstHand() const { return registries_.contains(target_); }
 
 private:
+    struct KnownRegistry
+    {
+        std::string dataCentre; ///< Empty until it has answered once.
+        Base::Instant avoidUntil; ///< It failed, or heard no leader.
+    };
+
     void watch();
     void finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload);
     void search();
     void ask(const std::string &address);
+    void improveTarget();
+    void avoid(const std::string &address);
+    bool prefers(const std::string &address, const std::string &other) const;
+    std::vector<std::string> preference() const;
     void finishSearch(const std::string &address, const Base::Result<Base::Bytes> &payload);
     void connect(const std::string &address);
     void disconnect(const std::string &detail);
@@ -52,10 +70,11 @@
     Edge::Loop &loop_;
     Peer::Endpoint &endpoint_;
     Base::EventLog &events_;
+    Place place_;
     MakeRequest makeRequest_;
     TakeReply takeReply_;
     Base::SystemClock clock_;
-    std::set<std::string> registries_;
+    std::map<std::string, KnownRegistry> registries_; ///< By address.
     std::vector<std::string> gateways_;
     std::size_t nextGateway_ = 0;
     Base::Instant searchingSince_;
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -15,6 +15,9 @@
 
 constexpr Base::Duration ShareInterval = Base::milliseconds(300);
 constexpr Base::Duration ShareTimeout = Base::seconds(1);
+/// Changes of the directory within this time travel together: when all gateways start, each of them would
+/// otherwise cause a directory for each of the others. Callers keep a look-up for seconds.
+constexpr Base::Duration DirectoryInterval = Base::milliseconds(100);
 /// Pause after a failed read of the server list.
 constexpr Base::Duration FailedReadPause = Base::milliseconds(500);
 
@@ -89,9 +92,13 @@
 
 void RegistryProcess::updateDirectory(Base::Instant now)
 {
+    if (now < nextDirectory_)
+        return;
     auto serving = gateways_.serving(now);
     if (serving == directory_)
         return;
+    nextDirectory_ = now + DirectoryInterval;
+    nextShare_ = now; // Gateways that watch another registry learn of the change through it.
     events_.write(now, Importance::Notable, "directory_changed",
                   {{"serving_before", directory_.size()}, {"serving", serving.size()}});
     directory_ = std::move(serving);
@@ -120,6 +127,7 @@
         reply.directory = packedDirectory_;
     reply.registryAddresses = knownRegistries();
     reply.registryAddresses.push_back(settings_.registryPeerAddress());
+    reply.dataCentre = settings_.dataCentre;
     return reply;
 }
 
@@ -131,10 +139,8 @@
     const auto reports = Wire::pack(gateways_.heardDirectly(now));
     for (const auto &address : knownRegistries()) {
         const auto &held = peerLists_[address];
-        const auto heldAgeMs = held.readAt
-                                   ? static_cast<std::uint32_t>((now - *held.readAt) / Base::milliseconds(1))
-                                   : UINT32_MAX;
-        const Wire::ShareStateRequest request {reports, serverList_.copyFor(now, held.digest, heldAgeMs)};
+        const Wire::ShareStateRequest request {
+            reports, serverList_.copyFor(now, held.digest, Registry::readAgeMs(now, held.readAt))};
         endpoint_->call(address, Wire::Method::ShareState, Wire::encode(request), ShareTimeout,
                         [this, address](const Base::Result<Base::Bytes> &payload) {
                             if (!payload)
@@ -168,21 +174,23 @@
     watchers_.answer(now);
 }
 
-bool RegistryProcess::takeServerList(Base::Instant now, const Wire::PackedServerList &packed)
+void RegistryProcess::takeServerList(Base::Instant now, const Wire::PackedServerList &packed)
 {
     const auto list = Registry::unpack(packed);
     if (!list) {
         events_.write(now, Importance::Notable, "server_list_refused", {{"detail", list.error().detail}});
-        return false;
+        return;
     }
-    return serverList_.offer(now, *list);
+    serverList_.offer(now, *list, packed.servers);
 }
 
 void RegistryProcess::readServerListIfDue(Base::Instant now)
 {
     listReader_->checkTimeout(now);
     if (settings_.serverListAddress.empty() || listReader_->isReading() || now < nextRead_
-        || !serverList_.shouldRead(now, isLeader(now)))
+        || !serverList_.shouldRead(
+            now, isLeader(now),
+            Registry::ServerListHolder::readInterval(listPages_, settings_.serverListCallsPerSecond)))
         return;
     // A registry that has just started gets the list from another one if there is one that holds it.
     if (!serverList_.isKnown() && !isLeader(now)
@@ -191,6 +199,7 @@
         return;
     listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list, std::size_t unreadable) {
         const auto readAt = clock_.now();
+        listPages_ = std::max(listPages_, listReader_->pagesRead());
         nextRead_ = list ? readAt : readAt + FailedReadPause;
         if (static_cast<bool>(list) != listReachable_) {
             listReachable_ = static_cast<bool>(list);
--- a/Services/Registry/ServerListReader.cpp
+++ b/Services/Registry/ServerListReader.cpp
@@ -33,6 +33,7 @@
     done_ = std::move(done);
     startedAt_ = now;
     page_.clear();
+    pages_ = 0;
     servers_.clear();
     unreadable_ = 0;
     requestPage();
@@ -40,6 +41,7 @@
 
 void ServerListReader::requestPage()
 {
+    ++pages_;
     if (!connection_ || !connection_->isReusable(clock_.now()))
         connection_ = std::make_unique<Edge::BackendConnection>(loop_, address_, ConnectTimeout, *this);
     connection_->send(
--- a/Services/Registry/ServerListReader.h
+++ b/Services/Registry/ServerListReader.h
@@ -21,6 +21,8 @@
     ServerListReader(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, std::string address);
 
     bool isReading() const { return static_cast<bool>(done_); }
+    /// Pages that the latest read has asked for.
+    std::size_t pagesRead() const { return pages_; }
     void read(Base::Instant now, Done done);
     /// Gives up a read that takes too long.
     void checkTimeout(Base::Instant now);
@@ -41,6 +43,7 @@
     Done done_;
     Base::Instant startedAt_;
     std::string page_;
+    std::size_t pages_ = 0;
     std::size_t unreadable_ = 0;
     std::vector<Wire::ServerRecord> servers_;
 };
--- a/Tests/LibRegistry/TestSoftState.cpp
+++ b/Tests/LibRegistry/TestSoftState.cpp
@@ -121,6 +121,20 @@
 }
 
 // Each change of the list goes to every gateway; nine hundred servers filled links of 14 Mbit/s for 40 ms.
+// Calls beyond the platform's rate are refused, and a read that lacks a page is lost as a whole.
+TEST(ServerListHolder, ReadsLessOftenWhereTheRateIsShort)
+{
+    EXPECT_EQ(ServerListHolder::readInterval(19, 390.0), ServerListHolder::ReadInterval);
+    const auto interval = ServerListHolder::readInterval(20, 10.0);
+    EXPECT_GE(interval, Base::seconds(2));
+    ServerListHolder holder;
+    holder.offer(Start, listRead(0, 1, 3));
+    EXPECT_FALSE(holder.shouldRead(Start + ServerListHolder::ReadInterval, true, interval));
+    EXPECT_TRUE(holder.shouldRead(Start + interval, true, interval));
+    EXPECT_FALSE(holder.shouldRead(Start + interval, false, interval));
+    EXPECT_TRUE(holder.shouldRead(Start + 2 * interval, false, interval));
+}
+
 TEST(ServerListHolder, TravelsCompressed)
 {
     constexpr std::size_t Servers = 900;
