--- a/Tests/Sessions/Process.h
+++ b/Tests/Sessions/Process.h
@@ -19,6 +19,8 @@
     Process &operator=(const Process &) = delete;
 
     void signal(int number) const;
+    /// Process id; -1 after its end was seen.
+    pid_t id() const { return id_; }
 
     /// Waits for the end; returns the exit code, or minus the signal that ended it.
     int wait();
--- a/Tests/Soak/Cluster.cpp
+++ b/Tests/Soak/Cluster.cpp
@@ -4,6 +4,7 @@
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
+#include <sys/resource.h>
 
 namespace Soak {
 
@@ -96,6 +97,25 @@
         process->signal(number);
 }
 
+void Cluster::setDiskFull(int vm, bool full)
+{
+    if (!isRunning(vm))
+        return;
+    rlimit limit {RLIM_INFINITY, RLIM_INFINITY};
+    if (full)
+        limit.rlim_cur = 0;
+    // Fails only for a process that has just ended, which has no disk to fill.
+    (void)prlimit(processes_[static_cast<std::size_t>(vm)]->id(), RLIMIT_FSIZE, &limit, nullptr);
+}
+
+void Cluster::killAndTearLog(int vm, std::size_t tornBytes)
+{
+    processes_[static_cast<std::size_t>(vm)].reset();
+    const auto log = dataDirectory(vm) + "/log";
+    if (std::filesystem::exists(log))
+        std::filesystem::resize_file(log, std::filesystem::file_size(log) + tornBytes);
+}
+
 void Cluster::killAndWipe(int vm)
 {
     processes_[static_cast<std::size_t>(vm)].reset();
--- a/Tests/Soak/Cluster.h
+++ b/Tests/Soak/Cluster.h
@@ -2,6 +2,7 @@
 
 #include "Sessions/Process.h"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <vector>
@@ -21,6 +22,11 @@
     void startAll();
     void start(int vm);
     void signal(int vm, int number);
+    /// Fills or frees the VM's disk: while it is full, no file of its process grows.
+    void setDiskFull(int vm, bool full);
+    /// Ends the process in the middle of a write: its log gets a tail that was never synced and reads as
+    /// zeros.
+    void killAndTearLog(int vm, std::size_t tornBytes);
     /// Ends the process and takes its disk away.
     void killAndWipe(int vm);
     bool isRunning(int vm)
--- a/Tests/Soak/Main.cpp
+++ b/Tests/Soak/Main.cpp
@@ -2,6 +2,7 @@
 #include "Soak/SoakRun.h"
 
 #include <chrono>
+#include <csignal>
 #include <cstdlib>
 #include <filesystem>
 #include <fmt/format.h>
@@ -23,6 +24,9 @@
 
 int main(int count, char **values)
 {
+    // A full disk is simulated by a limit on the size of files; writes must fail instead of ending the
+    // process, which inherits this.
+    std::signal(SIGXFSZ, SIG_IGN);
     try {
         const auto firstSeed = std::stoull(optionOf(count, values, "seed", "1"));
         const auto runs = std::stoull(optionOf(count, values, "runs", "1"));
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -256,32 +256,49 @@
 {
     ++faults_;
     const auto length = Base::milliseconds(static_cast<std::int64_t>(100 + random_.below(2000)));
-    switch (random_.below(3)) {
+    switch (random_.below(7)) {
     case 0:
-        return injectProcessFault(length);
     case 1:
+        return injectProcessFault(length);
+    case 2:
+    case 3:
         return injectServerFault(length);
+    case 4:
+        return injectDiskFault(length);
     default:
         return injectNetworkFault(length);
     }
 }
 
+void SoakRun::restartAfter(int vm, Base::Duration pause)
+{
+    scheduled_.emplace_back(clock_.now() + pause, [this, vm] {
+        if (!cluster_.isRunning(vm))
+            cluster_.start(vm);
+    });
+}
+
+void SoakRun::injectDiskFault(Base::Duration length)
+{
+    const auto vm = static_cast<int>(random_.below(Cluster::Registries));
+    if (random_.below(2) == 0) {
+        cluster_.killAndTearLog(vm, 1 + random_.below(200));
+        return restartAfter(vm, length);
+    }
+    cluster_.setDiskFull(vm, true);
+    scheduled_.emplace_back(clock_.now() + length, [this, vm] { cluster_.setDiskFull(vm, false); });
+}
+
 void SoakRun::injectProcessFault(Base::Duration length)
 {
     const auto vm = static_cast<int>(random_.below(static_cast<std::uint64_t>(cluster_.count())));
-    const auto restartAfter = [this, vm](Base::Duration pause) {
-        scheduled_.emplace_back(clock_.now() + pause, [this, vm] {
-            if (!cluster_.isRunning(vm))
-                cluster_.start(vm);
-        });
-    };
     switch (random_.below(4)) {
     case 0:
         cluster_.signal(vm, SIGKILL);
-        return restartAfter(length);
+        return restartAfter(vm, length);
     case 1:
         cluster_.signal(vm, SIGTERM);
-        return restartAfter(Base::seconds(4));
+        return restartAfter(vm, Base::seconds(4));
     case 2:
         cluster_.signal(vm, SIGSTOP);
         scheduled_.emplace_back(clock_.now() + length, [this, vm] { cluster_.signal(vm, SIGCONT); });
@@ -338,6 +355,7 @@
         cluster_.killAndWipe(static_cast<int>(random_.below(Cluster::Registries)));
     runFor(Base::seconds(4));
     for (int vm = 0; vm < cluster_.count(); ++vm) {
+        cluster_.setDiskFull(vm, false);
         if (cluster_.isRunning(vm))
             cluster_.signal(vm, SIGCONT);
         else
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -44,6 +44,8 @@
     void checkGather(const std::string &requestId, const Edge::ResponseMessage &response);
     void injectFault();
     void injectProcessFault(Base::Duration length);
+    void injectDiskFault(Base::Duration length);
+    void restartAfter(int vm, Base::Duration pause);
     void injectServerFault(Base::Duration length);
     void injectNetworkFault(Base::Duration length);
     void repair();
