--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -121,12 +121,15 @@
         exchange.isGather() ? std::min(exchange.answerBy, exchange.deadline) : exchange.deadline;
     std::size_t reachable = 0;
     std::size_t inTime = 0;
+    const auto waiting = waitingAhead(exchange);
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(leg.service) == 0)
             continue;
         ++reachable;
         silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
-        const auto wait = expectedWait(exchange, leg.service);
+        const auto ahead = waiting.find(leg.service);
+        const auto wait = ahead == waiting.end() ? Base::Duration::zero()
+                                                 : expectedWait(exchange, leg.service, ahead->second);
         inTime += wait == Base::Duration::zero() || exchange.arrivedAt + wait < latest ? 1 : 0;
     }
     const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
@@ -164,6 +167,17 @@
     return std::move(node.mapped());
 }
 
+/// Counts an attempt of a leg as ended. Returns its exchange while the leg still needs a result.
+ForwardCore::Exchange *ForwardCore::exchangeOf(const Attempt &attempt)
+{
+    const auto owner = exchanges_.find(attempt.exchange);
+    if (owner == exchanges_.end())
+        return nullptr;
+    auto &leg = owner->second.legs[attempt.leg];
+    --leg.open;
+    return leg.state == LegState::Present ? nullptr : &owner->second;
+}
+
 /// Time without any answer after which a server counts as gone. Load pattern: servers fall silent without
 /// closing their connections. Nothing fails on such an attempt before its caller was answered without it, so
 /// without a limit the server would get work again.
@@ -197,14 +211,11 @@
     } else if (serverFault || reply.notExecuted) {
         BackendTable::noteError(now, *attempt.backend);
     }
-    const auto owner = exchanges_.find(attempt.exchange);
-    if (owner == exchanges_.end())
+    auto *owner = exchangeOf(attempt);
+    if (owner == nullptr)
         return dispatchWaiting(now);
-    auto &exchange = owner->second;
+    auto &exchange = *owner;
     auto &leg = exchange.legs[attempt.leg];
-    --leg.open;
-    if (leg.state == LegState::Present)
-        return dispatchWaiting(now);
     if (succeeded) {
         takeSuccess(now, attempt.exchange, exchange, attempt.leg, reply);
         return dispatchWaiting(now);
@@ -256,25 +267,22 @@
         BackendTable::noteError(now, *attempt.backend);
     else
         BackendTable::noteUnreachable(now, *attempt.backend);
-    const auto owner = exchanges_.find(attempt.exchange);
-    if (owner == exchanges_.end())
+    auto *owner = exchangeOf(attempt);
+    if (owner == nullptr)
         return dispatchWaiting(now);
-    auto &exchange = owner->second;
+    auto &exchange = *owner;
     auto &leg = exchange.legs[attempt.leg];
-    --leg.open;
-    if (leg.state != LegState::Present) {
-        leg.failure = Edge::exchangeFailureName(failure);
-        if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection) {
-            // Nothing reached the server, so the attempt is not used up.
-            --leg.sends;
-            leg.unreached.push_back(attempt.backend);
-        } else {
-            leg.mayHaveRun = true;
-        }
-        retryOrClose(now, attempt.exchange, exchange, attempt.leg);
-        if (!concludeIfDecided(now, attempt.exchange, exchange))
-            scheduleReview(attempt.exchange, exchange);
+    leg.failure = Edge::exchangeFailureName(failure);
+    if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection) {
+        // Nothing reached the server, so the attempt is not used up.
+        --leg.sends;
+        leg.unreached.push_back(attempt.backend);
+    } else {
+        leg.mayHaveRun = true;
     }
+    retryOrClose(now, attempt.exchange, exchange, attempt.leg);
+    if (!concludeIfDecided(now, attempt.exchange, exchange))
+        scheduleReview(attempt.exchange, exchange);
     dispatchWaiting(now);
 }
 
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -175,11 +175,13 @@
     };
 
     std::optional<Attempt> takeAttempt(AttemptId id);
+    Exchange *exchangeOf(const Attempt &attempt);
     Base::Duration silenceLimit(const std::string &routeName) const;
     bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseHopeless(const Exchange &exchange);
-    Base::Duration expectedWait(const Exchange &exchange, std::string_view service) const;
+    std::unordered_map<std::string_view, std::size_t> waitingAhead(const Exchange &exchange) const;
+    Base::Duration expectedWait(const Exchange &exchange, std::string_view service, std::size_t ahead) const;
     bool dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
     bool sendExtra(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
     void send(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -55,16 +55,22 @@
         .first->second;
 }
 
-/// Time until a new attempt would leave this gateway, behind what waits already and is no less urgent.
-Base::Duration ForwardCore::expectedWait(const Exchange &exchange, std::string_view service) const
+/// Counts by service what waits already and is no less urgent than the exchange.
+std::unordered_map<std::string_view, std::size_t> ForwardCore::waitingAhead(const Exchange &exchange) const
 {
-    const auto ahead = std::count_if(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &waiting) {
+    std::unordered_map<std::string_view, std::size_t> counts;
+    for (const auto &waiting : waiting_) {
         const auto &other = exchanges_.at(waiting.exchange);
-        return other.legs[waiting.leg].service == service
-               && other.facts.route->rank <= exchange.facts.route->rank;
-    });
-    if (ahead == 0)
-        return {};
+        if (other.facts.route->rank <= exchange.facts.route->rank)
+            ++counts[other.legs[waiting.leg].service];
+    }
+    return counts;
+}
+
+/// Time until a new attempt would leave this gateway, behind `ahead` others for the same service.
+Base::Duration ForwardCore::expectedWait(const Exchange &exchange, std::string_view service,
+                                         std::size_t ahead) const
+{
     const auto times = routeTimes_.find(exchange.facts.route->name);
     const auto mean = times == routeTimes_.end() ? exchange.facts.route->latencyTarget : times->second.mean();
     const auto rate = backends_.attemptsPerMillisecond(
