Keep the log of a registry without a disk in memory

Registries whose VMs share a file system took turns with it: all but one answered 503 and served no gateway. Test: ClusterNode.NodesWithoutADiskShareNothing.

--- a/Libraries/LibConsensus/FileLogStore.cpp
+++ b/Libraries/LibConsensus/FileLogStore.cpp
@@ -1,6 +1,7 @@
 #include "LibConsensus/FileLogStore.h"
 
 #include "LibBase/Log.h"
+#include "LibConsensus/Incarnation.h"
 #include "LibConsensus/LogCodec.h"
 #include "LibWire/Codec.h"
 
@@ -8,7 +9,6 @@
 #include <array>
 #include <cerrno>
 #include <fmt/format.h>
-#include <random>
 #include <system_error>
 #include <utility>
 
@@ -27,14 +27,6 @@
     return fmt::format("{}.damaged", name);
 }
 
-/// 0 is reserved for "no incarnation".
-std::uint64_t makeIncarnation()
-{
-    std::random_device device;
-    const auto value = (std::uint64_t {device()} << 32U) | device();
-    return std::max<std::uint64_t>(value, 1);
-}
-
 } // namespace
 
 FileLogStore::FileLogStore(DataDirectory directory)
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -1,5 +1,8 @@
 #include "Services/Registry/ClusterNode.h"
 
+#include "LibConsensus/FileLogStore.h"
+#include "LibConsensus/VolatileLogStore.h"
+
 #include <random>
 
 namespace Services {
@@ -12,20 +15,28 @@
 /// delays a leader's heartbeats.
 constexpr Base::Duration HeartbeatInterval = Base::milliseconds(60);
 constexpr Base::Duration ElectionTimeout = Base::milliseconds(250);
-/// A VM without a disk keeps its log here. It is gone after a restart, and the node joins as a new one.
-constexpr const char *VolatileDirectory = "/tmp/daisyroute-registry";
 
-std::string directoryOf(const NodeSettings &settings)
+/// A VM without a disk keeps its log in memory; after a restart it joins as a new node.
+Base::Result<std::unique_ptr<Consensus::LogStore>> openStore(const NodeSettings &settings)
 {
-    return settings.dataDirectory.empty() ? VolatileDirectory : settings.dataDirectory;
+    if (settings.dataDirectory.empty())
+        return std::make_unique<Consensus::VolatileLogStore>();
+    return Consensus::FileLogStore::create(settings.dataDirectory);
 }
 
-bool isFounder(const NodeSettings &settings, const Consensus::LogStore &store, bool wasRepaired)
+Base::Result<bool> wasRepaired(const NodeSettings &settings)
+{
+    if (settings.dataDirectory.empty())
+        return false;
+    return Consensus::FileLogStore::wasRepaired(settings.dataDirectory);
+}
+
+bool isFounder(const NodeSettings &settings, const Consensus::LogStore &store, bool repaired)
 {
     const bool empty =
         !store.snapshot() && store.lastIndex() == 0 && store.hardState() == Consensus::HardState {};
     // A node that was removed is empty again, but its cluster lives on without it.
-    return empty && !wasRepaired && settings.firstStart
+    return empty && !repaired && settings.firstStart
            && (settings.seeds.empty() || settings.seeds.front() == settings.operatorAddress);
 }
 
@@ -34,10 +45,10 @@
 Base::Result<std::unique_ptr<ClusterNode>> ClusterNode::create(const NodeSettings &settings,
                                                                Base::Instant now)
 {
-    const auto wasRepaired = Consensus::FileLogStore::wasRepaired(directoryOf(settings));
-    if (!wasRepaired)
-        return tl::unexpected(wasRepaired.error());
-    auto store = Consensus::FileLogStore::create(directoryOf(settings));
+    const auto repaired = wasRepaired(settings);
+    if (!repaired)
+        return tl::unexpected(repaired.error());
+    auto store = openStore(settings);
     if (!store)
         return tl::unexpected(store.error());
     Consensus::RaftOptions options;
@@ -46,7 +57,7 @@
     options.heartbeatInterval = HeartbeatInterval;
     options.electionTimeout = ElectionTimeout;
     options.seed = std::random_device {}();
-    if (isFounder(settings, **store, *wasRepaired))
+    if (isFounder(settings, **store, *repaired))
         options.initialMembers = {{settings.nodeId, (*store)->incarnation(), options.peerAddress, true}};
     auto raft = Consensus::RaftNode::create(std::move(options), **store, now);
     if (!raft)
@@ -56,10 +67,12 @@
 
 Base::Result<void> ClusterNode::reset(const NodeSettings &settings)
 {
-    return Consensus::FileLogStore::repair(directoryOf(settings));
+    if (settings.dataDirectory.empty())
+        return {};
+    return Consensus::FileLogStore::repair(settings.dataDirectory);
 }
 
-ClusterNode::ClusterNode(std::unique_ptr<Consensus::FileLogStore> store,
+ClusterNode::ClusterNode(std::unique_ptr<Consensus::LogStore> store,
                          std::unique_ptr<Consensus::RaftNode> raft)
     : store_(std::move(store))
     , raft_(std::move(raft))
--- a/Services/Registry/ClusterNode.h
+++ b/Services/Registry/ClusterNode.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibConsensus/FileLogStore.h"
+#include "LibConsensus/LogStore.h"
 #include "LibConsensus/RaftNode.h"
 #include "LibRegistry/RegistryCore.h"
 #include "Services/Common/NodeSettings.h"
@@ -15,8 +15,9 @@
 class ClusterNode
 {
 public:
-    /// Opens the data directory. A node founds a cluster by itself only when the whole deployment starts for
-    /// the first time, its directory is empty, and it is the first seed; all others join it.
+    /// Opens the data directory, or a store in memory without one. A node founds a cluster by itself only
+    /// when the whole deployment starts for the first time, its directory is empty, and it is the first seed;
+    /// all others join it.
     static Base::Result<std::unique_ptr<ClusterNode>> create(const NodeSettings &settings, Base::Instant now);
 
     /// Sets the files of the data directory aside, so that the next create() opens an empty one.
@@ -31,9 +32,9 @@
     Base::Result<void> compactIfDue(std::size_t appliedBytes);
 
 private:
-    ClusterNode(std::unique_ptr<Consensus::FileLogStore> store, std::unique_ptr<Consensus::RaftNode> raft);
+    ClusterNode(std::unique_ptr<Consensus::LogStore> store, std::unique_ptr<Consensus::RaftNode> raft);
 
-    std::unique_ptr<Consensus::FileLogStore> store_;
+    std::unique_ptr<Consensus::LogStore> store_;
     std::unique_ptr<Consensus::RaftNode> raft_;
     std::unique_ptr<Registry::RegistryCore> core_;
     std::size_t bytesSinceSnapshot_ = 0;
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -252,6 +252,7 @@
                   {{"told_by", address}, {"incarnation", cluster_->incarnation()}});
     cluster_->core().abandon();
     cluster_.reset();
+    settings_.firstStart = false; // The cluster lives on without this node, which must not found another one.
     if (auto reset = ClusterNode::reset(settings_); !reset)
         events_.write(now, Importance::Notable, "repair_failed", {{"detail", reset.error().detail}});
     openCluster(now);
--- a/Tests/Services/TestClusterNode.cpp
+++ b/Tests/Services/TestClusterNode.cpp
@@ -79,3 +79,33 @@
         EXPECT_FALSE(leadsAlone(**node)) << "start " << start;
     }
 }
+
+// Registries without a disk shared one directory when their VMs shared a file system, and all but one of them
+// did not work.
+TEST(ClusterNode, NodesWithoutADiskShareNothing)
+{
+    auto first = settingsOf("");
+    auto second = settingsOf("");
+    second.nodeId = "vm-2";
+    second.operatorAddress = "10.0.0.2:80";
+    const auto one = Services::ClusterNode::create(first, Start);
+    ASSERT_TRUE(one.has_value());
+    const auto two = Services::ClusterNode::create(second, Start);
+    ASSERT_TRUE(two.has_value());
+    EXPECT_NE((*one)->incarnation(), (*two)->incarnation());
+    EXPECT_FALSE((*two)->holdsLog());
+    const auto again = Services::ClusterNode::create(second, Start);
+    ASSERT_TRUE(again.has_value());
+    EXPECT_NE((*again)->incarnation(), (*two)->incarnation());
+}
+
+// It must not do so after its removal either, although it remembers nothing of it.
+TEST(ClusterNode, NodeWithoutADiskKeepsNothingOverAReset)
+{
+    auto settings = settingsOf("");
+    settings.firstStart = false;
+    ASSERT_TRUE(Services::ClusterNode::reset(settings).has_value());
+    const auto node = Services::ClusterNode::create(settings, Start);
+    ASSERT_TRUE(node.has_value());
+    EXPECT_FALSE(leadsAlone(**node));
+}
