--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -95,6 +95,7 @@
     pending.head = forwardedHead(request);
     pending.body = request.body;
     pending.headRequest = request.method == "HEAD";
+    pending.attemptsAllowed = route->attempts;
     pending.repeatable = route->repeatability == Route::Repeatability::Idempotent;
     caller.onCallerLeft([this, id] {
         const auto found = pending_.find(id);
@@ -297,6 +298,8 @@
                                         {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
                                         {"configuration_version", pending.version},
                                         {"servers_age_ms", (now - serversReadAt_) / Base::milliseconds(1)},
+                                        {"repeatable", pending.repeatable},
+                                        {"attempts_allowed", pending.attemptsAllowed},
                                         {"attempts", outcome.attempts},
                                         {"extra_attempts", outcome.extraAttempts},
                                         {"missing", outcome.missingParts},
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -56,6 +56,7 @@
         std::string body;
         bool headRequest = false;
         bool repeatable = false;
+        std::uint32_t attemptsAllowed = 1; ///< Servers per service that the route allows.
     };
 
     std::string forwardedHead(const Edge::RequestMessage &request) const;
