Send changes of the directory instead of whole directories

Change: Registry::Directory remembers the latest 32 changes and sends what leads from the version that a receiver holds. A registry that has just started and knows of no gateway takes nothing away any more.

--- a/Libraries/LibRegistry/RegistryChoice.cpp
+++ b/Libraries/LibRegistry/RegistryChoice.cpp
@@ -19,6 +19,7 @@
     }
     std::sort(ranked.begin(), ranked.end());
     std::vector<std::string> addresses;
+    addresses.reserve(ranked.size());
     for (auto &[distance, hash, address] : ranked)
         addresses.push_back(std::move(address));
     return addresses;
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -77,6 +77,25 @@
     MSGPACK_DEFINE(gateway, ageMs)
 };
 
+/// What leads from one directory of gateways to another.
+struct DirectoryChanges
+{
+    std::vector<GatewayRecord> present; ///< New or changed.
+    std::vector<std::string> gone; ///< Ids.
+
+    MSGPACK_DEFINE(present, gone)
+};
+
+/// A directory of serving gateways on its way to a process that may hold an earlier one.
+struct DirectoryCopy
+{
+    std::uint64_t digest = 0; ///< 0 when the sender knows of no gateway yet.
+    std::uint64_t base = 0; ///< Digest of the directory that `packed` changes; 0 when it is a whole one.
+    std::string packed; ///< Records or DirectoryChanges, as pack() gives; empty when nothing differs.
+
+    MSGPACK_DEFINE(digest, base, packed)
+};
+
 /// gateway → registry, or another gateway while no registry is reachable: reports the gateway and waits until
 /// something differs from what it holds.
 struct WatchRequest
@@ -101,13 +120,12 @@
     std::uint64_t configurationVersion = 0;
     std::string configurationText; ///< Compressed; empty unless it is newer than what the gateway holds.
     std::optional<PackedServerList> serverList;
-    std::uint64_t directoryDigest = 0;
-    std::string directory; ///< Serving gateways, as pack() gives; empty when the gateway holds the same ones.
+    DirectoryCopy directory;
     std::vector<std::string> registryAddresses; ///< Peer addresses of all known registries.
     std::string dataCentre; ///< Of the process that answers.
 
     MSGPACK_DEFINE(leaderKnown, leaderSilentMs, configurationVersion, configurationText, serverList,
-                   directoryDigest, directory, registryAddresses, dataCentre)
+                   directory, registryAddresses, dataCentre)
 };
 
 /// registry → registry: a node that is not a member asks to be added.
--- a/Meta/demo.sh
+++ b/Meta/demo.sh
@@ -6,23 +6,9 @@
 cd "$(dirname "$0")/.."
 
 Meta/install-packages.sh
-cmake --preset release > /dev/null
-cmake --build --preset release --target daisyroute backend-stand-in load-generator
-
-bin=Build/bin
-folder=$(mktemp -d)
-# The whole 127.0.0.0/8 is loopback; an address from the process id keeps two demos apart.
-ip=127.$((64 + ($$ >> 16) % 64)).$((($$ >> 8) % 256)).$((128 + $$ % 127))
+environment=koperative
 data_centres=(gasabo kicukiro nyarugenge)
-declare -A process_ids=()
-
-# Starts a program in the background: NAME COMMAND…
-start() {
-    local name=$1
-    shift
-    "$@" > "$folder/$name.log" 2>&1 &
-    process_ids[$name]=$!
-}
+source Meta/deployment.sh
 
 # Stops the named processes by SIGTERM and waits for them; fails when one did not exit with 0.
 stop() {
@@ -41,10 +27,8 @@
 }
 
 clean_up() {
-    local result=$? name
-    for name in "${!process_ids[@]}"; do
-        kill -KILL "${process_ids[$name]}" 2> /dev/null || true
-    done
+    local result=$?
+    kill_now "${!process_ids[@]}"
     if [ "$result" -eq 0 ]; then
         rm -rf "$folder"
     else
@@ -76,32 +60,19 @@
     "$bin/daisyroute" query --index=supply-ledger --class=report --tenant=suppliers "find order 7" | grep -q complete
 }
 
-(umask 077 && head -c 32 /dev/urandom | base64 > "$folder/key")
+prepare_deployment
 # The documents name 127.0.0.1; here the backend servers listen on this demo's own loopback address.
 sed "s/127\.0\.0\.1/$ip/" Documents/koperative.toml > "$folder/first.toml"
 # The second revision takes one backend server out of use.
 sed '/id = "desk-00a"/s/ }/, leaving = true }/' "$folder/first.toml" > "$folder/second.toml"
 
-members=control-0=$ip:20200,control-1=$ip:20201,control-2=$ip:20202
-controls=$ip:20200,$ip:20201,$ip:20202
-export DAISYROUTE_KEY_FILE=$folder/key
-export DAISYROUTE_CONTROL_HTTP_ADDRESSES=$ip:20100,$ip:20101,$ip:20102
-export DAISYROUTE_ENTRY_ADDRESSES=$DAISYROUTE_CONTROL_HTTP_ADDRESSES
-
 echo "demo: starting processes on $ip"
-start stand-in "$bin/backend-stand-in" --document="$folder/first.toml" --admin="$ip:20900" --seed=7
-for number in 0 1 2; do
-    start "control-$number" "$bin/daisyroute" control --node-id="control-$number" \
-        --data-centre="${data_centres[$number]}" --environment=koperative --data-directory="$folder/control-$number" \
-        --http-address="$ip:$((20100 + number))" --peer-address="$ip:$((20200 + number))" --members="$members"
-done
+start_stand_in "$folder/first.toml" 7
+start_control
 entries=()
 for number in 0 1 2 3 4 5; do
     entries+=("entry-$number")
-    start "entry-$number" "$bin/daisyroute" entry --entry-id="entry-$number" \
-        --data-centre="${data_centres[$((number % 3))]}" --environment=koperative \
-        --http-address="$ip:$((20300 + number))" --peer-address="$ip:$((20400 + number))" \
-        --control-addresses="$controls"
+    start_entry "$number"
 done
 
 hash=$("$bin/daisyroute" submit --timeout-ms=30000 "$folder/first.toml")
@@ -117,9 +88,8 @@
     --rate=40 --queries=1000 --seed=7 --run-id="demo" --json="$folder/load.json"
 sleep 6
 echo "demo: killing entry-5"
-kill -KILL "${process_ids[entry-5]}"
-wait "${process_ids[entry-5]}" 2> /dev/null || true
-unset "process_ids[entry-5]" "entries[5]"
+kill_now entry-5
+unset "entries[5]"
 sleep 6
 echo "demo: promoting a second revision:"
 "$bin/daisyroute" diff "$folder/second.toml"
@@ -131,7 +101,7 @@
 wait "${process_ids[load]}" || load_result=$?
 unset "process_ids[load]"
 line=$(tail -n 1 "$folder/load.log")
-curl -sS "http://$ip:20900/summary" > "$folder/summary.json"
+curl -sS "http://$stand_in/summary" > "$folder/summary.json"
 
 echo "demo: stopping processes"
 stop "${entries[@]}"
--- a/Meta/measure.sh
+++ b/Meta/measure.sh
@@ -7,49 +7,30 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bin=Build/bin
+environment=koperative
+data_centres=(gasabo kicukiro nyarugenge)
+source Meta/deployment.sh
 output=Build/measurements.jsonl
-folder=$(mktemp -d)
-ip=127.$((64 + ($$ >> 16) % 64)).$((($$ >> 8) % 256)).$((128 + $$ % 127))
 run_seconds=${SECONDS_PER_RUN:-12}
 seed=${SEED:-7}
-data_centres=(gasabo kicukiro nyarugenge)
 entries=12
 shards=20
 # 2 replicas of 2 slots per shard and a mean of 20.9 ms (lognormal, median 20 ms, sigma 0.3) give 191 queries/s.
 capacity=191
-declare -A process_ids=()
-
-start() {
-    local name=$1
-    shift
-    "$@" > "$folder/$name.log" 2>&1 &
-    process_ids[$name]=$!
-}
 
 clean_up() {
-    local name
-    for name in "${!process_ids[@]}"; do
-        kill -KILL "${process_ids[$name]}" 2> /dev/null || true
-        wait "${process_ids[$name]}" 2> /dev/null || true
-    done
+    kill_now "${!process_ids[@]}"
     rm -rf "$folder"
 }
 trap clean_up EXIT
 
-start_entry() {
-    start "entry-$1" "$bin/daisyroute" entry --entry-id="entry-$1" --data-centre="${data_centres[$(($1 % 3))]}" \
-        --environment=koperative --http-address="$ip:$((20300 + $1))" --peer-address="$ip:$((20400 + $1))" \
-        --control-addresses="$ip:20200,$ip:20201,$ip:20202"
-}
-
 # Changes the behaviour of all servers, or of one: JSON_FIELDS [SERVER]
 behave() {
     local target=""
     if [ -n "${2:-}" ]; then
         target="\"server\": \"$2\", "
     fi
-    curl -sS -d "{$target\"set\": {$1}}" "http://$ip:20900/behaviour" > /dev/null
+    curl -sS -d "{$target\"set\": {$1}}" "http://$stand_in/behaviour" > /dev/null
 }
 
 # Prints a number of a JSON file by its key: FILE KEY
@@ -61,7 +42,7 @@
 measure() {
     local scenario=$1 variant=$2 rate=$(($3 * capacity / 100)) queries row
     queries=$((rate * run_seconds))
-    curl -sS -d '{}' "http://$ip:20900/reset" > /dev/null
+    curl -sS -d '{}' "http://$stand_in/reset" > /dev/null
     "$bin/load-generator" --entries="$ip:20100,$ip:20101,$ip:20102" --document="$folder/hedging.toml" \
         --mix=counter-desk/counter/shops=1 --rate="$rate" --queries="$queries" --threads=600 --seed="$seed" \
         --run-id="$scenario-$variant" --json="$folder/load.json" > "$folder/load.log" 2>&1 || true
@@ -69,7 +50,7 @@
         cat "$folder/load.log" >&2
         exit 1
     fi
-    curl -sS "http://$ip:20900/summary" > "$folder/summary.json"
+    curl -sS "http://$stand_in/summary" > "$folder/summary.json"
     row=$(awk -v scenario="$scenario" -v variant="$variant" -v rate="$rate" -v queries="$queries" -v shards="$shards" \
         -v p50="$(number_of "$folder/load.json" p50)" -v p99="$(number_of "$folder/load.json" p99)" \
         -v p999="$(number_of "$folder/load.json" p999)" -v whole="$(number_of "$folder/load.json" whole)" \
@@ -131,21 +112,12 @@
     esac
 }
 
-cmake --preset release > /dev/null
-cmake --build --preset release --target daisyroute backend-stand-in load-generator > /dev/null
-(umask 077 && head -c 32 /dev/urandom | base64 > "$folder/key")
-export DAISYROUTE_KEY_FILE=$folder/key
-export DAISYROUTE_CONTROL_HTTP_ADDRESSES=$ip:20100,$ip:20101,$ip:20102
+prepare_deployment
 sed "s/127\.0\.0\.1/$ip/" Documents/koperative.toml > "$folder/hedging.toml"
 sed 's/^extra_load_budget = .*/extra_load_budget = 0.0/' "$folder/hedging.toml" > "$folder/no-hedging.toml"
 
-start stand-in "$bin/backend-stand-in" --document="$folder/hedging.toml" --admin="$ip:20900" --seed="$seed"
-members=control-0=$ip:20200,control-1=$ip:20201,control-2=$ip:20202
-for number in 0 1 2; do
-    start "control-$number" "$bin/daisyroute" control --node-id="control-$number" \
-        --data-centre="${data_centres[$number]}" --environment=koperative --data-directory="$folder/control-$number" \
-        --http-address="$ip:$((20100 + number))" --peer-address="$ip:$((20200 + number))" --members="$members"
-done
+start_stand_in "$folder/hedging.toml" "$seed"
+start_control
 for ((number = 0; number < entries; number++)); do
     start_entry "$number"
 done
--- a/Meta/slopes.sh
+++ b/Meta/slopes.sh
@@ -7,32 +7,15 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
-bin=Build/bin
-folder=$(mktemp -d)
-ip=127.$((64 + ($$ >> 16) % 64)).$((($$ >> 8) % 256)).$((128 + $$ % 127))
+environment=slopes
+data_centres=(a a a)
+source Meta/deployment.sh
 settle_seconds=${SETTLE_SECONDS:-6}
 sample_seconds=${SAMPLE_SECONDS:-10}
 ticks_per_second=$(getconf CLK_TCK)
-declare -A process_ids=()
-
-start() {
-    local name=$1
-    shift
-    "$@" > "$folder/$name.log" 2>&1 &
-    process_ids[$name]=$!
-}
-
-stop_all() {
-    local name
-    for name in "${!process_ids[@]}"; do
-        kill -KILL "${process_ids[$name]}" 2> /dev/null || true
-        wait "${process_ids[$name]}" 2> /dev/null || true
-    done
-    process_ids=()
-}
 
 clean_up() {
-    stop_all
+    kill_now "${!process_ids[@]}"
     rm -rf "$folder"
 }
 trap clean_up EXIT
@@ -117,27 +100,20 @@
 
 # Runs one deployment and samples it: LABEL ENTRIES SERVERS [LOAD_FUNCTION ARGUMENT]
 run() {
-    local label=$1 entries=$2 servers=$3 load=${4:-} argument=${5:-} number members controls hash
+    local label=$1 entries=$2 servers=$3 load=${4:-} argument=${5:-} number hash
     declare -gA http_of=()
     measured=()
     write_document "$servers" > "$folder/document.toml"
-    members=control-0=$ip:20200,control-1=$ip:20201,control-2=$ip:20202
-    controls=$ip:20200,$ip:20201,$ip:20202
-    rm -rf "$folder"/control-?
-    start stand-in "$bin/backend-stand-in" --document="$folder/document.toml" --admin="$ip:20900" --seed=7
+    start_stand_in "$folder/document.toml" 7
+    start_control
     for number in 0 1 2; do
         http_of[control-$number]=$ip:$((20100 + number))
         measured+=("control-$number")
-        start "control-$number" "$bin/daisyroute" control --node-id="control-$number" --data-centre=a \
-            --environment=slopes --data-directory="$folder/control-$number" \
-            --http-address="$ip:$((20100 + number))" --peer-address="$ip:$((20200 + number))" --members="$members"
     done
     for ((number = 0; number < entries; number++)); do
         http_of[entry-$number]=$ip:$((20300 + number))
         measured+=("entry-$number")
-        start "entry-$number" "$bin/daisyroute" entry --entry-id="entry-$number" --data-centre=a \
-            --environment=slopes --http-address="$ip:$((20300 + number))" \
-            --peer-address="$ip:$((20400 + number))" --control-addresses="$controls"
+        start_entry "$number"
     done
     hash=$("$bin/daisyroute" submit --timeout-ms=30000 "$folder/document.toml")
     "$bin/daisyroute" promote --base-revision=0 "$hash" > /dev/null 2>&1
@@ -152,7 +128,7 @@
     sleep "$sample_seconds"
     snapshot > "$folder/after"
     report "$label" "$entries" "$servers" $(($(revision) - revision_before))
-    stop_all
+    kill_now "${!process_ids[@]}"
 }
 
 send_queries() {
@@ -180,12 +156,7 @@
 if [ "$#" -eq 0 ]; then
     set -- entries servers queries promotions claims
 fi
-cmake --preset release > /dev/null
-cmake --build --preset release --target daisyroute backend-stand-in load-generator > /dev/null
-(umask 077 && head -c 32 /dev/urandom | base64 > "$folder/key")
-export DAISYROUTE_KEY_FILE=$folder/key
-export DAISYROUTE_CONTROL_HTTP_ADDRESSES=$ip:20100,$ip:20101,$ip:20102
-export DAISYROUTE_ENTRY_ADDRESSES=$DAISYROUTE_CONTROL_HTTP_ADDRESSES
+prepare_deployment
 
 for driver in "$@"; do
     case $driver in
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -3,7 +3,6 @@
 #include "LibBase/AddressText.h"
 #include "LibBase/Compression.h"
 #include "LibRegistry/GatewayChoice.h"
-#include "LibWire/Packed.h"
 #include "Services/Common/MetricsEndpoint.h"
 
 #include <algorithm>
@@ -193,7 +192,7 @@
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     request.serverListDigest = serverList_.digest();
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
-    request.directoryDigest = directoryDigest_;
+    request.directoryDigest = directory_.digest();
     request.relayed = otherGateways_.heardDirectly(clock_.now());
     return request;
 }
@@ -216,9 +215,7 @@
     if (reply.configurationVersion > request.configurationVersion)
         reply.configurationText = configurationText_;
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
-    reply.directoryDigest = directoryDigest_;
-    if (directoryDigest_ != request.directoryDigest)
-        reply.directory = packedDirectory_;
+    reply.directory = directory_.copyFor(request.directoryDigest);
     return reply;
 }
 
@@ -298,30 +295,23 @@
 
 void GatewayProcess::takeDirectory(const Wire::WatchReply &reply)
 {
-    if (reply.directoryDigest == directoryDigest_)
-        return;
-    // A registry that has just started knows of no gateway and sends no text.
-    Base::Result<std::vector<Wire::GatewayRecord>> directory;
-    if (!reply.directory.empty())
-        directory = Wire::unpack<std::vector<Wire::GatewayRecord>>(reply.directory);
-    if (!directory) {
+    const auto changed = directory_.apply(reply.directory);
+    if (!changed)
         events_.write(clock_.now(), Importance::Notable, "directory_refused",
-                      {{"detail", directory.error().detail}});
+                      {{"detail", changed.error().detail}});
+    if (!changed.value_or(false))
         return;
-    }
-    directoryDigest_ = reply.directoryDigest;
-    directory_ = std::move(*directory);
-    packedDirectory_ = reply.directory;
     std::vector<std::string> others;
-    for (const auto &gateway : directory_) {
+    for (const auto &gateway : directory_.gateways()) {
         if (gateway.gatewayId != settings_.nodeId)
             others.push_back(peerAddressOf(gateway));
     }
     watcher_->setGateways(std::move(others));
-    const auto inUse = Registry::chooseGateways(directory_, PreferredGateways).size();
+    const auto inUse = Registry::chooseGateways(directory_.gateways(), PreferredGateways).size();
     if (inUse > 0)
         forwarder_->setGatewayCount(std::max(inUse, MinGatewayCount));
-    events_.write(clock_.now(), Importance::Notable, "directory_changed", {{"serving", directory_.size()}});
+    events_.write(clock_.now(), Importance::Notable, "directory_changed",
+                  {{"serving", directory_.gateways().size()}});
 }
 
 void GatewayProcess::lookUp(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const
@@ -329,7 +319,7 @@
     if (adapter_.classify(request.method, request.path()) != Adapter::Call::LookUpGateways)
         return caller.respond(emptyResponse(404));
     std::vector<std::string> addresses;
-    for (const auto &gateway : Registry::chooseGateways(directory_, PreferredGateways)) {
+    for (const auto &gateway : Registry::chooseGateways(directory_.gateways(), PreferredGateways)) {
         const bool leaving = leavingSince_ && gateway.gatewayId == settings_.nodeId;
         if (!leaving)
             addresses.push_back(gateway.callerAddress);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -5,6 +5,7 @@
 #include "LibEdge/CallerServer.h"
 #include "LibEdge/Loop.h"
 #include "LibPeer/Endpoint.h"
+#include "LibRegistry/Directory.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
 #include "Services/Common/NodeSettings.h"
@@ -75,9 +76,7 @@
     Registry::GatewayTable otherGateways_; ///< Those that report here because they reach no registry.
     Base::Instant leaderHeardAt_; ///< Last moment at which a registry is known to have heard its leader.
     WatchDesk watchers_;
-    std::uint64_t directoryDigest_ = 0;
-    std::vector<Wire::GatewayRecord> directory_;
-    std::string packedDirectory_;
+    Registry::Directory directory_;
     std::unique_ptr<Forwarder> forwarder_;
     std::unique_ptr<Edge::CallerServer> callerServer_;
     std::unique_ptr<Edge::CallerServer> readinessServer_;
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -150,6 +150,7 @@
 std::vector<std::string> RegistryWatcher::preference() const
 {
     std::vector<Registry::RegistryPlace> places;
+    places.reserve(registries_.size());
     for (const auto &[address, registry] : registries_)
         places.push_back({address, registry.dataCentre});
     return Registry::registryPreference(place_.gatewayId, place_.dataCentre, places);
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -94,16 +94,13 @@
 {
     if (now < nextDirectory_)
         return;
-    auto serving = gateways_.serving(now);
-    if (serving == directory_)
+    const auto before = directory_.gateways().size();
+    if (!directory_.replace(gateways_.serving(now)))
         return;
     nextDirectory_ = now + DirectoryInterval;
     nextShare_ = now; // Gateways that watch another registry learn of the change through it.
     events_.write(now, Importance::Notable, "directory_changed",
-                  {{"serving_before", directory_.size()}, {"serving", serving.size()}});
-    directory_ = std::move(serving);
-    directoryDigest_ = Registry::digestOf(directory_);
-    packedDirectory_ = Wire::pack(directory_);
+                  {{"serving_before", before}, {"serving", directory_.gateways().size()}});
 }
 
 Wire::WatchReply RegistryProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request)
@@ -122,9 +119,7 @@
             reply.configurationText = configuration.text();
     }
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
-    reply.directoryDigest = directoryDigest_;
-    if (directoryDigest_ != request.directoryDigest)
-        reply.directory = packedDirectory_;
+    reply.directory = directory_.copyFor(request.directoryDigest);
     reply.registryAddresses = knownRegistries();
     reply.registryAddresses.push_back(settings_.registryPeerAddress());
     reply.dataCentre = settings_.dataCentre;
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -8,6 +8,7 @@
 #include "LibEdge/Loop.h"
 #include "LibMetrics/Registry.h"
 #include "LibPeer/Endpoint.h"
+#include "LibRegistry/Directory.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
 #include "LibWire/IntroduceMessages.h"
@@ -122,9 +123,7 @@
     Base::Instant nextJoin_;
     Base::Instant nextIntroduction_;
     Registry::GatewayTable gateways_;
-    std::vector<Wire::GatewayRecord> directory_;
-    std::uint64_t directoryDigest_ = 0;
-    std::string packedDirectory_;
+    Registry::Directory directory_;
     Base::Instant nextDirectory_; ///< Earliest moment of the next change.
     Registry::ServerListHolder serverList_;
     std::unique_ptr<ServerListReader> listReader_;
--- /dev/null
+++ b/Tests/LibRegistry/TestDirectory.cpp
@@ -0,0 +1,101 @@
+#include "LibRegistry/Directory.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+namespace {
+
+using Registry::Directory;
+
+std::vector<Wire::GatewayRecord> gateways(std::size_t count, std::size_t without = SIZE_MAX)
+{
+    std::vector<Wire::GatewayRecord> records;
+    for (std::size_t index = 0; index < count; ++index) {
+        const auto id = fmt::format("vm-{:04}", index);
+        if (index != without)
+            records.push_back({id, index * 7919, "10.0.0.1:" + id, "dc-a", Wire::GatewayState::Serving});
+    }
+    return records;
+}
+
+/// Brings `receiver` up to date; returns the bytes that travelled.
+std::size_t update(Directory &receiver, const Directory &sender)
+{
+    const auto copy = sender.copyFor(receiver.digest());
+    EXPECT_TRUE(receiver.apply(copy).has_value());
+    EXPECT_EQ(receiver.gateways(), sender.gateways());
+    EXPECT_EQ(receiver.digest(), sender.digest());
+    return copy.packed.size();
+}
+
+} // namespace
+
+// 300 gateways of which a few restart each second received whole directories several times a second.
+TEST(Directory, ChangesTravelAlone)
+{
+    Directory sender;
+    Directory receiver;
+    ASSERT_TRUE(sender.replace(gateways(300)));
+    const auto whole = update(receiver, sender);
+    EXPECT_TRUE(sender.replace(gateways(300, 17)));
+    EXPECT_FALSE(sender.replace(gateways(300, 17)));
+    EXPECT_LT(update(receiver, sender), whole / 10);
+    EXPECT_EQ(update(receiver, sender), 0U);
+}
+
+// A receiver that was away for some changes gets them together, with only the last state of each gateway.
+TEST(Directory, SeveralChangesTravelAsOne)
+{
+    Directory sender;
+    Directory receiver;
+    sender.replace(gateways(50));
+    update(receiver, sender);
+    for (std::size_t restarted = 0; restarted < 10; ++restarted) {
+        sender.replace(gateways(50, restarted));
+        sender.replace(gateways(50));
+    }
+    sender.replace(gateways(51));
+    update(receiver, sender);
+}
+
+TEST(Directory, WholeDirectoryForAReceiverThatIsFarBehind)
+{
+    Directory sender;
+    Directory receiver;
+    sender.replace(gateways(50));
+    update(receiver, sender);
+    sender.replace(gateways(49));
+    for (std::size_t change = 0; change <= Directory::MaxSteps; ++change)
+        sender.replace(gateways(60 + change));
+    EXPECT_EQ(sender.copyFor(receiver.digest()).base, 0U);
+    update(receiver, sender);
+}
+
+// A registry that has just started must not take the directory away from the gateways that come to it.
+TEST(Directory, ProcessThatKnowsNothingChangesNothing)
+{
+    Directory receiver;
+    receiver.replace(gateways(5));
+    const auto taken = receiver.apply(Directory().copyFor(receiver.digest()));
+    ASSERT_TRUE(taken.has_value());
+    EXPECT_FALSE(*taken);
+    EXPECT_EQ(receiver.gateways().size(), 5U);
+}
+
+// Changes that do not fit must not be mixed into what is held; the whole directory comes next.
+TEST(Directory, ChangesThatDoNotFitAreRefused)
+{
+    Directory sender;
+    sender.replace(gateways(5));
+    const auto base = sender.digest();
+    sender.replace(gateways(6));
+    Directory receiver;
+    receiver.replace(gateways(9));
+    EXPECT_FALSE(receiver.apply(sender.copyFor(base)).has_value());
+    EXPECT_EQ(receiver.gateways().size(), 9U);
+    update(receiver, sender);
+    auto damaged = sender.copyFor(0);
+    damaged.digest += 1;
+    EXPECT_FALSE(receiver.apply(damaged).has_value());
+    EXPECT_EQ(receiver.gateways().size(), 6U);
+}
