Send callers only to gateways with 0.6 of the largest share of a processor

Cause: with all 11 or 12 gateways in use each sees few requests, opens connections anew and learns little of the servers.

Not covered: a deployment whose strong VMs together cannot carry the load, because gateways do not report how busy they are.

--- a/Libraries/LibRegistry/GatewayChoice.cpp
+++ b/Libraries/LibRegistry/GatewayChoice.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-/// A gateway with less of a processor than this fraction of the largest one's answers noticeably later.
-constexpr double StrongShare = 0.5;
+/// A gateway with less of a processor than this fraction of the largest one's answers later, and requests
+/// that spread over more gateways find fewer open connections and less knowledge of the servers.
+constexpr double StrongShare = 0.6;
 /// With fewer strong gateways than this, the loss of one would be felt more than the slowness of the others.
 constexpr std::ptrdiff_t MinStrongGateways = 3;
 
