--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -19,8 +19,8 @@
 
 constexpr Base::Duration TickInterval = Base::milliseconds(250);
 /// Callers ask again this often. Each look-up delays a request, and at a VM without power by a second; on the
-/// other side callers must leave a VM that is gone soon.
-constexpr Base::Duration LookupMaxAge = Base::milliseconds(3000);
+/// other side callers must leave a VM that is gone soon. A leaving gateway serves on for this time.
+constexpr Base::Duration LookupMaxAge = Base::milliseconds(5000);
 /// Gateways that callers are sent to. With more of them each would see too few requests to keep its
 /// connections to the backend servers open; the others stand by.
 constexpr std::size_t PreferredGateways = 24;
