--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -167,8 +167,8 @@
     return std::move(node.mapped());
 }
 
-/// Counts an attempt of a leg as ended. Returns its exchange while the leg still needs a result.
-ForwardCore::Exchange *ForwardCore::exchangeOf(const Attempt &attempt)
+/// Counts an attempt as ended. Returns its exchange, or null when its leg needs no result any more.
+ForwardCore::Exchange *ForwardCore::endAttempt(const Attempt &attempt)
 {
     const auto owner = exchanges_.find(attempt.exchange);
     if (owner == exchanges_.end())
@@ -211,7 +211,7 @@
     } else if (serverFault || reply.notExecuted) {
         BackendTable::noteError(now, *attempt.backend);
     }
-    auto *owner = exchangeOf(attempt);
+    auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
     auto &exchange = *owner;
@@ -267,7 +267,7 @@
         BackendTable::noteError(now, *attempt.backend);
     else
         BackendTable::noteUnreachable(now, *attempt.backend);
-    auto *owner = exchangeOf(attempt);
+    auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
     auto &exchange = *owner;
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -175,7 +175,7 @@
     };
 
     std::optional<Attempt> takeAttempt(AttemptId id);
-    Exchange *exchangeOf(const Attempt &attempt);
+    Exchange *endAttempt(const Attempt &attempt);
     Base::Duration silenceLimit(const std::string &routeName) const;
     bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
--- a/Libraries/LibRegistry/Directory.h
+++ b/Libraries/LibRegistry/Directory.h
@@ -31,9 +31,10 @@
     /// Returns what a receiver that holds `heldDigest` needs.
     Wire::DirectoryCopy copyFor(std::uint64_t heldDigest) const;
 
-    /// Takes over a received copy and returns true when the gateways differ. A process that has just started
-    /// and knows of none changes nothing. MalformedMessage when the copy does not fit what is held; then the
-    /// whole directory is asked for next, and what is held stays in use.
+    /// Takes over a received copy and returns true when the gateways differ. A copy from a process that has
+    /// just started and knows of none changes nothing, nor do changes to a version that is not held.
+    /// MalformedMessage when the copy is damaged; then the whole directory is asked for next, and what is
+    /// held stays in use.
     Base::Result<bool> apply(const Wire::DirectoryCopy &copy);
 
 private:
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -154,7 +154,7 @@
                    {"caller_address", settings_.callerAddress},
                    {"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
     watcher_ = std::make_unique<RegistryWatcher>(
-        loop_, *endpoint_, events_, RegistryWatcher::Place {settings_.nodeId, settings_.dataCentre},
+        loop_, *endpoint_, events_, RegistryWatcher::OwnGateway {settings_.nodeId, settings_.dataCentre},
         [this] { return watchRequest(); },
         [this](const Wire::WatchReply &reply, bool fresh) { takeReply(reply, fresh); });
     for (const auto &seed : settings_.seeds)
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -30,11 +30,11 @@
 } // namespace
 
 RegistryWatcher::RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events,
-                                 Place place, MakeRequest makeRequest, TakeReply takeReply)
+                                 OwnGateway own, MakeRequest makeRequest, TakeReply takeReply)
     : loop_(loop)
     , endpoint_(endpoint)
     , events_(events)
-    , place_(std::move(place))
+    , own_(std::move(own))
     , makeRequest_(std::move(makeRequest))
     , takeReply_(std::move(takeReply))
 {
@@ -153,7 +153,7 @@
     places.reserve(registries_.size());
     for (const auto &[address, registry] : registries_)
         places.push_back({address, registry.dataCentre});
-    return Registry::registryPreference(place_.gatewayId, place_.dataCentre, places);
+    return Registry::registryPreference(own_.id, own_.dataCentre, places);
 }
 
 /// Any registry is better than a gateway that relays.
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -26,14 +26,14 @@
     /// Receives each reply; `fresh` when the registry hears its leader.
     using TakeReply = std::function<void(const Wire::WatchReply &reply, bool fresh)>;
 
-    /// The gateway itself.
-    struct Place
+    /// The gateway that watches.
+    struct OwnGateway
     {
-        std::string gatewayId;
+        std::string id;
         std::string dataCentre;
     };
 
-    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events, Place place,
+    RegistryWatcher(Edge::Loop &loop, Peer::Endpoint &endpoint, Base::EventLog &events, OwnGateway own,
                     MakeRequest makeRequest, TakeReply takeReply);
 
     /// Adds addresses to those known; none is forgotten, because an old one may be the only one reachable.
@@ -70,7 +70,7 @@
     Edge::Loop &loop_;
     Peer::Endpoint &endpoint_;
     Base::EventLog &events_;
-    Place place_;
+    OwnGateway own_;
     MakeRequest makeRequest_;
     TakeReply takeReply_;
     Base::SystemClock clock_;
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -271,19 +271,19 @@
     }
     addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
     using JoinAnswer = Control::MembershipPlanner::JoinAnswer;
-    const auto step = Control::MembershipPlanner::join(
+    const auto decision = Control::MembershipPlanner::join(
         status, {request.nodeId, request.incarnation, request.peerAddress, false, request.hasDisk},
         request.holdsLog);
-    reply.isMember = step.answer == JoinAnswer::IsMember;
-    reply.mustReset = step.answer == JoinAnswer::SetLogAside;
-    if (step.answer != JoinAnswer::Add)
+    reply.isMember = decision.answer == JoinAnswer::IsMember;
+    reply.mustReset = decision.answer == JoinAnswer::SetLogAside;
+    if (decision.answer != JoinAnswer::Add)
         return reply;
-    if (cluster_->raft().proposeMembership(now, step.membership))
+    if (cluster_->raft().proposeMembership(now, decision.membership))
         events_.write(now, Importance::Notable, "member_added",
                       {{"node", request.nodeId},
                        {"incarnation", request.incarnation},
                        {"address", request.peerAddress}});
-    this->step();
+    step();
     return reply;
 }
 
