--- a/Libraries/LibRegistry/Directory.cpp
+++ b/Libraries/LibRegistry/Directory.cpp
@@ -3,7 +3,6 @@
 #include "LibRegistry/GatewayTable.h"
 #include "LibWire/Packed.h"
 
-#include <algorithm>
 #include <optional>
 
 namespace Registry {
@@ -57,23 +56,24 @@
     if (heldDigest == digest_)
         return {digest_, heldDigest, {}};
     // The same gateways may have been there several times; the latest of these versions is the shortest way.
-    const auto latest = std::find_if(steps_.rbegin(), steps_.rend(),
-                                     [&](const Step &step) { return step.from == heldDigest; });
-    const bool known = latest != steps_.rend() && heldDigest != 0;
+    auto first = steps_.size();
+    while (first > 0 && steps_[first - 1].from != heldDigest)
+        --first;
+    const bool known = first > 0 && heldDigest != 0;
     const auto base = known ? heldDigest : 0;
     auto &packed = packed_[base];
     if (packed.empty())
-        packed = known ? Wire::pack(changesSince(std::prev(latest.base()))) : Wire::pack(gateways_);
+        packed = known ? Wire::pack(changesSince(first - 1)) : Wire::pack(gateways_);
     return {digest_, base, packed};
 }
 
-Wire::DirectoryChanges Directory::changesSince(std::deque<Step>::const_iterator first) const
+Wire::DirectoryChanges Directory::changesSince(std::size_t firstStep) const
 {
     std::map<std::string, std::optional<Wire::GatewayRecord>> latest;
-    for (auto step = first; step != steps_.end(); ++step) {
-        for (const auto &gateway : step->changes.present)
+    for (auto step = firstStep; step < steps_.size(); ++step) {
+        for (const auto &gateway : steps_[step].changes.present)
             latest[gateway.gatewayId] = gateway;
-        for (const auto &id : step->changes.gone)
+        for (const auto &id : steps_[step].changes.gone)
             latest[id].reset();
     }
     Wire::DirectoryChanges changes;
--- a/Libraries/LibRegistry/Directory.h
+++ b/Libraries/LibRegistry/Directory.h
@@ -45,7 +45,7 @@
     };
 
     Base::Result<std::vector<Wire::GatewayRecord>> changed(const Wire::DirectoryCopy &copy) const;
-    Wire::DirectoryChanges changesSince(std::deque<Step>::const_iterator first) const;
+    Wire::DirectoryChanges changesSince(std::size_t firstStep) const;
 
     std::vector<Wire::GatewayRecord> gateways_;
     std::uint64_t digest_ = 0; ///< 0 while nothing is known.
