Share the body of the two explorers

TestMembershipExplorer had copied the run, the delivery of messages and the passing of time from TestRaftExplorer. Both derive from ExplorerEpisode now; their figures of noise are data. All bounds and seeds stay.

--- a/Tests/LibConsensus/TestRaftExplorer.cpp
+++ b/Tests/LibConsensus/TestRaftExplorer.cpp
@@ -1,10 +1,8 @@
-#include "LibBase/RandomSource.h"
-#include "LibConsensus/SimulatedCluster.h"
+#include "LibConsensus/ExplorerEpisode.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <unordered_set>
 
 namespace {
 
@@ -12,46 +10,28 @@
 constexpr unsigned Episodes = 140;
 constexpr unsigned StepsPerEpisode = 2500;
 constexpr std::size_t RequiredStates = 20'000;
-constexpr std::size_t MaxMessages = 24;
+constexpr ExplorerNoise Noise {30, 8, 8, 5, 24};
 
-struct Totals
+struct Totals : ExplorerTotals
 {
-    std::unordered_set<std::size_t> states;
-    std::size_t committed = 0;
     std::size_t terms = 0;
     unsigned crashes = 0;
     unsigned wipes = 0;
 };
 
 /// One run of random events from one seed.
-class Episode
+class Episode final : public ExplorerEpisode
 {
 public:
     Episode(std::uint64_t seed, Totals &totals)
-        : random_(seed)
-        , cluster_(3, seed * 1001)
+        : ExplorerEpisode(seed, 3, seed * 1001, Noise, totals)
         , totals_(totals)
         , removesMembers_(seed % 3 == 0)
     {
     }
 
-    std::vector<std::string> run()
-    {
-        for (unsigned step = 0; step < StepsPerEpisode && cluster_.violations.empty(); ++step) {
-            stepOnce();
-            totals_.states.insert(cluster_.stateHash());
-        }
-        heal();
-        totals_.committed += cluster_.committedCount();
-        totals_.terms += cluster_.termsWithLeader();
-        return cluster_.violations;
-    }
-
 private:
-    bool chance(unsigned percent) { return random_.below(100) < percent; }
-    std::size_t anyNode() { return random_.below(cluster_.size()); }
-
-    void stepOnce()
+    void stepOnce() override
     {
         const auto roll = random_.below(1000);
         if (roll < 700)
@@ -76,24 +56,7 @@
             cluster_.advance(Base::milliseconds(300 + random_.below(1200)));
     }
 
-    void deliverOne()
-    {
-        auto &pool = cluster_.messages();
-        if (pool.empty())
-            return passTime();
-        const auto position = chance(30) ? random_.below(pool.size()) : 0;
-        const auto message = pool[position];
-        const bool duplicated = chance(8);
-        if (!duplicated)
-            pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(position));
-        if (pool.size() > MaxMessages)
-            pool.erase(pool.begin(), pool.begin() + MaxMessages / 2);
-        const bool lost = chance(8) || isCut(message);
-        if (!lost)
-            cluster_.deliver(message, !chance(5));
-    }
-
-    bool isCut(const Wire::RaftMessage &message) const
+    bool isCut(const Wire::RaftMessage &message) const override
     {
         const auto cuts = [&](std::size_t from, std::size_t to) {
             return message.from == cluster_.member(from, true).nodeId
@@ -108,15 +71,6 @@
         cutBothWays_ = chance(50);
     }
 
-    void passTime()
-    {
-        cluster_.advance(Base::milliseconds(1 + random_.below(60)));
-        for (std::size_t index = 0; index < cluster_.size(); ++index) {
-            if (chance(80))
-                cluster_.tick(index);
-        }
-    }
-
     void crashOne()
     {
         // Leaders are hit more often, because their successors must find what they left.
@@ -138,7 +92,7 @@
     }
 
     // Without faults, the cluster must repair itself and agree.
-    void heal()
+    void heal() override
     {
         for (std::size_t index = 0; index < cluster_.size(); ++index)
             cluster_.restart(index);
@@ -155,10 +109,9 @@
             cluster_.violations.emplace_back("a healed cluster does not agree");
         if (!cluster_.isFullyRepaired())
             cluster_.violations.emplace_back("a healed cluster is not repaired");
+        totals_.terms += cluster_.termsWithLeader();
     }
 
-    Base::RandomSource random_;
-    SimulatedCluster cluster_;
     Totals &totals_;
     bool removesMembers_;
     std::pair<std::size_t, std::size_t>
@@ -175,7 +128,7 @@
 {
     Totals totals;
     for (unsigned episode = 0; episode < Episodes; ++episode) {
-        const auto violations = Episode(FirstSeed + episode, totals).run();
+        const auto violations = Episode(FirstSeed + episode, totals).run(StepsPerEpisode);
         ASSERT_TRUE(violations.empty()) << "seed " << FirstSeed + episode << ": " << violations.front();
     }
     fmt::print("distinct states {}, committed entries {}, terms with leader {}, crashes {}, disks lost {}\n",
--- a/Tests/LibControl/TestMembershipExplorer.cpp
+++ b/Tests/LibControl/TestMembershipExplorer.cpp
@@ -1,11 +1,10 @@
-#include "LibBase/RandomSource.h"
-#include "LibConsensus/SimulatedCluster.h"
+#include "LibConsensus/ExplorerEpisode.h"
+#include "LibConsensus/NodeIdentity.h"
 #include "LibControl/MembershipPlanner.h"
 
 #include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <unordered_set>
 
 namespace {
 
@@ -19,16 +18,14 @@
 constexpr unsigned Episodes = 20; ///< Of one block.
 constexpr unsigned StepsPerEpisode = 2000;
 constexpr std::size_t RequiredStates = 4000; ///< Of one block.
-constexpr std::size_t MaxMessages = 60;
+constexpr ExplorerNoise Noise {20, 5, 4, 3, 60};
 /// Times of the registries: silence after which a voter leaves, and a leader's after which a member asks.
 constexpr Base::Duration GoneAfter = milliseconds(4000);
 constexpr Base::Duration LeaderSilenceUntilJoin = milliseconds(2000);
 constexpr Base::Duration RecoveryBound = Base::seconds(60);
 
-struct Totals
+struct Totals : ExplorerTotals
 {
-    std::unordered_set<std::size_t> states;
-    std::size_t committed = 0;
     unsigned powerLosses = 0;
     unsigned disksLost = 0;
     unsigned logsSetAside = 0;
@@ -37,28 +34,17 @@
 
 /// Registries that look after their membership by themselves, under random faults from one seed. As many
 /// disks are lost at once as the deployment tolerates, also together with the power of all VMs.
-class Episode
+class Episode final : public ExplorerEpisode
 {
 public:
     Episode(std::uint64_t seed, Totals &totals)
-        : random_(seed)
-        , tolerated_(1 + seed % 2)
-        , cluster_(static_cast<unsigned>(2 * tolerated_ + 1 + seed % 3), seed * 1009)
+        : ExplorerEpisode(seed, static_cast<unsigned>(2 * toleratedOf(seed) + 1 + seed % 3), seed * 1009,
+                          Noise, totals)
+        , tolerated_(toleratedOf(seed))
         , totals_(totals)
     {
     }
 
-    std::vector<std::string> run()
-    {
-        for (unsigned step = 0; step < StepsPerEpisode && cluster_.violations.empty(); ++step) {
-            stepOnce();
-            totals_.states.insert(cluster_.stateHash());
-        }
-        heal();
-        totals_.committed += cluster_.committedCount();
-        return cluster_.violations;
-    }
-
 private:
     struct PendingAnswer
     {
@@ -67,16 +53,15 @@
         JoinAnswer answer = JoinAnswer::AskAgain;
     };
 
-    bool chance(unsigned percent) { return random_.below(100) < percent; }
-    std::size_t anyNode() { return random_.below(cluster_.size()); }
+    static std::size_t toleratedOf(std::uint64_t seed) { return 1 + seed % 2; }
 
-    void stepOnce()
+    void stepOnce() override
     {
         const auto roll = random_.below(1000);
         if (roll < 640)
             deliverOne();
         else if (roll < 800)
-            passTime(milliseconds(1 + static_cast<std::int64_t>(random_.below(60))));
+            passTime();
         else if (roll < 850)
             (void)cluster_.propose(anyNode(), fmt::format("{}", ++commands_));
         else if (roll < 900)
@@ -97,34 +82,13 @@
             settle(milliseconds(static_cast<std::int64_t>(random_.below(3000))));
     }
 
-    void deliverOne()
+    bool isCut(const Wire::RaftMessage &message) const override
     {
-        auto &pool = cluster_.messages();
-        if (pool.empty())
-            return passTime(milliseconds(10));
-        const auto position = chance(20) ? random_.below(pool.size()) : 0;
-        const auto message = pool[position];
-        if (!chance(5))
-            pool.erase(pool.begin() + static_cast<std::ptrdiff_t>(position));
-        if (pool.size() > MaxMessages)
-            pool.erase(pool.begin(), pool.begin() + MaxMessages / 2);
-        const bool cut = cut_ < cluster_.size() && (message.from == idOf(cut_) || message.to == idOf(cut_));
-        if (!cut && !chance(4))
-            cluster_.deliver(message, !chance(3));
+        return cut_ < cluster_.size() && (message.from == idOf(cut_) || message.to == idOf(cut_));
     }
 
     std::string idOf(std::size_t index) const { return cluster_.member(index, true).nodeId; }
 
-    void passTime(Base::Duration time)
-    {
-        cluster_.advance(time);
-        for (std::size_t index = 0; index < cluster_.size(); ++index) {
-            if (chance(80))
-                cluster_.tick(index);
-        }
-        maintain();
-    }
-
     /// Time without new faults but with those that last, so that nodes are gone for long enough to be
     /// removed.
     void settle(Base::Duration time)
@@ -135,12 +99,12 @@
         for (Base::Duration passed {}; passed < time && cluster_.violations.empty();
              passed += milliseconds(30)) {
             cluster_.run(milliseconds(30), isolated);
-            maintain();
+            timePassed();
         }
     }
 
     // What each registry does in its tick.
-    void maintain()
+    void timePassed() override
     {
         for (std::size_t index = 0; index < cluster_.size(); ++index) {
             if (cluster_.node(index) == nullptr)
@@ -174,9 +138,7 @@
         bool isMember = false;
         for (const auto &member : status.members) {
             silence = std::max(silence, member.silentFor);
-            isMember =
-                isMember
-                || (member.member.nodeId == self.nodeId && member.member.incarnation == self.incarnation);
+            isMember = isMember || Consensus::identityOf(member.member) == Consensus::identityOf(self);
         }
         const bool lost = status.leaderId.empty() || silence > LeaderSilenceUntilJoin;
         const auto leader = cluster_.leader();
@@ -266,8 +228,7 @@
     bool isCurrent(const Wire::RaftMember &member) const
     {
         for (std::size_t index = 0; index < cluster_.size(); ++index) {
-            const auto current = cluster_.member(index, true);
-            if (current.nodeId == member.nodeId && current.incarnation == member.incarnation)
+            if (Consensus::identityOf(cluster_.member(index, true)) == Consensus::identityOf(member))
                 return true;
         }
         return false;
@@ -283,7 +244,7 @@
     }
 
     // Without faults the cluster is whole again by itself.
-    void heal()
+    void heal() override
     {
         cut_ = cluster_.size();
         for (std::size_t index = 0; index < cluster_.size(); ++index)
@@ -301,9 +262,7 @@
             cluster_.violations.emplace_back("a healed cluster is not whole again by itself");
     }
 
-    Base::RandomSource random_;
     std::size_t tolerated_;
-    SimulatedCluster cluster_;
     Totals &totals_;
     std::size_t cut_ = SIZE_MAX; ///< Node that is cut off; none when it is no index.
     std::vector<PendingAnswer> pending_;
@@ -323,7 +282,7 @@
     Totals totals;
     const auto firstSeed = FirstSeed + std::uint64_t {GetParam()} * Episodes;
     for (auto seed = firstSeed; seed < firstSeed + Episodes; ++seed) {
-        const auto violations = Episode(seed, totals).run();
+        const auto violations = Episode(seed, totals).run(StepsPerEpisode);
         ASSERT_TRUE(violations.empty()) << "seed " << seed << ": " << violations.front();
     }
     fmt::print("distinct states {}, committed entries {}, power losses {}, disks lost {}, logs set aside {}, "
