Keep one copy of what log stores, placing and incarnations share

- ImageLogStore has the reading side that FileLogStore, VolatileLogStore and the test's MemoryLogStore each wrote out.
- Base::makeIncarnation() replaces the copies of entry and gateway processes; these can no longer draw the reserved 0.
- BackendTable::serversOf() replaces four look-ups by service.
- MembershipPlanner::join() compares identities by identityOf().
- refuseHopeless() asks whether an attempt may start in time without a special case for no wait.

Ruled out for now: registries unpack a server list only to check it, and each report lets them list the gateways again; both would change when a damaged list is logged or a change is seen.

--- a/Libraries/LibConsensus/Incarnation.cpp
+++ b/Libraries/LibBase/Incarnation.cpp
@@ -1,9 +1,9 @@
-#include "LibConsensus/Incarnation.h"
+#include "LibBase/Incarnation.h"
 
 #include <algorithm>
 #include <random>
 
-namespace Consensus {
+namespace Base {
 
 std::uint64_t makeIncarnation()
 {
@@ -12,4 +12,4 @@
     return std::max<std::uint64_t>(value, 1);
 }
 
-} // namespace Consensus
+} // namespace Base
--- a/Libraries/LibConsensus/FileLogStore.cpp
+++ b/Libraries/LibConsensus/FileLogStore.cpp
@@ -1,7 +1,7 @@
 #include "LibConsensus/FileLogStore.h"
 
+#include "LibBase/Incarnation.h"
 #include "LibBase/Log.h"
-#include "LibConsensus/Incarnation.h"
 #include "LibConsensus/LogCodec.h"
 #include "LibWire/Codec.h"
 
@@ -92,7 +92,7 @@
 
 Base::Result<void> FileLogStore::makeLog()
 {
-    incarnation_ = makeIncarnation();
+    incarnation_ = Base::makeIncarnation();
     StoreLog.info("Created a data directory.",
                   {{"path", directory_.pathOf("")}, {"incarnation", incarnation_}});
     return rewriteLog();
@@ -214,12 +214,6 @@
     return remember(rewriteLog());
 }
 
-std::vector<Wire::RaftEntry> FileLogStore::entries(std::uint64_t from, std::uint64_t to,
-                                                   std::size_t maxBytes) const
-{
-    return image_.entries(from, to, maxBytes);
-}
-
 Base::Result<void> FileLogStore::append(std::span<const Wire::RaftEntry> entries)
 {
     if (auto result = image_.append(entries); !result)
--- a/Libraries/LibConsensus/VolatileLogStore.cpp
+++ b/Libraries/LibConsensus/VolatileLogStore.cpp
@@ -1,11 +1,11 @@
 #include "LibConsensus/VolatileLogStore.h"
 
-#include "LibConsensus/Incarnation.h"
+#include "LibBase/Incarnation.h"
 
 namespace Consensus {
 
 VolatileLogStore::VolatileLogStore()
-    : incarnation_(makeIncarnation())
+    : ImageLogStore(Base::makeIncarnation())
 {
 }
 
--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -1,5 +1,6 @@
 #include "LibControl/MembershipPlanner.h"
 
+#include "LibConsensus/NodeIdentity.h"
 #include "LibControl/RaftWatch.h"
 
 #include <algorithm>
@@ -68,7 +69,7 @@
     auto membership = present(status);
     const bool isMember =
         std::any_of(membership.members.begin(), membership.members.end(), [&](const auto &member) {
-            return member.nodeId == node.nodeId && member.incarnation == node.incarnation;
+            return Consensus::identityOf(member) == Consensus::identityOf(node);
         });
     if (isMember)
         return {JoinAnswer::IsMember, {}};
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -122,26 +122,26 @@
         byService_[backend->record.service].push_back(backend);
 }
 
-std::size_t BackendTable::eligibleCount(std::string_view service) const
+std::span<const BackendPointer> BackendTable::serversOf(std::string_view service) const
 {
     const auto found = byService_.find(std::string(service));
-    if (found == byService_.end())
-        return 0;
-    return static_cast<std::size_t>(
-        std::count_if(found->second.begin(), found->second.end(),
-                      [](const auto &backend) { return backend->acceptsWork(); }));
+    return found == byService_.end() ? std::span<const BackendPointer>() : found->second;
+}
+
+std::size_t BackendTable::eligibleCount(std::string_view service) const
+{
+    const auto servers = serversOf(service);
+    return static_cast<std::size_t>(std::count_if(
+        servers.begin(), servers.end(), [](const auto &backend) { return backend->acceptsWork(); }));
 }
 
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
                                     std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                                     Base::Duration meanLatency, Base::Duration latencyTarget)
 {
-    const auto found = byService_.find(std::string(service));
-    if (found == byService_.end())
-        return nullptr;
     BackendPointer best;
     double bestEstimate = 0.0;
-    for (const auto &backend : found->second) {
+    for (const auto &backend : serversOf(service)) {
         if (!backend->acceptsWork() || backend->openSince.size() >= connectionShare
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
@@ -190,11 +190,8 @@
 double BackendTable::attemptsPerMillisecond(Base::Instant now, std::string_view service,
                                             std::uint32_t connectionShare, Base::Duration meanLatency) const
 {
-    const auto found = byService_.find(std::string(service));
-    if (found == byService_.end())
-        return 0.0;
     double rate = 0.0;
-    for (const auto &backend : found->second) {
+    for (const auto &backend : serversOf(service)) {
         if (backend->acceptsWork() && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
             rate += connectionShare / std::max(0.1, usualMilliseconds(now, *backend, meanLatency));
     }
@@ -215,11 +212,8 @@
 
 bool BackendTable::isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const
 {
-    const auto found = byService_.find(std::string(service));
-    if (found == byService_.end())
-        return false;
     bool silent = false;
-    for (const auto &backend : found->second) {
+    for (const auto &backend : serversOf(service)) {
         if (!backend->acceptsWork())
             continue;
         if (backend->unansweredSince == Base::Instant::max() || now - backend->unansweredSince < silence)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -76,6 +76,7 @@
 
     using Identity = std::pair<std::string, std::int64_t>; ///< Id and start.
 
+    std::span<const BackendPointer> serversOf(std::string_view service) const;
     void displaceOlder(const Backend &newcomer);
     void index();
 
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -128,9 +128,10 @@
         ++reachable;
         silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
         const auto ahead = waiting.find(leg.service);
-        const auto wait = ahead == waiting.end() ? Base::Duration::zero()
-                                                 : expectedWait(exchange, leg.service, ahead->second);
-        inTime += wait == Base::Duration::zero() || exchange.arrivedAt + wait < latest ? 1 : 0;
+        const bool mayStart =
+            ahead == waiting.end()
+            || exchange.arrivedAt + expectedWait(exchange, leg.service, ahead->second) < latest;
+        inTime += mayStart ? 1 : 0;
     }
     const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
     const auto needed = share * static_cast<double>(exchange.legs.size()) - 1e-9;
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -1,9 +1,8 @@
 #include "Services/Entry/EntryProcess.h"
 
+#include "LibBase/Incarnation.h"
 #include "LibBase/Log.h"
 
-#include <random>
-
 namespace Services {
 
 namespace {
@@ -16,17 +15,11 @@
 /// Time for replies that are still on their way to peers at the end.
 constexpr Base::Duration PeerShutdownTimeout = Base::seconds(2);
 
-std::uint64_t randomIncarnation()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 Wire::EntryRecord makeRecord(const EntrySettings &settings)
 {
     Wire::EntryRecord record;
     record.entryId = settings.entryId;
-    record.incarnation = randomIncarnation();
+    record.incarnation = Base::makeIncarnation();
     record.dataCentre = settings.dataCentre;
     return record;
 }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -2,13 +2,13 @@
 
 #include "LibBase/AddressText.h"
 #include "LibBase/Compression.h"
+#include "LibBase/Incarnation.h"
 #include "LibRegistry/GatewayChoice.h"
 #include "Services/Common/MetricsEndpoint.h"
 
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
-#include <random>
 #include <unistd.h>
 
 namespace Services {
@@ -39,12 +39,6 @@
 /// A directory that lacks most gateways for a moment must not make the others take all connections.
 constexpr std::size_t MinGatewayCount = 5;
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return (static_cast<std::uint64_t>(device()) << 32U) | device();
-}
-
 Edge::ResponseMessage emptyResponse(int status)
 {
     Edge::ResponseMessage response;
@@ -74,7 +68,7 @@
     , adapter_(adapter)
     , events_("gateway", STDOUT_FILENO)
     , settingsWatch_(settingsPath)
-    , incarnation_(randomNumber())
+    , incarnation_(Base::makeIncarnation())
     , startedAt_(clock_.now())
     , watchers_(
           [this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
--- a/Tests/LibConsensus/MemoryLogStore.h
+++ b/Tests/LibConsensus/MemoryLogStore.h
@@ -1,18 +1,17 @@
 #pragma once
 
-#include "LibConsensus/LogImage.h"
-#include "LibConsensus/LogStore.h"
+#include "LibConsensus/ImageLogStore.h"
 
 #include <algorithm>
 #include <functional>
 #include <vector>
 
 /// Fake store whose changes are lost by a crash unless they were synced.
-class MemoryLogStore final : public Consensus::LogStore
+class MemoryLogStore final : public Consensus::ImageLogStore
 {
 public:
     explicit MemoryLogStore(std::uint64_t incarnation)
-        : incarnation_(incarnation)
+        : ImageLogStore(incarnation)
     {
     }
 
@@ -29,8 +28,6 @@
     /// Grows with every change of the log, so that checks can skip an unchanged one.
     std::uint64_t logChanges() const { return logChanges_; }
 
-    std::uint64_t incarnation() const override { return incarnation_; }
-    Consensus::HardState hardState() const override { return image_.hardState(); }
     Base::Result<void> setHardState(const Consensus::HardState &state) override
     {
         return change([state](Consensus::LogImage &image) -> Base::Result<void> {
@@ -38,20 +35,11 @@
             return {};
         });
     }
-    std::optional<Wire::RaftSnapshot> snapshot() const override { return image_.snapshot(); }
     Base::Result<void> saveSnapshot(const Wire::RaftSnapshot &snapshot) override
     {
         ++logChanges_;
         return change([snapshot](Consensus::LogImage &image) { return image.installSnapshot(snapshot); });
     }
-    std::uint64_t firstIndex() const override { return image_.firstIndex(); }
-    std::uint64_t lastIndex() const override { return image_.lastIndex(); }
-    std::optional<std::uint64_t> termAt(std::uint64_t index) const override { return image_.termAt(index); }
-    std::vector<Wire::RaftEntry> entries(std::uint64_t from, std::uint64_t to,
-                                         std::size_t maxBytes) const override
-    {
-        return image_.entries(from, to, maxBytes);
-    }
     Base::Result<void> append(std::span<const Wire::RaftEntry> entries) override
     {
         ++logChanges_;
@@ -81,9 +69,7 @@
         return result;
     }
 
-    std::uint64_t incarnation_;
     std::uint64_t logChanges_ = 1;
-    Consensus::LogImage image_;
     Consensus::LogImage durable_;
     std::vector<Change> unsynced_; ///< Changes from `durable_` to `image_`, in order.
 };
