Give the soak's calls an owner and their callers patience

Eleven calls were still open at the end of the run, on links that a fault had silenced: such a link ends no connection, callers had no limit of their own, and a call was freed only by its result. Ruled out: a leak in the product (all frames are the harness's) and answers that were held back (the calls hung on connections silenced by the proxy, which neither side can see).

Calls now belong to HttpCalls, which drops what is left, and callers leave a little after their deadline as real ones do.

--- a/Tests/Soak/HttpCall.h
+++ b/Tests/Soak/HttpCall.h
@@ -2,46 +2,47 @@
 
 #include "LibEdge/BackendConnection.h"
 
+#include <boost/intrusive/list_hook.hpp>
 #include <functional>
-#include <memory>
 #include <string>
+#include <utility>
 
 namespace Soak {
 
 /// One request on a connection of its own.
-class HttpCall final : private Edge::BackendConnectionEvents
+class HttpCall final : public boost::intrusive::list_base_hook<>, private Edge::BackendConnectionEvents
 {
 public:
-    /// Receives the response, or null when there was none.
-    using Done = std::function<void(const Edge::ResponseMessage *)>;
-
-    static void start(Edge::Loop &loop, const std::string &address, std::string request, Done done)
+    /// Receives the response, or null when there was none. The connection may still be on the stack.
+    using Ended = std::function<void(HttpCall &, const Edge::ResponseMessage *)>;
+
+    HttpCall(Edge::Loop &loop, const std::string &address, std::string request, Base::Instant leavesAt,
+             Ended ended)
+        : leavesAt_(leavesAt)
+        , ended_(std::move(ended))
+        , connection_(loop, address, ConnectTimeout, *this)
     {
-        auto *call = new HttpCall(loop, address, std::move(done));
-        call->connection_.send(std::move(request));
+        connection_.send(std::move(request));
     }
 
-private:
-    HttpCall(Edge::Loop &loop, const std::string &address, Done done)
-        : loop_(loop)
-        , done_(std::move(done))
-        , connection_(loop, address, Base::seconds(1), *this)
+    /// The caller leaves without a response.
+    void leave()
     {
+        connection_.abort();
+        ended_(*this, nullptr);
     }
 
-    void finish(const Edge::ResponseMessage *response)
-    {
-        done_(response);
-        // The connection is still on the stack.
-        loop_.post([this] { delete this; });
-    }
+    Base::Instant leavesAt() const { return leavesAt_; }
+
+private:
+    static constexpr Base::Duration ConnectTimeout = Base::seconds(1);
 
-    void replyArrived(Edge::ResponseMessage response) override { finish(&response); }
-    void exchangeFailed(Edge::ExchangeFailure, const std::string &) override { finish(nullptr); }
+    void replyArrived(Edge::ResponseMessage response) override { ended_(*this, &response); }
+    void exchangeFailed(Edge::ExchangeFailure, const std::string &) override { ended_(*this, nullptr); }
     void idleConnectionEnded() override { }
 
-    Edge::Loop &loop_;
-    Done done_;
+    Base::Instant leavesAt_;
+    Ended ended_;
     Edge::BackendConnection connection_;
 };
 
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -1,7 +1,5 @@
 #include "Soak/SoakRun.h"
 
-#include "Soak/HttpCall.h"
-
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
@@ -18,6 +16,13 @@
 constexpr std::uint64_t Attempts = 2;
 /// Bound of the pages for a read after an acknowledgement.
 constexpr Base::Duration ReadBound = Base::seconds(3);
+/// What callers of this run allow; also the timeout of its routes.
+constexpr std::int64_t DeadlineMs = 1500;
+/// Callers wait a little longer than their deadline, so that late answers are checked as well.
+constexpr Base::Duration CallerPatience = Base::milliseconds(DeadlineMs + 500);
+/// Operators of the platform turn to another registry after this time.
+constexpr Base::Duration OperatorPatience = Base::seconds(1);
+constexpr Base::Duration ReadinessPatience = Base::seconds(1);
 /// All processes must work again this long after the last fault.
 constexpr Base::Duration RecoveryBound = Base::seconds(12);
 
@@ -88,6 +93,7 @@
     const auto end = clock_.now() + duration;
     do {
         loop_.runFor(Base::milliseconds(2));
+        calls_.sweep();
         const auto now = clock_.now();
         std::vector<std::function<void()>> due;
         std::erase_if(scheduled_, [&](auto &item) {
@@ -108,8 +114,8 @@
         services.push_back({{"name", shard}, {"maxConnections", 40}});
     services.push_back({{"name", PlainService}, {"maxConnections", 40}});
     const auto route = [](const char *prefix, const char *kind) {
-        return nlohmann::json {{"name", prefix},      {"host", "soak.example"}, {"pathPrefix", prefix},
-                               {"routeType", kind},   {"timeoutMs", 1500},      {"targetLatencyMs", 200},
+        return nlohmann::json {{"name", prefix},      {"host", "soak.example"},  {"pathPrefix", prefix},
+                               {"routeType", kind},   {"timeoutMs", DeadlineMs}, {"targetLatencyMs", 200},
                                {"attempts", Attempts}};
     };
     auto gather = route("/g/", "safe");
@@ -131,13 +137,13 @@
     while (!ready && clock_.now() < end) {
         const std::string request =
             "GET /s/ready HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: ready\r\n\r\n";
-        HttpCall::start(loop_, cluster_.callerAddress(0), request,
-                        [&ready](const Edge::ResponseMessage *response) {
-                            ready = ready || (response != nullptr && response->status == 200);
-                        });
+        calls_.start(cluster_.callerAddress(0), request, ReadinessPatience,
+                     [&ready](const Edge::ResponseMessage *response) {
+                         ready = ready || (response != nullptr && response->status == 200);
+                     });
         runFor(Base::milliseconds(150));
     }
-    runFor(Base::milliseconds(1500)); // Calls of this loop that refer to `ready` end within their timeout.
+    runFor(ReadinessPatience + Base::milliseconds(100)); // Until no call refers to `ready` any more.
     if (!ready)
         report("the system was not ready in time");
 }
@@ -155,39 +161,37 @@
     const auto request = fmt::format(
         "PUT /v1/config HTTP/1.1\r\nHost: registry\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
     const auto registry = static_cast<int>(random_.below(Cluster::Registries));
-    HttpCall::start(loop_, cluster_.operatorAddress(registry), request,
-                    [this, version, tries](const Edge::ResponseMessage *response) {
-                        if (response != nullptr && response->status == 200)
-                            acknowledged_.push_back({version, clock_.now()});
-                        else if (response != nullptr && response->status / 100 == 4)
-                            report(fmt::format("version {} was refused with {}", version, response->status));
-                        else if (tries < MaxTries)
-                            scheduled_.emplace_back(
-                                clock_.now() + Base::milliseconds(200),
-                                [this, version, tries] { sendVersion(version, tries + 1); });
-                    });
+    calls_.start(cluster_.operatorAddress(registry), request, OperatorPatience,
+                 [this, version, tries](const Edge::ResponseMessage *response) {
+                     if (response != nullptr && response->status == 200)
+                         acknowledged_.push_back({version, clock_.now()});
+                     else if (response != nullptr && response->status / 100 == 4)
+                         report(fmt::format("version {} was refused with {}", version, response->status));
+                     else if (tries < MaxTries)
+                         scheduled_.emplace_back(clock_.now() + Base::milliseconds(200),
+                                                 [this, version, tries] { sendVersion(version, tries + 1); });
+                 });
 }
 
 void SoakRun::readVersion()
 {
     const auto sentAt = clock_.now();
     const auto registry = static_cast<int>(random_.below(Cluster::Registries));
-    HttpCall::start(loop_, cluster_.operatorAddress(registry),
-                    "GET /v1/config HTTP/1.1\r\nHost: registry\r\n\r\n",
-                    [this, sentAt](const Edge::ResponseMessage *response) {
-                        if (response == nullptr || response->status != 200)
-                            return;
-                        const auto document = nlohmann::json::parse(response->body, nullptr, false);
-                        if (document.is_discarded())
-                            return report("a read returned no whole configuration");
-                        const auto version = document.value("version", std::uint64_t {0});
-                        finalVersion_ = std::max(finalVersion_, version);
-                        for (const auto &change : acknowledged_) {
-                            if (change.version > version && sentAt - change.acknowledgedAt > ReadBound)
-                                return report(fmt::format("read version {} although {} was acknowledged",
-                                                          version, change.version));
-                        }
-                    });
+    calls_.start(cluster_.operatorAddress(registry), "GET /v1/config HTTP/1.1\r\nHost: registry\r\n\r\n",
+                 OperatorPatience, [this, sentAt](const Edge::ResponseMessage *response) {
+                     if (response == nullptr || response->status != 200)
+                         return;
+                     const auto document = nlohmann::json::parse(response->body, nullptr, false);
+                     if (document.is_discarded())
+                         return report("a read returned no whole configuration");
+                     const auto version = document.value("version", std::uint64_t {0});
+                     finalVersion_ = std::max(finalVersion_, version);
+                     for (const auto &change : acknowledged_) {
+                         if (change.version > version && sentAt - change.acknowledgedAt > ReadBound)
+                             return report(fmt::format("read version {} although {} was acknowledged",
+                                                       version, change.version));
+                     }
+                 });
 }
 
 void SoakRun::sendRequest()
@@ -198,16 +202,16 @@
     kinds_[requestId] = kind;
     const auto request =
         fmt::format("GET {}{} HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: {}\r\n"
-                    "X-Daisyroute-Deadline-Ms: 1500\r\n\r\n",
-                    Paths[static_cast<int>(kind)], requestId, requestId);
+                    "X-Daisyroute-Deadline-Ms: {}\r\n\r\n",
+                    Paths[static_cast<int>(kind)], requestId, requestId, DeadlineMs);
     const auto gateway = static_cast<int>(random_.below(Cluster::Gateways));
-    HttpCall::start(loop_, cluster_.callerAddress(gateway), request,
-                    [this, kind, requestId](const Edge::ResponseMessage *response) {
-                        if (response == nullptr)
-                            ++failed_;
-                        else
-                            checkAnswer(kind, requestId, *response);
-                    });
+    calls_.start(cluster_.callerAddress(gateway), request, CallerPatience,
+                 [this, kind, requestId](const Edge::ResponseMessage *response) {
+                     if (response == nullptr)
+                         ++failed_;
+                     else
+                         checkAnswer(kind, requestId, *response);
+                 });
 }
 
 void SoakRun::checkAnswer(Kind kind, const std::string &requestId, const Edge::ResponseMessage &response)
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -5,6 +5,7 @@
 #include "LibEdge/Loop.h"
 #include "Soak/Cluster.h"
 #include "Soak/FaultProxy.h"
+#include "Soak/HttpCalls.h"
 #include "Soak/StandInPlatform.h"
 
 #include <functional>
@@ -59,6 +60,7 @@
     Base::RandomSource random_;
     Base::SystemClock clock_;
     Edge::Loop loop_;
+    HttpCalls calls_ {loop_};
     StandInPlatform platform_;
     Cluster cluster_;
     std::vector<std::unique_ptr<FaultProxy>> proxies_;
