Never relay a status that promises "not run" without the server's word

Cause, found by reading: 408, 429 and 503 of a server without its statement that the request has not run were relayed to the caller, who takes them as leave to send an at-most-once request again. Before: AtMostOnceIsNotAnsweredWithAPromiseThatTheServerDidNotMake fails (relayed). After: 502, which promises nothing.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -21,6 +21,12 @@
 /// gateway sees that they are back.
 constexpr Base::Duration ProbeInterval = Base::milliseconds(200);
 
+/// Callers take these statuses as a promise that the request has not run.
+bool promisesNotRun(int status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 } // namespace
 
 ForwardCore::ForwardCore(const ForwardOptions &options)
@@ -224,7 +230,9 @@
     const bool notRun = reply.notExecuted || reply.response.status == 421;
     leg.mayHaveRun = leg.mayHaveRun || !notRun;
     leg.failure = notRun ? "not_executed" : !reply.isWhole ? "malformed" : "server_error";
-    if (!notRun && reply.isWhole && !reply.proof.empty())
+    // Without the server's statement such a status may hide a run, so the caller gets one that promises
+    // nothing.
+    if (!notRun && reply.isWhole && !reply.proof.empty() && !promisesNotRun(reply.response.status))
         exchange.fallback = std::move(reply.response);
     // The server decided about the request itself; another one would say the same.
     const bool isFinal =
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -137,6 +137,26 @@
     EXPECT_TRUE(answers.front().outcome.retryAfter.has_value());
 }
 
+// Callers send a request again after 503, so one that may have run must not be answered with it.
+TEST_F(ForwardFixture, AtMostOnceIsNotAnsweredWithAPromiseThatTheServerDidNotMake)
+{
+    for (const int status : {408, 429, 503}) {
+        answers.clear();
+        sends.clear();
+        begin("/o/x");
+        auto answer = notExecuted(status);
+        answer.notExecuted = false;
+        answer.proof = "proof";
+        reply(sends[0].attempt, std::move(answer));
+        EXPECT_EQ(sends.size(), 1U);
+        ASSERT_EQ(answers.size(), 1U);
+        const auto &outcome = answers.front().outcome;
+        EXPECT_EQ(outcome.kind, Forward::Outcome::Kind::Refused);
+        EXPECT_EQ(Base::errorAnswer(outcome.error).runState, Base::RunState::MayHaveRun);
+        EXPECT_EQ(Base::errorAnswer(outcome.error).httpStatus, 502);
+    }
+}
+
 // Requests on a route must never go to more servers than it allows.
 TEST_F(ForwardFixture, KeepsToTheAttemptsOfTheRoute)
 {
