Send a server no more than its slots; let late work wait behind what can be in time

Load pattern: callers return together after an outage, or servers are slow, and more work is there than runs at once. Counting attempts that hang against the slots kept a server out of work that had started anew; RequestsThatNeedSilentServersAreRefusedAtOnce found it, so only those of the last 600 ms count.

--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -10,6 +10,8 @@
 
 /// Reads of the list in a row that must lack a server before it is given up.
 constexpr std::uint32_t AbsentReadsUntilGone = 2;
+/// Attempts open at a server whose number of slots is not known or 1: one runs and the next is on its way.
+constexpr std::uint32_t MinAttempts = 2;
 /// An attempt open for this many times the expected latency shows a stall.
 constexpr double StallFactor = 3.0;
 /// A stall is not assumed earlier, because short services vary by more than their mean.
@@ -45,6 +47,24 @@
 /// One lost connection may be chance; two in a row are a pattern.
 constexpr std::uint32_t FailuresUntilAvoided = 2;
 
+/// Attempts that this gateway keeps open at one server. Load pattern: callers return together after an
+/// outage, and more work than the servers can run at once would wait in their queues, first come, first
+/// served. What waits here instead goes by urgency.
+std::uint32_t attemptLimit(const Backend &backend, std::uint32_t connectionShare)
+{
+    return std::min(connectionShare, std::max(MinAttempts, backend.record.slots));
+}
+
+bool hasRoom(Base::Instant now, const Backend &backend, std::uint32_t connectionShare)
+{
+    const auto &open = backend.openSince;
+    // What has been open for longer hangs; it holds a connection, but perhaps no slot any more.
+    const auto recent = std::count_if(open.begin(), open.end(), [now](const Base::Instant since) {
+        return now - since < BackendTable::MinSilence;
+    });
+    return open.size() < connectionShare && recent < attemptLimit(backend, connectionShare);
+}
+
 double decayedErrorRate(Base::Instant now, const Backend &backend)
 {
     const auto age = std::max(0.0, Base::toMilliseconds(now - backend.errorRateAt));
@@ -142,7 +162,7 @@
     BackendPointer best;
     double bestEstimate = 0.0;
     for (const auto &backend : serversOf(service)) {
-        if (!backend->acceptsWork() || backend->openSince.size() >= connectionShare
+        if (!backend->acceptsWork() || !hasRoom(now, *backend, connectionShare)
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
         const auto distance =
@@ -193,7 +213,8 @@
     double rate = 0.0;
     for (const auto &backend : serversOf(service)) {
         if (backend->acceptsWork() && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
-            rate += connectionShare / std::max(0.1, usualMilliseconds(now, *backend, meanLatency));
+            rate += attemptLimit(*backend, connectionShare)
+                    / std::max(0.1, usualMilliseconds(now, *backend, meanLatency));
     }
     return rate;
 }
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -15,6 +15,10 @@
 class BackendTable
 {
 public:
+    /// A server that has not answered for this long is gone rather than pausing (pauses last 120 to 150 ms)
+    /// or slow.
+    static constexpr Base::Duration MinSilence = Base::milliseconds(600);
+
     /// `dataCentre` is where this gateway runs; servers there are reached sooner.
     BackendTable(std::uint64_t seed, std::string dataCentre)
         : random_(seed)
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -13,9 +13,7 @@
 /// Work that an answer did not wait for usually ends soon, and ending it early would cost a connection.
 constexpr Base::Duration AnsweredGrace = Base::milliseconds(1000);
 
-/// A server that has not answered for this long is gone rather than pausing (pauses last 120 to 150 ms) or
-/// slow.
-constexpr Base::Duration MinSilence = Base::milliseconds(600);
+/// Slow routes take this many mean latencies of silence for a sign.
 constexpr int SilentMeans = 8;
 /// Requests of one route that try silent servers are this far apart; half of it passes on average until a
 /// gateway sees that they are back.
@@ -193,7 +191,7 @@
 {
     const auto times = routeTimes_.find(routeName);
     const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
-    return std::max(MinSilence, mean * SilentMeans);
+    return std::max(BackendTable::MinSilence, mean * SilentMeans);
 }
 
 void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -114,12 +114,13 @@
 {
     if (waiting_.empty())
         return;
-    std::stable_sort(
-        waiting_.begin(), waiting_.end(), [this](const WaitingLeg &left, const WaitingLeg &right) {
-            const auto &a = exchanges_.at(left.exchange);
-            const auto &b = exchanges_.at(right.exchange);
-            return std::pair(a.facts.route->rank, a.deadline) < std::pair(b.facts.route->rank, b.deadline);
-        });
+    std::stable_sort(waiting_.begin(), waiting_.end(),
+                     [this, now](const WaitingLeg &left, const WaitingLeg &right) {
+                         const auto &a = exchanges_.at(left.exchange);
+                         const auto &b = exchanges_.at(right.exchange);
+                         return std::tuple(a.facts.route->rank, now >= a.answerBy, a.deadline)
+                                < std::tuple(b.facts.route->rank, now >= b.answerBy, b.deadline);
+                     });
     const auto queue = std::exchange(waiting_, {});
     for (const auto &waiting : queue) {
         const auto owner = exchanges_.find(waiting.exchange);
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -134,9 +135,10 @@
         for (auto &action : core->takeActions()) {
             if (auto *send = std::get_if<Forward::SendAttempt>(&action))
                 sends.push_back(*send);
-            else if (auto *answer = std::get_if<Forward::AnswerCaller>(&action))
+            else if (auto *answer = std::get_if<Forward::AnswerCaller>(&action)) {
+                answeredAt[answer->exchange] = now;
                 answers.push_back(std::move(*answer));
-            else if (auto *abort = std::get_if<Forward::AbortAttempt>(&action))
+            } else if (auto *abort = std::get_if<Forward::AbortAttempt>(&action))
                 aborts.push_back(abort->attempt);
         }
     }
@@ -146,6 +148,7 @@
     std::unique_ptr<Forward::ForwardCore> core;
     std::vector<Forward::SendAttempt> sends;
     std::vector<Forward::AnswerCaller> answers;
+    std::map<Forward::ExchangeId, Instant> answeredAt;
     std::vector<Forward::AttemptId> aborts;
 };
 
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -116,6 +116,23 @@
     EXPECT_NE(table.choose(Start, "s", {}, 2, Mean, Target), nullptr);
 }
 
+// Work beyond a server's slots would wait in its queue, where the first one goes first whatever its urgency.
+TEST(BackendTable, KeepsToTheSlotsOfAServer)
+{
+    BackendTable table(1, "dc-a");
+    table.update(Start, listOf({serverRecord("a", "s", 1)}));
+    constexpr std::uint32_t ManyConnections = 30;
+    for (int count = 0; count < 2; ++count) {
+        const auto backend = table.choose(Start, "s", {}, ManyConnections, Mean, Target);
+        ASSERT_NE(backend, nullptr);
+        BackendTable::noteSent(*backend, Start);
+    }
+    EXPECT_EQ(table.choose(Start, "s", {}, ManyConnections, Mean, Target), nullptr);
+    // Attempts that hang say nothing about the slots; the server may have started anew.
+    EXPECT_NE(table.choose(Start + BackendTable::MinSilence, "s", {}, ManyConnections, Mean, Target),
+              nullptr);
+}
+
 // Bytes between data centres cost money and time; equal servers elsewhere are left for when they are needed.
 TEST(BackendTable, PrefersServersOfItsOwnDataCentre)
 {
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -1,5 +1,6 @@
 #include "LibForward/ForwardFixture.h"
 #include "LibForward/GatherPolicy.h"
+#include "LibForward/QueueingServers.h"
 #include "LibForward/TopRecords.h"
 
 using Forward::Outcome;
@@ -520,6 +521,39 @@
     EXPECT_EQ(answers[0].outcome.attempts, 0U);
 }
 
+// Load pattern: after an outage all callers return together, with more work than fits into the target, and
+// new requests come on top. Those must not be late because of the ones that are late already.
+TEST_F(ForwardFixture, CallersThatReturnTogetherDoNotDelayOthers)
+{
+    constexpr int Herd = 80; // 200 ms of work for two servers with two slots each.
+    constexpr int Others = 60;
+    Tests::QueueingServers servers(milliseconds(10));
+    std::map<Forward::ExchangeId, Tests::Instant> arrivals;
+    std::size_t taken = 0;
+    const auto takeSends = [&] {
+        for (; taken < sends.size(); ++taken)
+            servers.take(now, sends[taken]);
+    };
+    for (int request = 0; request < Herd; ++request)
+        begin("/s/herd");
+    takeSends();
+    for (int step = 0; step < 6 * Others; ++step) {
+        if (step % 5 == 0 && arrivals.size() < Others)
+            arrivals[begin("/s/other")] = now;
+        takeSends();
+        advance(milliseconds(1));
+        takeSends();
+        for (const auto attempt : servers.finish(now))
+            reply(attempt, success());
+    }
+    ASSERT_EQ(arrivals.size(), std::size_t {Others});
+    const auto inTime = std::count_if(arrivals.begin(), arrivals.end(), [this](const auto &arrival) {
+        const auto answered = answeredAt.find(arrival.first);
+        return answered != answeredAt.end() && answered->second - arrival.second <= milliseconds(90);
+    });
+    EXPECT_GE(inTime, Others * 9 / 10);
+}
+
 // A target that the way to the caller uses up leaves no time to wait, but it is no reason to refuse what need
 // not wait.
 TEST_F(ForwardFixture, GathersWithAShortTargetAreServedLate)
