--- a/Libraries/LibForward/ForwardCoreAnswer.cpp
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -49,8 +49,12 @@
         return false;
     if (decision == GatherDecision::Answer) {
         auto outcome = gatheredOutcome(exchange);
-        if (progress.pending > 0)
-            outcome.dueAt = hurry ? exchange.hurryBy : exchange.answerBy;
+        if (progress.pending > 0) {
+            const bool early = hurry && now < exchange.answerBy;
+            outcome.dueAt = early ? exchange.hurryBy : exchange.answerBy;
+            outcome.cause = early ? "early, as callers may have spent time on a look-up"
+                                  : "the latency target leaves no more time";
+        }
         finish(now, id, exchange, std::move(outcome));
         return true;
     }
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -86,6 +86,7 @@
     pending.routeName = route->name;
     pending.version = table_->version();
     pending.arrivedAt = now;
+    pending.callerDelay = callerDelay.network;
     pending.head = forwardedHead(request);
     pending.body = request.body;
     pending.headRequest = request.method == "HEAD";
@@ -290,6 +291,7 @@
                                         {"outcome", name},
                                         {"status", status},
                                         {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
+                                        {"caller_delay_ms", Base::toMilliseconds(pending.callerDelay)},
                                         {"configuration_version", pending.version},
                                         {"servers_age_ms", (now - serversReadAt_) / Base::milliseconds(1)},
                                         {"repeatable", pending.repeatable},
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -51,6 +51,7 @@
         std::string routeName;
         std::uint64_t version = 0;
         Base::Instant arrivedAt;
+        Base::Duration callerDelay {}; ///< Assumed for the way to the caller.
         std::string head; ///< Request line and headers for backend servers, without those of one attempt.
         std::string body;
         bool headRequest = false;
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -74,7 +74,9 @@
     };
     EXPECT_EQ(answeredAfter(0.5), milliseconds(78));
     EXPECT_EQ(answers.front().outcome.missingParts, 1U);
+    EXPECT_NE(answers.front().outcome.cause.find("early"), std::string::npos);
     EXPECT_EQ(answeredAfter(1.0 / 6.0), milliseconds(90));
+    EXPECT_EQ(answers.front().outcome.cause.find("early"), std::string::npos);
     EXPECT_EQ(answeredAfter(0.0), milliseconds(90));
 }
 
