--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -13,7 +13,7 @@
 /// Work that an answer did not wait for usually ends soon, and ending it early would cost a connection.
 constexpr Base::Duration AnsweredGrace = Base::milliseconds(1000);
 
-/// Slow routes take this many mean latencies of silence for a sign.
+/// The same for routes whose replies take longer, in mean latencies.
 constexpr int SilentMeans = 8;
 /// Requests of one route that try silent servers are this far apart; half of it passes on average until a
 /// gateway sees that they are back.
@@ -64,7 +64,7 @@
     exchange.deadline = now + std::min(route.timeout, exchange.facts.callerDeadline.value_or(route.timeout));
     const auto &delay = exchange.facts.callerDelay;
     exchange.answerBy = now + std::max(route.latencyTarget - delay.network, Base::Duration::zero());
-    exchange.hurryBy = std::max(now, exchange.answerBy - delay.lookUp);
+    exchange.answerEarlyBy = std::max(now, exchange.answerBy - delay.lookUp);
     if (route.gather) {
         for (const auto &shard : route.gather->shards)
             exchange.legs.emplace_back().service = shard;
@@ -357,9 +357,9 @@
     auto &exchange = found->second;
     exchange.nextReview = Base::Instant::max();
     exchange.answerByPassed = exchange.answerByPassed || now >= exchange.answerBy;
-    const bool hurry = !exchange.hurryByPassed && now >= exchange.hurryBy;
-    exchange.hurryByPassed = exchange.hurryByPassed || hurry;
-    if (concludeIfDecided(now, id, exchange, hurry))
+    const bool early = !exchange.earlyPassed && now >= exchange.answerEarlyBy;
+    exchange.earlyPassed = exchange.earlyPassed || early;
+    if (concludeIfDecided(now, id, exchange, early))
         return;
     hedgeDueLegs(now, id, exchange);
     if (!concludeIfDecided(now, id, exchange))
@@ -379,7 +379,7 @@
     }
     // At these moments a gather answers with what it has.
     if (exchange.isGather() && undecided && !exchange.answerByPassed)
-        next = std::min(next, exchange.hurryByPassed ? exchange.answerBy : exchange.hurryBy);
+        next = std::min(next, exchange.earlyPassed ? exchange.answerBy : exchange.answerEarlyBy);
     if (next < exchange.nextReview) {
         exchange.nextReview = next;
         reviews_.schedule(next, id);
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -150,13 +150,13 @@
         Base::Instant arrivedAt;
         Base::Instant deadline;
         Base::Instant answerBy; ///< Last moment for an answer in time.
-        Base::Instant hurryBy; ///< The same for a caller that has spent time on a look-up.
+        Base::Instant answerEarlyBy; ///< The same for a caller that has spent time on a look-up.
         std::vector<Leg> legs;
         std::optional<Edge::ResponseMessage> fallback; ///< Last response of a server that is no success.
         std::uint32_t sends = 0;
         std::uint32_t extraSends = 0;
         Base::Instant nextReview = Base::Instant::max();
-        bool hurryByPassed = false;
+        bool earlyPassed = false;
         bool answerByPassed = false;
 
         bool isGather() const { return facts.route->gather.has_value(); }
@@ -200,8 +200,8 @@
     void review(Base::Instant now, ExchangeId id);
     Base::Duration hedgeDelay(Base::Instant now, const Route::RouteRule &route, const Backend &backend);
     void hedgeDueLegs(Base::Instant now, ExchangeId id, Exchange &exchange);
-    bool concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange, bool hurry = false);
-    bool concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange, bool hurry);
+    bool concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange, bool early = false);
+    bool concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange, bool early);
     bool concludeSingle(Base::Instant now, ExchangeId id, Exchange &exchange);
     Outcome gatheredOutcome(Exchange &exchange) const;
     Outcome failedOutcome(const Exchange &exchange, Base::ErrorKind kind, std::string cause);
--- a/Libraries/LibForward/ForwardCoreAnswer.cpp
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -20,18 +20,18 @@
 } // namespace
 
 /// Ends the exchange when nothing more can or should be waited for. Returns true when it ended.
-bool ForwardCore::concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange, bool hurry)
+bool ForwardCore::concludeIfDecided(Base::Instant now, ExchangeId id, Exchange &exchange, bool early)
 {
-    return exchange.isGather() ? concludeGather(now, id, exchange, hurry) : concludeSingle(now, id, exchange);
+    return exchange.isGather() ? concludeGather(now, id, exchange, early) : concludeSingle(now, id, exchange);
 }
 
-bool ForwardCore::concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange, bool hurry)
+bool ForwardCore::concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange, bool early)
 {
     GatherProgress progress;
     progress.total = exchange.legs.size();
     progress.minimumCoverage = exchange.facts.route->gather->minimumCoverage;
     progress.answerBy = exchange.answerBy;
-    progress.lateUnlessNow = hurry ? exchange.facts.callerDelay.lookUpShare : 0.0;
+    progress.lateUnlessNow = early ? exchange.facts.callerDelay.lookUpShare : 0.0;
     bool mayHaveRun = false;
     for (const auto &leg : exchange.legs) {
         progress.present += leg.state == LegState::Present ? 1 : 0;
@@ -50,10 +50,10 @@
     if (decision == GatherDecision::Answer) {
         auto outcome = gatheredOutcome(exchange);
         if (progress.pending > 0) {
-            const bool early = hurry && now < exchange.answerBy;
-            outcome.dueAt = early ? exchange.hurryBy : exchange.answerBy;
-            outcome.cause = early ? "early, as callers may have spent time on a look-up"
-                                  : "the latency target leaves no more time";
+            const bool beforeTarget = early && now < exchange.answerBy;
+            outcome.dueAt = beforeTarget ? exchange.answerEarlyBy : exchange.answerBy;
+            outcome.cause = beforeTarget ? "early, as callers may have spent time on a look-up"
+                                         : "the latency target leaves no more time";
         }
         finish(now, id, exchange, std::move(outcome));
         return true;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -3,6 +3,7 @@
 #include "LibForward/ForwardCore.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Forward {
 
--- a/Libraries/LibForward/GatherPolicy.h
+++ b/Libraries/LibForward/GatherPolicy.h
@@ -22,13 +22,13 @@
     double lateUnlessNow = 0.0;
 };
 
-/// Worth of a late answer, relative to one in time.
+/// Worth of a late gather relative to one in time, as the users rate it.
 inline constexpr double LateWorth = 0.1;
 
 /// Weighs an answer with what is in against one with all that may come. Its worth is the square of the share
 /// of the shards that it covers. Load pattern: one answer in six goes to a caller that looked the gateways up
 /// first, and would be late with every shard that pauses.
-inline bool isWorthHurrying(const GatherProgress &progress)
+inline bool isEarlyAnswerBetter(const GatherProgress &progress)
 {
     const auto present = static_cast<double>(progress.present);
     const auto possible = static_cast<double>(progress.present + progress.pending);
@@ -46,7 +46,7 @@
     const auto needed = progress.minimumCoverage * static_cast<double>(progress.total) - 1e-9;
     const auto present = static_cast<double>(progress.present);
     if (progress.present > 0 && present >= needed)
-        return progress.pending == 0 || now >= progress.answerBy || isWorthHurrying(progress)
+        return progress.pending == 0 || now >= progress.answerBy || isEarlyAnswerBetter(progress)
                    ? GatherDecision::Answer
                    : GatherDecision::Wait;
     const auto possible = progress.pending + progress.recovering;
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -54,7 +54,7 @@
 
 // Load pattern: some callers have spent 12 ms on a look-up before they came, and one server pauses. When many
 // callers did, the answer leaves that much earlier; when few did, the part is worth more than their time.
-TEST_F(ForwardFixture, GatherHurriesForCallersThatHaveLookedUp)
+TEST_F(ForwardFixture, GatherAnswersEarlyForCallersThatHaveLookedUp)
 {
     const auto answeredAfter = [this](double lookUpShare) {
         answers.clear();
@@ -81,7 +81,7 @@
 }
 
 // Once the moment for those callers has passed, every part up to the target is worth waiting for.
-TEST_F(ForwardFixture, GatherDoesNotHurryAfterTheMoment)
+TEST_F(ForwardFixture, GatherWaitsForTheTargetOnceItIsNotEarly)
 {
     core->begin(now, {table,
                       table->find("h", "/g/x"),
