Count work as in time only with its reply still to come

Load pattern: a lasting overload. Work that waited went out as long as its target had not passed, and its reply was then just late: LastingOverloadLeavesMostRequestsInTime had 100 of 600 in time, now at least 300.

--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -191,6 +191,7 @@
     void send(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
               const BackendPointer &backend, bool extra);
     void dispatchWaiting(Base::Instant now);
+    bool canBeInTime(Base::Instant now, const Exchange &exchange) const;
     bool isQueued(ExchangeId id, std::size_t legIndex) const;
     bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
     bool mayRetry(const Exchange &exchange, const Leg &leg) const;
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -109,19 +109,27 @@
     });
 }
 
-/// Load pattern: more work than connections. The most urgent rank goes first, and within it what must end
-/// first; what cannot end in time any more is dropped by its own deadline.
+/// Tells whether a first attempt that leaves now can still be answered within the latency target.
+bool ForwardCore::canBeInTime(Base::Instant now, const Exchange &exchange) const
+{
+    const auto times = routeTimes_.find(exchange.facts.route->name);
+    const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
+    return now + mean <= exchange.answerBy;
+}
+
+/// Load pattern: more work than slots. The most urgent rank goes first, within it what can still be in time,
+/// and then what must end first. Without the second rule all requests of an overload would be just late.
 void ForwardCore::dispatchWaiting(Base::Instant now)
 {
     if (waiting_.empty())
         return;
-    std::stable_sort(waiting_.begin(), waiting_.end(),
-                     [this, now](const WaitingLeg &left, const WaitingLeg &right) {
-                         const auto &a = exchanges_.at(left.exchange);
-                         const auto &b = exchanges_.at(right.exchange);
-                         return std::tuple(a.facts.route->rank, now >= a.answerBy, a.deadline)
-                                < std::tuple(b.facts.route->rank, now >= b.answerBy, b.deadline);
-                     });
+    const auto urgency = [this, now](const WaitingLeg &waiting) {
+        const auto &exchange = exchanges_.at(waiting.exchange);
+        return std::tuple(exchange.facts.route->rank, !canBeInTime(now, exchange), exchange.deadline);
+    };
+    std::stable_sort(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &left, const WaitingLeg &right) {
+        return urgency(left) < urgency(right);
+    });
     const auto queue = std::exchange(waiting_, {});
     for (const auto &waiting : queue) {
         const auto owner = exchanges_.find(waiting.exchange);
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -556,6 +556,39 @@
     EXPECT_GE(inTime, Others * 9 / 10);
 }
 
+// Load pattern: for a second, half as much again comes as the servers can do. Served by deadline alone, all
+// of it would be just late; most of it must be in time.
+TEST_F(ForwardFixture, LastingOverloadLeavesMostRequestsInTime)
+{
+    constexpr std::size_t Requests = 600;
+    Tests::QueueingServers servers(milliseconds(10)); // 400 requests a second.
+    std::map<Forward::ExchangeId, Tests::Instant> arrivals;
+    std::size_t taken = 0;
+    const auto takeSends = [&] {
+        for (; taken < sends.size(); ++taken)
+            servers.take(now, sends[taken]);
+    };
+    for (int step = 0; step < 2200; ++step) {
+        const bool arrives = step % 5 < 3 && arrivals.size() < Requests;
+        if (arrives)
+            arrivals[begin("/s/x")] = now;
+        takeSends();
+        advance(milliseconds(1));
+        takeSends();
+        for (const auto attempt : servers.finish(now))
+            reply(attempt, success());
+    }
+    ASSERT_EQ(answers.size(), Requests);
+    std::size_t inTime = 0;
+    for (const auto &answer : answers) {
+        const auto held = answeredAt[answer.exchange] - arrivals[answer.exchange];
+        const bool served = answer.outcome.kind == Outcome::Kind::Relay;
+        inTime += served && held <= milliseconds(90) ? 1 : 0;
+        EXPECT_LE(held, milliseconds(1000));
+    }
+    EXPECT_GE(inTime, Requests / 2);
+}
+
 // A target that the way to the caller uses up leaves no time to wait, but it is no reason to refuse what need
 // not wait.
 TEST_F(ForwardFixture, GathersWithAShortTargetAreServedLate)
