Rank waiting work once per dispatch; share the mean latency and the replay of the tests

Sorting looked a route's mean up by name in each comparison, on every reply under load; the keys are made once now. The mean that is zero before the first attempt stood twice, and so did the loop of the two load replays. Behaviour and assertions are unchanged.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -188,10 +188,15 @@
 /// closing their connections. Nothing fails on such an attempt before its caller was answered without it, so
 /// without a limit the server would get work again.
 Base::Duration ForwardCore::silenceLimit(const std::string &routeName) const
+{
+    return std::max(BackendTable::MinSilence, meanLatency(routeName) * SilentMeans);
+}
+
+/// Mean latency of the route's attempts; zero before the first one.
+Base::Duration ForwardCore::meanLatency(const std::string &routeName) const
 {
     const auto times = routeTimes_.find(routeName);
-    const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
-    return std::max(BackendTable::MinSilence, mean * SilentMeans);
+    return times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
 }
 
 void ForwardCore::replyArrived(Base::Instant now, AttemptId attemptId, AttemptReply reply)
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -181,6 +181,7 @@
     std::optional<Attempt> takeAttempt(AttemptId id);
     Exchange *endAttempt(const Attempt &attempt);
     Base::Duration silenceLimit(const std::string &routeName) const;
+    Base::Duration meanLatency(const std::string &routeName) const;
     bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseHopeless(const Exchange &exchange);
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -112,9 +112,7 @@
 /// Tells whether a first attempt that leaves now can still be answered within the latency target.
 bool ForwardCore::canBeInTime(Base::Instant now, const Exchange &exchange) const
 {
-    const auto times = routeTimes_.find(exchange.facts.route->name);
-    const auto mean = times == routeTimes_.end() ? Base::Duration::zero() : times->second.mean();
-    return now + mean <= exchange.answerBy;
+    return now + meanLatency(exchange.facts.route->name) <= exchange.answerBy;
 }
 
 /// Load pattern: more work than slots. The most urgent rank goes first, within it what can still be in time,
@@ -127,11 +125,13 @@
         const auto &exchange = exchanges_.at(waiting.exchange);
         return std::tuple(exchange.facts.route->rank, !canBeInTime(now, exchange), exchange.deadline);
     };
-    std::stable_sort(waiting_.begin(), waiting_.end(), [&](const WaitingLeg &left, const WaitingLeg &right) {
-        return urgency(left) < urgency(right);
-    });
-    const auto queue = std::exchange(waiting_, {});
-    for (const auto &waiting : queue) {
+    std::vector<std::pair<decltype(urgency(waiting_.front())), WaitingLeg>> queue;
+    queue.reserve(waiting_.size());
+    for (const auto &waiting : std::exchange(waiting_, {}))
+        queue.emplace_back(urgency(waiting), waiting);
+    std::stable_sort(queue.begin(), queue.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    for (const auto &[key, waiting] : queue) {
         const auto owner = exchanges_.find(waiting.exchange);
         if (owner == exchanges_.end())
             continue;
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibForward/ForwardCore.h"
+#include "LibForward/QueueingServers.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -130,6 +131,22 @@
         now = end;
     }
 
+    /// Hands all sends over, lets `step` pass and replies to what the servers have done by then.
+    void runServers(QueueingServers &servers, Base::Duration step)
+    {
+        takeSends(servers);
+        advance(step);
+        takeSends(servers);
+        for (const auto attempt : servers.finish(now))
+            reply(attempt, success());
+    }
+
+    void takeSends(QueueingServers &servers)
+    {
+        for (; taken < sends.size(); ++taken)
+            servers.take(now, sends[taken]);
+    }
+
     void collect()
     {
         for (auto &action : core->takeActions()) {
@@ -147,6 +164,7 @@
     std::shared_ptr<const Route::RouteTable> table = makeTable();
     std::unique_ptr<Forward::ForwardCore> core;
     std::vector<Forward::SendAttempt> sends;
+    std::size_t taken = 0; ///< Of `sends`, by servers that queue.
     std::vector<Forward::AnswerCaller> answers;
     std::map<Forward::ExchangeId, Instant> answeredAt;
     std::vector<Forward::AttemptId> aborts;
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -1,6 +1,5 @@
 #include "LibForward/ForwardFixture.h"
 #include "LibForward/GatherPolicy.h"
-#include "LibForward/QueueingServers.h"
 #include "LibForward/TopRecords.h"
 
 using Forward::Outcome;
@@ -531,22 +530,12 @@
     constexpr int Others = 60;
     Tests::QueueingServers servers(milliseconds(10));
     std::map<Forward::ExchangeId, Tests::Instant> arrivals;
-    std::size_t taken = 0;
-    const auto takeSends = [&] {
-        for (; taken < sends.size(); ++taken)
-            servers.take(now, sends[taken]);
-    };
     for (int request = 0; request < Herd; ++request)
         begin("/s/herd");
-    takeSends();
     for (int step = 0; step < 6 * Others; ++step) {
         if (step % 5 == 0 && arrivals.size() < Others)
             arrivals[begin("/s/other")] = now;
-        takeSends();
-        advance(milliseconds(1));
-        takeSends();
-        for (const auto attempt : servers.finish(now))
-            reply(attempt, success());
+        runServers(servers, milliseconds(1));
     }
     ASSERT_EQ(arrivals.size(), std::size_t {Others});
     const auto inTime = std::count_if(arrivals.begin(), arrivals.end(), [this](const auto &arrival) {
@@ -563,20 +552,11 @@
     constexpr std::size_t Requests = 600;
     Tests::QueueingServers servers(milliseconds(10)); // 400 requests a second.
     std::map<Forward::ExchangeId, Tests::Instant> arrivals;
-    std::size_t taken = 0;
-    const auto takeSends = [&] {
-        for (; taken < sends.size(); ++taken)
-            servers.take(now, sends[taken]);
-    };
     for (int step = 0; step < 2200; ++step) {
         const bool arrives = step % 5 < 3 && arrivals.size() < Requests;
         if (arrives)
             arrivals[begin("/s/x")] = now;
-        takeSends();
-        advance(milliseconds(1));
-        takeSends();
-        for (const auto attempt : servers.finish(now))
-            reply(attempt, success());
+        runServers(servers, milliseconds(1));
     }
     ASSERT_EQ(answers.size(), Requests);
     std::size_t inTime = 0;
