Elect at once after a restart of all registries; renew connection attempts of VMs that come up

Cause: after a power loss of all VMs a leader followed 0.34 s after the last registry's start. Each registry waited for a randomised election timeout, because a restarted voter may have answered a leader just before it stopped. Besides, a registry that had called a VM without power could not answer that VM for up to 0.3 s: the opening packet was lost, and the attempt waited for its timeout. Followers learned what was committed from the next heartbeat only.

Now a restarted node polls all members that could lead. If none leads, and none has heard from a leader since its process started, nobody relies on a lease and the election starts at once, the member with the lowest identity first. A reply counts only if its process is older than the round; the vote binds only that process. An accepted connection ends outdated attempts to the same VM, attempts are shorter after few failures, the first commit of a term is told at once, and a gateway without any configuration leaves its call open at a registry that has none yet.

--- a/Libraries/LibConsensus/StandardRaftNode.cpp
+++ b/Libraries/LibConsensus/StandardRaftNode.cpp
@@ -42,6 +42,8 @@
     , random_(options_.seed)
     , createdAt_(now)
     , lastLeaderContact_(now)
+    , processId_(1 + random_.below(UINT64_MAX))
+    , restartPoll_(self_)
 {
 }
 
@@ -172,8 +174,12 @@
     // A leader that removed itself and stopped may hold the longest log, so it stays electable until the
     // removal is committed (dissertation, section 4.2.2). Without this rule, random fault tests found
     // clusters that made no more progress.
-    if (now >= electionDeadline_ && memberships_.isVoterAtOrAfter(commitIndex_, self_))
+    if (!memberships_.isVoterAtOrAfter(commitIndex_, self_))
+        return;
+    if (now >= electionDeadline_)
         becomePreCandidate(now);
+    else
+        pollMembersAfterRestart(now);
 }
 
 // Messages for another incarnation are meant for a node that no longer exists. A request from an unknown
@@ -204,6 +210,10 @@
         return receiveSnapshotRequest(now, message);
     case Wire::RaftMessageKind::SnapshotReply:
         return receiveSnapshotReply(now, message);
+    case Wire::RaftMessageKind::RestartPollRequest:
+        return receiveRestartPollRequest(now, message);
+    case Wire::RaftMessageKind::RestartPollReply:
+        return receiveRestartPollReply(now, message);
     }
 }
 
--- a/Libraries/LibConsensus/StandardRaftNode.h
+++ b/Libraries/LibConsensus/StandardRaftNode.h
@@ -4,6 +4,7 @@
 #include "LibConsensus/NodeIdentity.h"
 #include "LibConsensus/PeerProgress.h"
 #include "LibConsensus/RaftNode.h"
+#include "LibConsensus/RestartPoll.h"
 
 #include <map>
 #include <optional>
@@ -64,6 +65,10 @@
     void receiveVoteRequest(Base::Instant now, const Wire::RaftMessage &request);
     void receiveVoteReply(Base::Instant now, const Wire::RaftMessage &reply);
     bool mayVoteFor(const NodeIdentity &candidate) const;
+    void pollMembersAfterRestart(Base::Instant now);
+    void receiveRestartPollRequest(Base::Instant now, const Wire::RaftMessage &request);
+    void receiveRestartPollReply(Base::Instant now, const Wire::RaftMessage &reply);
+    bool knowsNoLeader() const;
     Base::Instant leaseStart(Base::Instant now) const;
     bool hasQuorum(Base::Instant now) const;
 
@@ -107,6 +112,10 @@
     std::map<NodeIdentity, PeerProgress> peers_;
     std::string leaderId_;
     Base::Instant lastLeaderContact_;
+    bool heardLeader_ = false; ///< Since this process started, this node has led or heard from a leader.
+    std::uint64_t processId_ = 0; ///< Random; differs between the processes of one node.
+    RestartPoll restartPoll_;
+    Base::Instant nextRestartPoll_ {};
     Base::Instant electionDeadline_ {};
     Base::Instant leaderSince_ {};
     Base::Instant nextHeartbeat_ {};
--- a/Libraries/LibConsensus/StandardRaftNodeElection.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeElection.cpp
@@ -51,6 +51,7 @@
     role_ = Role::Leader;
     leaderId_ = self_.nodeId;
     leaderSince_ = now;
+    heardLeader_ = true;
     for (auto &[identity, peer] : peers_) {
         peer = PeerProgress {};
         peer.lastContact = now;
@@ -72,6 +73,8 @@
         request.previousIndex = store_.lastIndex();
         request.previousTerm = lastTerm();
         request.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+        if (kind == Wire::RaftMessageKind::VoteRequest)
+            request.processId = restartPoll_.processOf(identity);
         outbox_.push_back(std::move(request));
     }
 }
@@ -127,10 +130,12 @@
 }
 
 // A voter in contact with a leader neither votes nor adopts the candidate's term, so a partitioned or
-// removed node cannot depose a working leader.
+// removed node cannot depose a working leader. A voter that has restarted assumes such a contact for one
+// election timeout, unless this process of it confirmed in a restart poll that it knows of no leader.
 void StandardRaftNode::receiveVoteRequest(Base::Instant now, const Wire::RaftMessage &request)
 {
-    if (request.term > hardState_.term && !hasRecentLeaderContact(now))
+    const bool polled = request.processId == processId_ && knowsNoLeader();
+    if (request.term > hardState_.term && (polled || !hasRecentLeaderContact(now)))
         becomeFollower(now, request.term, {});
     const NodeIdentity candidate {request.from, request.fromIncarnation};
     auto reply = makeReply(Wire::RaftMessageKind::VoteReply, request);
@@ -156,6 +161,57 @@
         becomeLeader(now);
 }
 
+bool StandardRaftNode::knowsNoLeader() const
+{
+    return !heardLeader_ && role_ != Role::Candidate && role_ != Role::Leader;
+}
+
+/// Covers a power loss of all members: the first one that reaches the others starts an election at once.
+/// Later the election timeout has passed anyway.
+void StandardRaftNode::pollMembersAfterRestart(Base::Instant now)
+{
+    if (!knowsNoLeader() || now < nextRestartPoll_ || now - createdAt_ >= options_.electionTimeout)
+        return;
+    nextRestartPoll_ = now + options_.heartbeatInterval / 2;
+    std::vector<NodeIdentity> members;
+    for (const auto &member : memberships_.latest().members) {
+        if (identityOf(member) != self_ && (member.voter || member.mayVote))
+            members.push_back(identityOf(member));
+    }
+    restartPoll_.begin(now, members);
+    for (const auto &member : members) {
+        auto request = makeMessage(Wire::RaftMessageKind::RestartPollRequest, member);
+        request.term = hardState_.term + 1;
+        request.previousIndex = store_.lastIndex();
+        request.previousTerm = lastTerm();
+        request.sequence = restartPoll_.round();
+        outbox_.push_back(std::move(request));
+    }
+}
+
+void StandardRaftNode::receiveRestartPollRequest(Base::Instant now, const Wire::RaftMessage &request)
+{
+    auto reply = makeReply(Wire::RaftMessageKind::RestartPollReply, request);
+    reply.granted = request.term > hardState_.term && isCandidateLogUpToDate(request) && knowsNoLeader();
+    reply.processId = processId_;
+    reply.uptimeUs = static_cast<std::uint64_t>((now - createdAt_).count());
+    outbox_.push_back(std::move(reply));
+}
+
+void StandardRaftNode::receiveRestartPollReply(Base::Instant now, const Wire::RaftMessage &reply)
+{
+    if (!knowsNoLeader())
+        return;
+    if (reply.term > hardState_.term)
+        return becomeFollower(now, reply.term, {});
+    const Base::Duration uptime(static_cast<Base::Duration::rep>(reply.uptimeUs));
+    const bool electable = reply.granted
+                           && restartPoll_.record(now, {reply.from, reply.fromIncarnation}, reply.sequence,
+                                                  reply.processId, uptime);
+    if (electable && isVoter())
+        becomeCandidate(now);
+}
+
 /// Start of the leader's lease: a majority answered requests that were sent at this time or later.
 Base::Instant StandardRaftNode::leaseStart(Base::Instant now) const
 {
--- a/Libraries/LibConsensus/StandardRaftNodeFollower.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeFollower.cpp
@@ -40,6 +40,7 @@
     }
     becomeFollower(now, request.term, request.from);
     lastLeaderContact_ = now;
+    heardLeader_ = true;
     resetElectionDeadline(now);
     return true;
 }
--- a/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
@@ -168,13 +168,14 @@
         quorumValue<std::uint64_t>(syncedIndex_, [](const PeerProgress &peer) { return peer.matchIndex; });
     if (reached <= commitIndex_ || store_.termAt(reached) != hardState_.term)
         return;
-    commitIndex_ = reached;
+    const bool firstOfTerm = store_.termAt(std::exchange(commitIndex_, reached)) != hardState_.term;
     const bool removedItself = !isVoter() && memberships_.latestIndex() <= commitIndex_;
-    if (!removedItself)
-        return;
-    // Tells the other members of the commit before this node steps down.
-    sendHeartbeats(now);
-    becomeFollower(now, hardState_.term, {});
+    // After a restart of all members, followers learn only from this commit what they may apply. And the other
+    // members are told of a removal before this node steps down.
+    if (firstOfTerm || removedItself)
+        sendHeartbeats(now);
+    if (removedItself)
+        becomeFollower(now, hardState_.term, {});
 }
 
 Base::Result<void> StandardRaftNode::checkProposal(Base::Instant now) const
--- a/Libraries/LibPeer/ClientConnection.cpp
+++ b/Libraries/LibPeer/ClientConnection.cpp
@@ -19,11 +19,12 @@
 } // namespace
 
 ClientConnection::ClientConnection(FileDescriptor socket, std::string address, std::string secret,
-                                   CallTable &calls, Base::Instant now)
+                                   CallTable &calls, Base::Instant now, Base::Duration connectTimeout)
     : Connection(std::move(socket), Role::Client, now)
     , address_(std::move(address))
     , secret_(std::move(secret))
     , calls_(calls)
+    , connectTimeout_(connectTimeout)
     , startedAt_(now)
     , lastUsed_(now)
 {
@@ -93,7 +94,7 @@
 bool ClientConnection::maintain(Base::Instant now)
 {
     if (state_ != State::Ready) {
-        if (now - startedAt_ > (state_ == State::Connecting ? ConnectTimeout : HandshakeTimeout))
+        if (now - startedAt_ > (state_ == State::Connecting ? connectTimeout_ : HandshakeTimeout))
             return fail("connecting took too long");
         return true;
     }
--- a/Libraries/LibPeer/ClientConnection.h
+++ b/Libraries/LibPeer/ClientConnection.h
@@ -14,7 +14,7 @@
 {
 public:
     ClientConnection(FileDescriptor socket, std::string address, std::string secret, CallTable &calls,
-                     Base::Instant now);
+                     Base::Instant now, Base::Duration connectTimeout);
 
     /// Carries the call as soon as the connection is authenticated.
     void start(CallId id);
@@ -28,8 +28,13 @@
     std::size_t openRequests() const override { return streamsOfCalls_.size() + waiting_.size(); }
     void close() override;
 
+    /// Ends an attempt whose opening packet may have been lost, because the peer's VM is known to be up.
+    void endOutdatedAttempt() { fail("the peer is reachable again; the next call connects anew"); }
+
     const std::string &address() const { return address_; }
     bool isReady() const { return state_ == State::Ready; }
+    bool isConnecting() const { return state_ == State::Connecting; }
+    Base::Instant startedAt() const { return startedAt_; }
 
 private:
     enum class State { Connecting, Challenge, Proof, Ready };
@@ -61,6 +66,7 @@
     std::string secret_;
     CallTable &calls_;
     State state_ = State::Connecting;
+    Base::Duration connectTimeout_;
     Base::Instant startedAt_;
     Base::Instant lastUsed_;
     std::string serverNonce_;
--- a/Libraries/LibPeer/EndpointLoop.cpp
+++ b/Libraries/LibPeer/EndpointLoop.cpp
@@ -32,6 +32,11 @@
     epoll_ctl(epoll, operation, descriptor, &event);
 }
 
+std::string_view hostOf(std::string_view address)
+{
+    return address.substr(0, address.rfind(':'));
+}
+
 void disableDelay(int socket)
 {
     const int enabled = 1;
@@ -120,7 +125,11 @@
     }
     if (now >= nextMaintenance_) {
         maintainConnections();
-        nextMaintenance_ = now + MaintenanceInterval;
+        const bool connecting =
+            std::any_of(clientConnections_.begin(), clientConnections_.end(), [this](const auto &client) {
+                return static_cast<ClientConnection *>(connections_.at(client.second).get())->isConnecting();
+            });
+        nextMaintenance_ = now + (connecting ? AttemptCheckInterval : MaintenanceInterval);
     }
 }
 
@@ -144,6 +153,8 @@
         FileDescriptor socket(accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!socket.isOpen())
             return;
+        const auto peer = SocketAddress::ofPeer(socket.get()).toString();
+        renewAttemptsTo(hostOf(peer));
         if (acceptedCount_ >= MaxAcceptedConnections || context_.shuttingDown)
             continue;
         disableDelay(socket.get());
@@ -153,6 +164,24 @@
     }
 }
 
+/// Covers a VM that comes up after this process called it: its own first call shows that it is reachable,
+/// while an attempt made before would wait for its timeout. The next call then connects at once.
+void EndpointLoop::renewAttemptsTo(std::string_view host)
+{
+    const auto now = clock_.now();
+    std::vector<ConnectionId> outdated;
+    for (const auto &[address, id] : clientConnections_) {
+        const auto *client = static_cast<ClientConnection *>(connections_.at(id).get());
+        if (client->isConnecting() && now - client->startedAt() > MinAttemptAge && hostOf(address) == host)
+            outdated.push_back(id);
+    }
+    for (const auto id : outdated) {
+        static_cast<ClientConnection *>(connections_.at(id).get())->endOutdatedAttempt();
+        finish(id);
+    }
+    std::erase_if(backoffs_, [&](const auto &backoff) { return hostOf(backoff.first) == host; });
+}
+
 void EndpointLoop::add(ConnectionId id, std::unique_ptr<Connection> connection)
 {
     watch(epoll_.get(), connection->descriptor(), id, EPOLLIN | EPOLLOUT, EPOLL_CTL_ADD);
@@ -298,8 +327,11 @@
     }
     disableDelay(socket.get());
     const auto id = nextConnection_++;
+    const auto timeout =
+        std::clamp(backoffs_[address].delay * ConnectTimeoutBackoffs, MinConnectTimeout, MaxConnectTimeout);
     auto connection = std::make_unique<ClientConnection>(std::move(socket), address, context_.sharedSecret,
-                                                         calls_, clock_.now());
+                                                         calls_, clock_.now(), timeout);
+    nextMaintenance_ = std::min(nextMaintenance_, clock_.now() + AttemptCheckInterval);
     auto *pointer = connection.get();
     clientConnections_[address] = id;
     add(id, std::move(connection));
--- a/Libraries/LibPeer/Limits.h
+++ b/Libraries/LibPeer/Limits.h
@@ -27,9 +27,16 @@
 constexpr std::int32_t StreamWindowBytes = 1 << 20;
 constexpr std::int32_t ConnectionWindowBytes = 16 << 20;
 
-/// Time until the peer's kernel accepts. The kernel repeats a lost opening packet only after a second, so an
-/// attempt at a VM that has just come up is better made anew. Covers three round trips between regions.
-constexpr Base::Duration ConnectTimeout = Base::milliseconds(300);
+/// Time until the peer's kernel accepts; grows from the minimum with the backoff of the address. The kernel
+/// repeats a lost opening packet only after a second, so an attempt at a VM that has just come up is better
+/// made anew. The minimum covers one round trip between regions, the maximum several.
+constexpr Base::Duration MinConnectTimeout = Base::milliseconds(100);
+constexpr Base::Duration MaxConnectTimeout = Base::milliseconds(300);
+constexpr int ConnectTimeoutBackoffs = 5; ///< Timeout of an attempt in multiples of the backoff before it.
+
+/// An attempt that is younger than this may still be answered, so it is not renewed when the peer's VM turns
+/// out to be up.
+constexpr Base::Duration MinAttemptAge = Base::milliseconds(40);
 
 /// Time for connecting and authenticating.
 constexpr Base::Duration HandshakeTimeout = Base::seconds(2);
@@ -47,7 +54,8 @@
 constexpr Base::Duration MinBackoff = Base::milliseconds(20);
 constexpr Base::Duration MaxBackoff = Base::milliseconds(150);
 
-/// Interval of the checks above.
+/// Interval of the checks above, and the same while a connection attempt is open.
 constexpr Base::Duration MaintenanceInterval = Base::milliseconds(100);
+constexpr Base::Duration AttemptCheckInterval = Base::milliseconds(25);
 
 } // namespace Peer
--- a/Libraries/LibPeer/SocketAddress.cpp
+++ b/Libraries/LibPeer/SocketAddress.cpp
@@ -40,6 +40,14 @@
     return address;
 }
 
+SocketAddress SocketAddress::ofPeer(int socket)
+{
+    SocketAddress address;
+    address.size_ = sizeof(address.storage_);
+    getpeername(socket, reinterpret_cast<sockaddr *>(&address.storage_), &address.size_);
+    return address;
+}
+
 std::string SocketAddress::toString() const
 {
     std::array<char, NI_MAXHOST> host {};
--- a/Libraries/LibPeer/SocketAddress.h
+++ b/Libraries/LibPeer/SocketAddress.h
@@ -18,6 +18,9 @@
     /// Returns the address that `socket` is bound to.
     static SocketAddress ofSocket(int socket);
 
+    /// Returns the address that the connected `socket` leads to.
+    static SocketAddress ofPeer(int socket);
+
     const sockaddr *data() const { return reinterpret_cast<const sockaddr *>(&storage_); }
     socklen_t size() const { return size_; }
     int family() const { return storage_.ss_family; }
--- a/Libraries/LibWire/RaftMessages.h
+++ b/Libraries/LibWire/RaftMessages.h
@@ -17,7 +17,9 @@
     AppendRequest, ///< Also the heartbeat.
     AppendReply,
     SnapshotRequest,
-    SnapshotReply
+    SnapshotReply,
+    RestartPollRequest, ///< Asks whether the receiver knows of a leader.
+    RestartPollReply
 };
 
 enum class RaftEntryKind : std::uint8_t {
@@ -94,9 +96,13 @@
     std::uint64_t sequence = 0; ///< Echoed in replies; tells the leader which heartbeat was answered.
     std::vector<RaftEntry> entries;
     RaftSnapshot snapshot;
+    /// Restart poll replies: the sender's process. Vote requests after a restart poll: the process whose
+    /// reply counted; 0 otherwise.
+    std::uint64_t processId = 0;
+    std::uint64_t uptimeUs = 0; ///< Restart poll replies: microseconds since the sender's process started.
 
     MSGPACK_DEFINE(kind, from, fromIncarnation, to, toIncarnation, term, previousIndex, previousTerm,
-                   commitIndex, granted, matchIndex, sequence, entries, snapshot)
+                   commitIndex, granted, matchIndex, sequence, entries, snapshot, processId, uptimeUs)
 };
 
 } // namespace Wire
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -111,7 +111,9 @@
     if (!probing_.insert(address).second)
         return;
     auto request = makeRequest_();
-    request.mayWait = false;
+    // Without any configuration, a registry that has none yet holds the call and answers once it has one, so
+    // that a gateway that restarts together with the registries need not ask again.
+    request.mayWait = request.configurationVersion == 0 && !isConnected();
     endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), ProbeTimeout,
                    [this, address](Base::Result<Base::Bytes> payload) {
                        loop_.post(
--- a/Tests/LibConsensus/TestRaftNode.cpp
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -1,3 +1,4 @@
+#include "LibConsensus/RestartPoll.h"
 #include "LibConsensus/SimulatedCluster.h"
 
 #include <gtest/gtest.h>
@@ -217,3 +218,94 @@
     EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 2), 0U);
     EXPECT_EQ(receive(Wire::RaftMessageKind::AppendReply, 3), 3U);
 }
+
+// After a power loss of all nodes, a leader must follow without an election timeout: callers are refused
+// until then. No node can rely on a lease, because all of them have restarted.
+TEST_F(RaftNodeTest, ElectsAtOnceAfterAllNodesRestarted)
+{
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.crash(index);
+    cluster.advance(Base::milliseconds(50));
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.restart(index);
+    cluster.run(Base::milliseconds(150));
+    ASSERT_LT(cluster.leader(), cluster.size());
+    EXPECT_EQ(cluster.applied(cluster.leader()), "a,");
+}
+
+// The other two nodes restart within the lease of a partitioned leader. Without its answer they must wait for
+// the election timeout, or two nodes would hold a lease.
+TEST_F(RaftNodeTest, RestartedMajorityWaitsWhileAThirdNodeMayLead)
+{
+    for (const auto index : {follower, (leader + 2) % cluster.size()}) {
+        cluster.crash(index);
+        cluster.restart(index);
+    }
+    cluster.run(Base::milliseconds(300), {leader});
+    EXPECT_TRUE(cluster.node(leader)->isLeader(cluster.now()));
+    EXPECT_EQ(cluster.leader(), leader);
+    cluster.run(StabilizationTime, {leader});
+    EXPECT_LT(cluster.leader(), cluster.size());
+    EXPECT_NE(cluster.leader(), leader);
+}
+
+// A follower whose log is behind must not lead after a common restart, and must not delay the others.
+TEST_F(RaftNodeTest, RestartPollSkipsNodesWithAnOlderLog)
+{
+    cluster.crash(follower);
+    ASSERT_TRUE(cluster.propose(leader, "a"));
+    cluster.run(Base::seconds(1));
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.crash(index);
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.restart(index);
+    cluster.run(Base::milliseconds(150));
+    ASSERT_LT(cluster.leader(), cluster.size());
+    EXPECT_NE(cluster.leader(), follower);
+}
+
+// A vote that a restart poll asked for must not be given by a later process of the same node: its predecessor
+// may have answered another leader meanwhile.
+TEST_F(RaftNodeTest, RestartPollDoesNotBindALaterProcess)
+{
+    cluster.crash(follower);
+    cluster.restart(follower);
+    auto request = Wire::RaftMessage {};
+    const auto candidate = cluster.member((leader + 2) % cluster.size(), true);
+    const auto voter = cluster.member(follower, true);
+    request.kind = Wire::RaftMessageKind::VoteRequest;
+    request.from = candidate.nodeId;
+    request.fromIncarnation = candidate.incarnation;
+    request.to = voter.nodeId;
+    request.toIncarnation = voter.incarnation;
+    request.term = status(follower).term + 1;
+    request.previousIndex = 1000;
+    request.previousTerm = request.term;
+    request.processId = 1; // Of the process before the restart.
+    cluster.messages().clear();
+    cluster.deliver(request);
+    for (const auto &message : cluster.messages())
+        EXPECT_FALSE(message.kind == Wire::RaftMessageKind::VoteReply && message.granted);
+    cluster.messages().clear();
+}
+
+// A reply counts only if its sender's process started before the round, and only in its own round.
+TEST(RestartPoll, CountsOnlyProcessesOlderThanTheRound)
+{
+    const Base::Instant start {Base::seconds(100)};
+    const std::vector<Consensus::NodeIdentity> members {{"b", 1}, {"c", 1}};
+    Consensus::RestartPoll poll({"a", 1});
+    poll.begin(start, members);
+    const auto now = start + Base::milliseconds(20);
+    EXPECT_FALSE(poll.record(now, members[0], poll.round(), 7, Base::milliseconds(50)));
+    EXPECT_FALSE(poll.record(now, members[1], poll.round(), 8, Base::milliseconds(10)));
+    EXPECT_FALSE(poll.record(now, {"d", 1}, poll.round(), 9, Base::milliseconds(50)));
+    EXPECT_TRUE(poll.record(now, members[1], poll.round(), 8, Base::milliseconds(20)));
+    EXPECT_EQ(poll.processOf(members[0]), 7U);
+    const auto earlier = poll.round();
+    poll.begin(now, members);
+    EXPECT_FALSE(poll.record(now, members[0], earlier, 7, Base::milliseconds(50)));
+    EXPECT_EQ(poll.processOf(members[0]), 0U);
+}
--- a/Tests/LibPeer/TestEndpoint.cpp
+++ b/Tests/LibPeer/TestEndpoint.cpp
@@ -230,6 +230,26 @@
     }));
 }
 
+// A VM that comes up loses the opening packets sent to it before. Once it calls this process, a pending
+// attempt to it must not wait for its timeout: after a power loss of all VMs an election would wait with it.
+TEST(Endpoint, IncomingConnectionEndsOutdatedAttempt)
+{
+    const auto unresponsive = Support::RawSocket::listening(0);
+    const auto onlyConnection = Support::RawSocket::connectTo(unresponsive.address());
+    const auto endpoint = makeEndpoint(&echo);
+    bool renewed = false;
+    for (int attempt = 0; attempt < 20 && !renewed; ++attempt) {
+        auto call = startCall(*endpoint, unresponsive.address(), {1});
+        std::this_thread::sleep_for(std::chrono::milliseconds(60));
+        const auto incoming = Support::RawSocket::connectTo(endpoint->listenAddress());
+        const auto reply = call.get();
+        ASSERT_FALSE(reply.has_value());
+        EXPECT_EQ(reply.error().kind, Base::ErrorKind::PeerUnreachable);
+        renewed = reply.error().detail.find("connects anew") != std::string::npos;
+    }
+    EXPECT_TRUE(renewed);
+}
+
 // Guards against a peer that connects and stalls: it must not hold up others, and its connection must end.
 TEST(Endpoint, ClosesHalfOpenConnections)
 {
--- a/Tests/Support/RawSocket.h
+++ b/Tests/Support/RawSocket.h
@@ -39,13 +39,14 @@
         return RawSocket(descriptor);
     }
 
-    /// Listens on a port chosen by the kernel.
-    static RawSocket listening()
+    /// Listens on a port chosen by the kernel. With a backlog of 0, the kernel drops the opening packets of
+    /// all connections after the first one that is not accepted.
+    static RawSocket listening(int backlog = 16)
     {
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         const auto target = loopback(0);
         std::ignore = ::bind(descriptor, reinterpret_cast<const sockaddr *>(&target), sizeof(target));
-        ::listen(descriptor, 16);
+        ::listen(descriptor, backlog);
         return RawSocket(descriptor);
     }
 
