Prefer servers of the own data centre by 5 ms and a quarter of the latency target

A third of the parts has no near server; the others left for a small gain in time.

The test of the preference uses a near server that is 2.5 times slower, since a server elsewhere must gain more now; it still requires both sides of the decision.

--- a/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeLeader.cpp
@@ -170,8 +170,8 @@
         return;
     const bool firstOfTerm = store_.termAt(std::exchange(commitIndex_, reached)) != hardState_.term;
     const bool removedItself = !isVoter() && memberships_.latestIndex() <= commitIndex_;
-    // After a restart of all members, followers learn only from this commit what they may apply. And the other
-    // members are told of a removal before this node steps down.
+    // After a restart of all members, followers learn only from this commit what they may apply. And the
+    // other members are told of a removal before this node steps down.
     if (firstOfTerm || removedItself)
         sendHeartbeats(now);
     if (removedItself)
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -30,10 +30,10 @@
 /// Estimates are randomly increased by up to this fraction, to spread work over equal servers.
 constexpr double TieSpread = 0.15;
 /// Round trip to another data centre of the region.
-constexpr double OtherDataCentreMs = 2.0;
+constexpr double OtherDataCentreMs = 5.0;
 /// Fraction of the latency target that may be spent to keep traffic within the data centre. Targets are
 /// several times the usual latency, so a second attempt still fits.
-constexpr double OtherDataCentreShare = 0.08;
+constexpr double OtherDataCentreShare = 0.25;
 /// Weight of one attempt in the moving averages.
 constexpr double SlownessWeight = 0.15;
 constexpr double ErrorWeight = 0.25;
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -159,7 +159,7 @@
     const auto near = table.choose(Start, "s", {}, Share, Mean, Target);
     ASSERT_EQ(near->record.id, "near");
     for (int i = 0; i < 20; ++i)
-        BackendTable::recordSuccess(Start, *near, Base::milliseconds(16), Mean);
+        BackendTable::recordSuccess(Start, *near, Base::milliseconds(25), Mean);
     for (int i = 0; i < 20; ++i) {
         EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Base::milliseconds(120))->record.id, "near");
         EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Base::milliseconds(15))->record.id, "far");
