Send one attempt at a time to a server that reports a long queue

Cause: in bursts with slow servers each gateway keeps up to as many attempts at a server as it has slots. Eleven gateways together then keep queues of ten and more at servers with two slots: these shed work, and urgent attempts wait in a FIFO queue behind others in place of the gateway's ordered one.

--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -27,6 +27,8 @@
 constexpr double ColdFactor = 1.6;
 /// Load changes within tens of milliseconds, so older reports are ignored.
 constexpr Base::Duration MaxLoadReportAge = Base::milliseconds(150);
+/// Waiting attempts per slot from which on a server's queue counts as long.
+constexpr std::uint32_t LongQueuePerSlot = 2;
 /// Estimates are randomly increased by up to this fraction, to spread work over equal servers.
 constexpr double TieSpread = 0.15;
 /// Round trip to another data centre of the region.
@@ -48,11 +50,21 @@
 /// A single lost connection may be chance; two in a row indicate a fault.
 constexpr std::uint32_t FailuresBeforeAvoidance = 2;
 
+/// Whether the server has reported within the last moments that its queue is long.
+bool reportsLongQueue(Base::Instant now, const Backend &backend)
+{
+    return backend.loadKnown && now - backend.loadAt < MaxLoadReportAge
+           && backend.load.waiting >= LongQueuePerSlot * std::max(1U, backend.record.slots);
+}
+
 /// Maximum number of attempts that this gateway keeps open at one server. When callers return together after
 /// an outage, there is more work than the servers can run at once. Beyond the slots it would wait in the FIFO
-/// queues of the servers; queued in the gateway, it is dispatched by urgency.
-std::uint32_t attemptLimit(const Backend &backend, std::uint32_t connectionShare)
+/// queues of the servers; queued in the gateway, it is dispatched by urgency. All gateways together can
+/// exceed the slots many times over, so each sends only one attempt at a time to a server with a long queue.
+std::uint32_t attemptLimit(Base::Instant now, const Backend &backend, std::uint32_t connectionShare)
 {
+    if (reportsLongQueue(now, backend))
+        return 1;
     return std::min(connectionShare, std::max(MinOpenAttempts, backend.record.slots));
 }
 
@@ -63,7 +75,7 @@
     const auto recent = std::count_if(open.begin(), open.end(), [now](const Base::Instant since) {
         return now - since < BackendTable::MinSilence;
     });
-    return open.size() < connectionShare && recent < attemptLimit(backend, connectionShare);
+    return open.size() < connectionShare && recent < attemptLimit(now, backend, connectionShare);
 }
 
 double decayedErrorRate(Base::Instant now, const Backend &backend)
@@ -213,7 +225,7 @@
     double rate = 0.0;
     for (const auto &backend : serversOf(service)) {
         if (backend->acceptsWork() && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
-            rate += attemptLimit(*backend, connectionShare)
+            rate += attemptLimit(now, *backend, connectionShare)
                     / std::max(0.1, latencyEstimateMs(now, *backend, meanLatency));
     }
     return rate;
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -32,9 +32,10 @@
 
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
-    /// (or two), qualify; those in `excluded` do not. Servers that stall (pause), fail part of their
-    /// requests, are warming up or report a queue are ranked lower. A server in another data centre must be
-    /// faster by a fraction of the latency target, because traffic between data centres costs money.
+    /// (or two), or none if they report a long queue, qualify; those in `excluded` do not. Servers that stall
+    /// (pause), fail part of their requests, are warming up or report a queue are ranked lower. A server in
+    /// another data centre must be faster by a fraction of the latency target, because traffic between data
+    /// centres costs money.
     BackendPointer choose(Base::Instant now, std::string_view service,
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                           Base::Duration meanLatency, Base::Duration latencyTarget);
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -105,6 +105,24 @@
     EXPECT_GT(chosen, 0);
 }
 
+// In bursts on pamoja-chests, eleven gateways with two attempts each kept queues of ten at servers with two
+// slots; the servers shed work, and urgent attempts waited behind others.
+TEST(BackendTable, SendsOneAttemptAtATimeToAServerWithALongQueue)
+{
+    BackendTable table(1, "dc-a");
+    table.update(Start, listOf({serverRecord("a", "s", 1)}));
+    const auto backend = table.choose(Start, "s", {}, Share, Mean, Target);
+    BackendTable::recordLoad(Start, *backend, {2, 4, 2, 1.0});
+    ASSERT_NE(table.choose(Start, "s", {}, Share, Mean, Target), nullptr);
+    BackendTable::recordSent(*backend, Start);
+    EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Target), nullptr);
+    BackendTable::recordLoad(Start, *backend, {2, 3, 2, 1.0});
+    EXPECT_NE(table.choose(Start, "s", {}, Share, Mean, Target), nullptr);
+    // An old report says nothing about the queue now.
+    BackendTable::recordLoad(Start, *backend, {2, 4, 2, 1.0});
+    EXPECT_NE(table.choose(Start + Base::milliseconds(200), "s", {}, Share, Mean, Target), nullptr);
+}
+
 // Servers refuse connections beyond their limit.
 TEST(BackendTable, RespectsTheConnectionShare)
 {
