Drop a restart poll once another member's election has begun

Cause: a node that had voted for a candidate still took a late reply to its own round, became a candidate of the next term, and deposed the leader that had just been elected, since the voters had not heard from it yet.

A reply counts only for the election that its round was for.

--- a/Libraries/LibConsensus/StandardRaftNode.h
+++ b/Libraries/LibConsensus/StandardRaftNode.h
@@ -115,6 +115,7 @@
     bool heardLeader_ = false; ///< Since this process started, this node has led or heard from a leader.
     std::uint64_t processId_ = 0; ///< Random; differs between the processes of one node.
     RestartPoll restartPoll_;
+    std::uint64_t restartPollTerm_ = 0; ///< Term of the election that the round is for.
     Base::Instant nextRestartPoll_ {};
     Base::Instant electionDeadline_ {};
     Base::Instant leaderSince_ {};
--- a/Libraries/LibConsensus/StandardRaftNodeElection.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeElection.cpp
@@ -179,9 +179,10 @@
             members.push_back(identityOf(member));
     }
     restartPoll_.begin(now, members);
+    restartPollTerm_ = hardState_.term + 1;
     for (const auto &member : members) {
         auto request = makeMessage(Wire::RaftMessageKind::RestartPollRequest, member);
-        request.term = hardState_.term + 1;
+        request.term = restartPollTerm_;
         request.previousIndex = store_.lastIndex();
         request.previousTerm = lastTerm();
         request.sequence = restartPoll_.round();
@@ -204,6 +205,9 @@
         return;
     if (reply.term > hardState_.term)
         return becomeFollower(now, reply.term, {});
+    // Another member's election has begun since; a later term would depose its winner.
+    if (restartPollTerm_ != hardState_.term + 1)
+        return;
     const Base::Duration uptime(static_cast<Base::Duration::rep>(reply.uptimeUs));
     const bool electable = reply.granted
                            && restartPoll_.record(now, {reply.from, reply.fromIncarnation}, reply.sequence,
--- a/Tests/LibConsensus/TestRaftNode.cpp
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -266,6 +266,52 @@
     EXPECT_NE(cluster.leader(), follower);
 }
 
+// A reply that arrives after this node has voted for another candidate must not start an election of a later
+// term, which would depose the new leader. The first promotions of new control clusters failed that way.
+TEST_F(RaftNodeTest, LateRestartPollReplyStartsNoSecondElection)
+{
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.crash(index);
+    for (std::size_t index = 0; index < cluster.size(); ++index)
+        cluster.restart(index);
+    cluster.messages().clear();
+    const auto deliverAll = [&](auto isHeld) {
+        std::vector<Wire::RaftMessage> held;
+        while (!cluster.messages().empty()) {
+            const auto message = cluster.messages().front();
+            cluster.messages().erase(cluster.messages().begin());
+            if (isHeld(message))
+                held.push_back(message);
+            else
+                cluster.deliver(message);
+        }
+        return held;
+    };
+    const auto last = cluster.member(2, true).nodeId;
+    const auto other = cluster.member(1, true).nodeId;
+    // Two rounds leave the first election to the nodes with lower identities; the third misses one reply.
+    std::vector<Wire::RaftMessage> lateReplies;
+    for (int round = 0; round < 3; ++round) {
+        cluster.advance(Base::milliseconds(60));
+        cluster.tick(2);
+        lateReplies = deliverAll([&](const Wire::RaftMessage &message) {
+            return round == 2 && message.to == last && message.from == other;
+        });
+    }
+    ASSERT_EQ(lateReplies.size(), 1U);
+    // Node 0 is a candidate now, and node 2 votes for it.
+    cluster.tick(0);
+    deliverAll([&](const Wire::RaftMessage &message) {
+        return message.kind == Wire::RaftMessageKind::VoteReply
+               || (message.kind == Wire::RaftMessageKind::VoteRequest && message.to != last);
+    });
+    const auto term = status(2).term;
+    cluster.deliver(lateReplies.front());
+    EXPECT_EQ(status(2).term, term);
+    EXPECT_EQ(status(2).role, Consensus::Role::Follower);
+    cluster.messages().clear();
+}
+
 // A vote that a restart poll asked for must not be given by a later process of the same node: its predecessor
 // may have answered another leader meanwhile.
 TEST_F(RaftNodeTest, RestartPollDoesNotBindALaterProcess)
