Share the request of elections and the reading of socket names; parse addresses once

Read the change once more: requests for votes and for the restart poll named the end of the log twice; ofPeer() repeated ofSocket(); hostOf() repeated Base::parseAddress(). Each has one piece of code now. Behaviour is the same.

--- a/Libraries/LibConsensus/RestartPoll.h
+++ b/Libraries/LibConsensus/RestartPoll.h
@@ -11,9 +11,9 @@
 
 namespace Consensus {
 
-/// One round of questions of a restarted node to all members that could lead: does a leader exist, as far as
-/// you know? If none of them leads, and none has heard from a leader since its process started, no member
-/// relies on a lease, so an election need not wait for the election timeout.
+/// Rounds of questions of a restarted node to all members that could lead: does a leader exist, as far as you
+/// know? If, in one round, none of them leads, and none has heard from a leader since its process started, no
+/// member relies on a lease, so an election need not wait for the election timeout.
 ///
 /// A majority is not enough: a leader may rely on the answers of members that have restarted since. A
 /// member's reply counts only if its process started before the round, so that no earlier process of it can
--- a/Libraries/LibConsensus/StandardRaftNode.h
+++ b/Libraries/LibConsensus/StandardRaftNode.h
@@ -56,6 +56,8 @@
     void becomeLeader(Base::Instant now);
     void setFollowerOrLearnerRole();
     void setHardState(std::uint64_t term, const NodeIdentity &votedFor);
+    Wire::RaftMessage makeElectionRequest(Wire::RaftMessageKind kind, const NodeIdentity &to,
+                                          std::uint64_t term) const;
     void requestVotes(Base::Instant now, Wire::RaftMessageKind kind, std::uint64_t term);
     bool hasVoteQuorum() const;
     bool hasRecentLeaderContact(Base::Instant now) const;
--- a/Libraries/LibConsensus/StandardRaftNodeElection.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeElection.cpp
@@ -62,16 +62,24 @@
     sendHeartbeats(now);
 }
 
+/// Names the end of the own log, which the receiver compares in isCandidateLogUpToDate().
+Wire::RaftMessage StandardRaftNode::makeElectionRequest(Wire::RaftMessageKind kind, const NodeIdentity &to,
+                                                        std::uint64_t term) const
+{
+    auto request = makeMessage(kind, to);
+    request.term = term;
+    request.previousIndex = store_.lastIndex();
+    request.previousTerm = lastTerm();
+    return request;
+}
+
 void StandardRaftNode::requestVotes(Base::Instant now, Wire::RaftMessageKind kind, std::uint64_t term)
 {
     for (auto &[identity, peer] : peers_) {
         peer.voteGranted = false;
         if (!memberships_.isVoter(identity))
             continue;
-        auto request = makeMessage(kind, identity);
-        request.term = term;
-        request.previousIndex = store_.lastIndex();
-        request.previousTerm = lastTerm();
+        auto request = makeElectionRequest(kind, identity, term);
         request.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
         if (kind == Wire::RaftMessageKind::VoteRequest)
             request.processId = restartPoll_.processOf(identity);
@@ -181,10 +189,8 @@
     restartPoll_.begin(now, members);
     restartPollTerm_ = hardState_.term + 1;
     for (const auto &member : members) {
-        auto request = makeMessage(Wire::RaftMessageKind::RestartPollRequest, member);
-        request.term = restartPollTerm_;
-        request.previousIndex = store_.lastIndex();
-        request.previousTerm = lastTerm();
+        auto request =
+            makeElectionRequest(Wire::RaftMessageKind::RestartPollRequest, member, restartPollTerm_);
         request.sequence = restartPoll_.round();
         outbox_.push_back(std::move(request));
     }
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -31,7 +31,8 @@
 constexpr std::uint32_t LongQueuePerSlot = 2;
 /// Estimates are randomly increased by up to this fraction, to spread work over equal servers.
 constexpr double TieSpread = 0.15;
-/// Round trip to another data centre of the region.
+/// Fixed part of what a server in another data centre must gain: the round trip there, and the price of the
+/// bytes.
 constexpr double OtherDataCentreMs = 5.0;
 /// Fraction of the latency target that may be spent to keep traffic within the data centre. Targets are
 /// several times the usual latency, so a second attempt still fits.
--- a/Libraries/LibPeer/EndpointLoop.cpp
+++ b/Libraries/LibPeer/EndpointLoop.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/EndpointLoop.h"
 
+#include "LibBase/AddressText.h"
 #include "LibBase/Log.h"
 #include "LibPeer/Limits.h"
 
@@ -32,11 +33,6 @@
     epoll_ctl(epoll, operation, descriptor, &event);
 }
 
-std::string_view hostOf(std::string_view address)
-{
-    return address.substr(0, address.rfind(':'));
-}
-
 void disableDelay(int socket)
 {
     const int enabled = 1;
@@ -153,8 +149,8 @@
         FileDescriptor socket(accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
         if (!socket.isOpen())
             return;
-        const auto peer = SocketAddress::ofPeer(socket.get()).toString();
-        renewAttemptsTo(hostOf(peer));
+        if (const auto peer = Base::parseAddress(SocketAddress::ofPeer(socket.get()).toString()))
+            renewAttemptsTo(peer->ip);
         if (acceptedCount_ >= MaxAcceptedConnections || context_.shuttingDown)
             continue;
         disableDelay(socket.get());
@@ -166,20 +162,24 @@
 
 /// Covers a VM that comes up after this process called it: its own first call shows that it is reachable,
 /// while an attempt made before would wait for its timeout. The next call then connects at once.
-void EndpointLoop::renewAttemptsTo(std::string_view host)
+void EndpointLoop::renewAttemptsTo(std::string_view ip)
 {
     const auto now = clock_.now();
+    const auto leadsThere = [ip](const std::string &address) {
+        const auto parts = Base::parseAddress(address);
+        return parts && parts->ip == ip;
+    };
     std::vector<ConnectionId> outdated;
     for (const auto &[address, id] : clientConnections_) {
         const auto *client = static_cast<ClientConnection *>(connections_.at(id).get());
-        if (client->isConnecting() && now - client->startedAt() > MinAttemptAge && hostOf(address) == host)
+        if (client->isConnecting() && now - client->startedAt() > MinAttemptAge && leadsThere(address))
             outdated.push_back(id);
     }
     for (const auto id : outdated) {
         static_cast<ClientConnection *>(connections_.at(id).get())->endOutdatedAttempt();
         finish(id);
     }
-    std::erase_if(backoffs_, [&](const auto &backoff) { return hostOf(backoff.first) == host; });
+    std::erase_if(backoffs_, [&](const auto &backoff) { return leadsThere(backoff.first); });
 }
 
 void EndpointLoop::add(ConnectionId id, std::unique_ptr<Connection> connection)
--- a/Libraries/LibPeer/EndpointLoop.h
+++ b/Libraries/LibPeer/EndpointLoop.h
@@ -54,7 +54,7 @@
     void runTimers();
     void maintainConnections();
     void acceptConnections();
-    void renewAttemptsTo(std::string_view host);
+    void renewAttemptsTo(std::string_view ip);
     void serveEvent(ConnectionId id, std::uint32_t events);
     void flushDirty();
     void add(ConnectionId id, std::unique_ptr<Connection> connection);
--- a/Libraries/LibPeer/SocketAddress.cpp
+++ b/Libraries/LibPeer/SocketAddress.cpp
@@ -34,17 +34,19 @@
 
 SocketAddress SocketAddress::ofSocket(int socket)
 {
-    SocketAddress address;
-    address.size_ = sizeof(address.storage_);
-    getsockname(socket, reinterpret_cast<sockaddr *>(&address.storage_), &address.size_);
-    return address;
+    return read(socket, &getsockname);
 }
 
 SocketAddress SocketAddress::ofPeer(int socket)
+{
+    return read(socket, &getpeername);
+}
+
+SocketAddress SocketAddress::read(int socket, NameCall nameCall)
 {
     SocketAddress address;
     address.size_ = sizeof(address.storage_);
-    getpeername(socket, reinterpret_cast<sockaddr *>(&address.storage_), &address.size_);
+    nameCall(socket, reinterpret_cast<sockaddr *>(&address.storage_), &address.size_);
     return address;
 }
 
--- a/Libraries/LibPeer/SocketAddress.h
+++ b/Libraries/LibPeer/SocketAddress.h
@@ -29,6 +29,11 @@
     std::string toString() const;
 
 private:
+    using NameCall = int (*)(int, sockaddr *, socklen_t *);
+
+    /// `nameCall` is getsockname or getpeername.
+    static SocketAddress read(int socket, NameCall nameCall);
+
     sockaddr_storage storage_ {};
     socklen_t size_ = 0;
 };
--- a/Libraries/LibWire/RaftMessages.h
+++ b/Libraries/LibWire/RaftMessages.h
@@ -88,8 +88,8 @@
     std::string to;
     std::uint64_t toIncarnation = 0;
     std::uint64_t term = 0;
-    std::uint64_t previousIndex = 0; ///< Last log index in vote requests.
-    std::uint64_t previousTerm = 0; ///< Last log term in vote requests.
+    std::uint64_t previousIndex = 0; ///< Last log index in vote and restart poll requests.
+    std::uint64_t previousTerm = 0; ///< Last log term in vote and restart poll requests.
     std::uint64_t commitIndex = 0;
     bool granted = false; ///< Vote granted, or append accepted.
     std::uint64_t matchIndex = 0; ///< Highest index known to match, or a hint where to retry.
