--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,62 @@
+"""A registry is replaced as planned; then another machine loses its disk, within what may be lost at once."""
+
+import os
+import sys
+import threading
+import time
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
+
+from deployment import BOUNDS, Deployment, Operator, configuration, run_case, with_trouble  # noqa: E402
+from platform_standin import ServerList  # noqa: E402
+
+AFTER_SIGTERM_S = 2.0  # Between the SIGTERM of the replaced machine and the loss of the other machine's disk.
+DOWN_S = 1.0
+
+
+def case(record):
+    deployment = Deployment(record, core=3, fronts=1)
+    try:
+        ServerList(deployment.list_address)
+        deployment.start()
+        record.note("all machines started for the first time")
+        operator = Operator(record, deployment)
+        time.sleep(1.5)
+        if operator.put(configuration(7), deployment.core, 10) is None:
+            record.note("the first configuration was never acknowledged")
+            return False
+        time.sleep(BOUNDS["contactMs"] / 1000)
+        kept, loser, leaving = deployment.core
+        successor = deployment.add("core-3", True)
+        successor.bootstrap = False
+        successor.start()
+        record.note(f"{successor.name} is added with an empty disk; it will replace {leaving.name}")
+        # The successor has had catchUpS when its predecessor goes, so the removed machine does not count as lost.
+        time.sleep(BOUNDS["catchUpS"] + 0.5)
+        record.note(f"SIGTERM to {leaving.name}")
+        stop = threading.Thread(target=leaving.terminate, args=(BOUNDS["graceS"],))
+        stop.start()  # SIGKILL follows after graceS; the machine does not come back.
+        machines = [kept, loser, successor]
+        deployment.seeds = machines
+        if with_trouble():
+            time.sleep(AFTER_SIGTERM_S)
+            loser.lose_disk()
+            record.note(f"{loser.name} loses its disk: the only machine that is lost now")
+            time.sleep(DOWN_S)
+            loser.start()
+            record.note(f"{loser.name} starts with an empty disk, bootstrap = false")
+        stop.join()
+        record.note(f"{leaving.name} has ended and is removed for good")
+        time.sleep(BOUNDS["recoveryS"] + BOUNDS["contactMs"] / 1000)
+        record.note(f"processes that ended by themselves: {deployment.ended_by_themselves()}")
+        versions = operator.read_for(machines, BOUNDS["contactMs"] / 1000 + 2)
+        changed = operator.put(configuration(9), machines, BOUNDS["ackMs"] / 1000 + 3) is not None
+        record.note(f"versions read back after recovery: {sorted(versions)}; acknowledged before: 7; "
+                    f"a further change was {'acknowledged' if changed else 'not acknowledged'}")
+        return versions == {7} and changed
+    finally:
+        deployment.stop()
+
+
+run_case(FOLDER, case)
