Review case 2: add a variant with planned work only

Cause: three replacements one second apart end the configuration service without any lost disk. Done: VARIANT=all of the script; the case itself is unchanged.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,8 @@
-"""A registry is replaced as planned; then another machine loses its disk, within what may be lost at once."""
+"""A registry is replaced as planned; then another machine loses its disk, within what may be lost at once.
+
+VARIANT=all replaces the three registries one second apart instead, each by a successor that has had catchUpS, and
+nothing is lost at all.
+"""
 
 import os
 import sys
@@ -13,6 +17,56 @@
 
 AFTER_SIGTERM_S = 2.0  # Between the SIGTERM of the replaced machine and the loss of the other machine's disk.
 DOWN_S = 1.0
+GAP_S = float(os.environ.get("GAP", "1.0"))  # Of VARIANT=all, between two replacements.
+
+
+def add_successor(record, deployment, leaving):
+    successor = deployment.add(f"core-{len(deployment.machines)}", True)
+    successor.bootstrap = False
+    successor.start()
+    record.note(f"{successor.name} is added with an empty disk; it will replace {leaving.name}")
+    return successor
+
+
+def remove(record, leaving):
+    """SIGTERM, and SIGKILL after graceS; the machine does not come back."""
+    record.note(f"SIGTERM to {leaving.name}, which is removed for good")
+    stop = threading.Thread(target=leaving.terminate, args=(BOUNDS["graceS"],))
+    stop.start()
+    return stop
+
+
+def replace_one(record, deployment):
+    kept, loser, leaving = deployment.core
+    successor = add_successor(record, deployment, leaving)
+    # The successor has had catchUpS when its predecessor goes, so the removed machine does not count as lost.
+    time.sleep(BOUNDS["catchUpS"] + 0.5)
+    stop = remove(record, leaving)
+    machines = deployment.seeds = [kept, loser, successor]
+    if with_trouble():
+        time.sleep(AFTER_SIGTERM_S)
+        loser.lose_disk()
+        record.note(f"{loser.name} loses its disk: the only machine that is lost now")
+        time.sleep(DOWN_S)
+        loser.start()
+        record.note(f"{loser.name} starts with an empty disk, bootstrap = false")
+    stop.join()
+    return machines
+
+
+def replace_all(record, deployment):
+    if not with_trouble():
+        return deployment.core
+    machines = [add_successor(record, deployment, leaving) for leaving in deployment.core]
+    time.sleep(BOUNDS["catchUpS"] + 0.5)
+    stops = []
+    for leaving in deployment.core:
+        stops.append(remove(record, leaving))
+        time.sleep(GAP_S)
+    deployment.seeds = machines
+    for stop in stops:
+        stop.join()
+    return machines
 
 
 def case(record):
@@ -27,27 +81,9 @@
             record.note("the first configuration was never acknowledged")
             return False
         time.sleep(BOUNDS["contactMs"] / 1000)
-        kept, loser, leaving = deployment.core
-        successor = deployment.add("core-3", True)
-        successor.bootstrap = False
-        successor.start()
-        record.note(f"{successor.name} is added with an empty disk; it will replace {leaving.name}")
-        # The successor has had catchUpS when its predecessor goes, so the removed machine does not count as lost.
-        time.sleep(BOUNDS["catchUpS"] + 0.5)
-        record.note(f"SIGTERM to {leaving.name}")
-        stop = threading.Thread(target=leaving.terminate, args=(BOUNDS["graceS"],))
-        stop.start()  # SIGKILL follows after graceS; the machine does not come back.
-        machines = [kept, loser, successor]
-        deployment.seeds = machines
-        if with_trouble():
-            time.sleep(AFTER_SIGTERM_S)
-            loser.lose_disk()
-            record.note(f"{loser.name} loses its disk: the only machine that is lost now")
-            time.sleep(DOWN_S)
-            loser.start()
-            record.note(f"{loser.name} starts with an empty disk, bootstrap = false")
-        stop.join()
-        record.note(f"{leaving.name} has ended and is removed for good")
+        work = replace_all if os.environ.get("VARIANT") == "all" else replace_one
+        machines = work(record, deployment)
+        record.note("the replaced machines have ended")
         time.sleep(BOUNDS["recoveryS"] + BOUNDS["contactMs"] / 1000)
         record.note(f"processes that ended by themselves: {deployment.ended_by_themselves()}")
         versions = operator.read_for(machines, BOUNDS["contactMs"] / 1000 + 2)
