Exit with 2 when a review script itself fails

Cause: an unexpected error of a script, or its time limit, would have counted as a broken rule or another code. Done: every failure of a script, and a first configuration without an acknowledgement, gives 2; processes end in any case.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -7,7 +7,8 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
 
-from deployment import BOUNDS, Deployment, Operator, configuration, run_case, with_trouble  # noqa: E402
+from deployment import (BOUNDS, CannotRun, Deployment, Operator, configuration, run_case,  # noqa: E402
+                        with_trouble)
 from platform_standin import ServerList  # noqa: E402
 
 DOWN_S = 0.2  # "A process that exits or is killed is restarted after a short delay."
@@ -23,8 +24,7 @@
         operator = Operator(record, deployment)
         time.sleep(1.5)
         if operator.put(configuration(7), deployment.core, 10) is None:
-            record.note("the first configuration was never acknowledged")
-            return False
+            raise CannotRun("the first configuration was not acknowledged")
         time.sleep(BOUNDS["contactMs"] / 1000)
         faulty = deployment.core[2]
         if with_trouble():
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
-cd "$(dirname "$0")" && exec timeout -k 5 115 python3 case.py
+cd "$(dirname "$0")" || exit 2
+timeout -k 5 110 python3 case.py
+code=$?
+[ "$code" -le 1 ] || code=2
+exit "$code"
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -12,7 +12,8 @@
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "harness"))
 
-from deployment import BOUNDS, Deployment, Operator, configuration, run_case, with_trouble  # noqa: E402
+from deployment import (BOUNDS, CannotRun, Deployment, Operator, configuration, run_case,  # noqa: E402
+                        with_trouble)
 from platform_standin import ServerList  # noqa: E402
 
 AFTER_SIGTERM_S = 2.0  # Between the SIGTERM of the replaced machine and the loss of the other machine's disk.
@@ -78,8 +79,7 @@
         operator = Operator(record, deployment)
         time.sleep(1.5)
         if operator.put(configuration(7), deployment.core, 10) is None:
-            record.note("the first configuration was never acknowledged")
-            return False
+            raise CannotRun("the first configuration was not acknowledged")
         time.sleep(BOUNDS["contactMs"] / 1000)
         work = replace_all if os.environ.get("VARIANT") == "all" else replace_one
         machines = work(record, deployment)
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -298,11 +298,12 @@
     """Runs case(record) and turns its result into an exit code: True if the rule held."""
     record = Record(folder)
     record.note(f"TROUBLE={int(with_trouble())}")
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))  # The case ends its processes on the way out.
     try:
         held = case(record)
-    except CannotRun as reason:
-        record.note(f"the case could not run: {reason}")
-        print(f"could not run: {reason}")
+    except Exception as reason:  # A fault of the script must not count as a broken rule.
+        record.note(f"the case could not run: {reason!r}")
+        print(f"could not run: {reason!r}")
         sys.exit(2)
     record.note("the rule held" if held else "THE RULE WAS BROKEN")
     print("held" if held else "broken")
