--- a/review/1/case.py
+++ b/review/1/case.py
@@ -26,6 +26,7 @@
         if operator.put(configuration(7), deployment.core, 10) is None:
             raise CannotRun("the first configuration was not acknowledged")
         time.sleep(BOUNDS["contactMs"] / 1000)
+        deployment.require_running()
         faulty = deployment.core[2]
         if with_trouble():
             for up in (*UP_S, 0):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -32,7 +32,7 @@
 def remove(record, leaving):
     """SIGTERM, and SIGKILL after graceS; the machine does not come back."""
     record.note(f"SIGTERM to {leaving.name}, which is removed for good")
-    stop = threading.Thread(target=leaving.terminate, args=(BOUNDS["graceS"],))
+    stop = threading.Thread(target=leaving.terminate, args=(BOUNDS["graceS"],), daemon=True)
     stop.start()
     return stop
 
@@ -81,6 +81,7 @@
         if operator.put(configuration(7), deployment.core, 10) is None:
             raise CannotRun("the first configuration was not acknowledged")
         time.sleep(BOUNDS["contactMs"] / 1000)
+        deployment.require_running()
         work = replace_all if os.environ.get("VARIANT") == "all" else replace_one
         machines = work(record, deployment)
         record.note("the replaced machines have ended")
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -187,7 +187,6 @@
 
     def __init__(self, record, core=3, fronts=1, seeds=3):
         self.record = record
-        self.folder = tempfile.mkdtemp(prefix="review-")
         self.network, self.probe = free_network()
         self.ports = {"front": 18104, "ready": 18108, "control": 18106, "directory": 18100, "internal": 17380}
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -198,6 +197,7 @@
         with open(os.path.join(ROOT, self.roles["gateway"]["template"]), encoding="utf-8") as file:
             self.template = file.read()
         self.list_address = f"{self.network}.254.1:18102"
+        self.folder = tempfile.mkdtemp(prefix="review-")
         self.machines = []
         self.core = [self.add(f"core-{index}", True) for index in range(core)]
         self.fronts = [self.add(f"front-{index}", False) for index in range(fronts)]
@@ -220,6 +220,11 @@
         if os.environ.get("KEEP") != "1":
             shutil.rmtree(self.folder, ignore_errors=True)
 
+    def require_running(self):
+        """Before the disruption a process that has ended is a fault of the surroundings, not of a rule."""
+        if ended := self.ended_by_themselves():
+            raise CannotRun(f"processes ended before the disruption: {ended}")
+
     def ended_by_themselves(self):
         """Names of processes that have ended though nothing ended them."""
         return [f"{machine.name}/{role}" for machine in self.machines
@@ -239,6 +244,41 @@
         connection.close()
 
 
+class Client:
+    """Asks the directory where to connect, keeps the answer for its ttl, and picks an address at random."""
+
+    def __init__(self, record, deployment, name):
+        self.record = record
+        self.deployment = deployment
+        self.name = name
+        self.addresses = []
+        self.until = 0.0
+
+    def look_up(self):
+        if self.addresses and time.monotonic() < self.until:
+            return
+        for machine in random.sample(self.deployment.machines, 3):
+            address = (machine.address, self.deployment.ports["directory"])
+            status, _, body = call(address, "GET", "/v1/lookup?name=h.example&region=region&zone=zone-a")
+            if status == 200:
+                answer = json.loads(body)
+                self.addresses = answer["addrs"]
+                self.until = time.monotonic() + min(answer["ttl_s"], BOUNDS["ttl_max_s"])
+                return
+
+    def send(self, method, path, identity, deadline_ms, body=None):
+        """One attempt on a new connection; returns the status, or None without an answer."""
+        self.look_up()
+        if not self.addresses:
+            raise CannotRun("no look-up was answered")
+        host, _, port = random.choice(self.addresses).rpartition(":")
+        status, _, _ = call((host, int(port)), method, path, body, {
+            "Host": "h.example", "X-Daisyroute-Request-Id": identity, "X-Daisyroute-Deadline-Ms": str(deadline_ms)},
+            deadline_ms / 1000 + 1)
+        self.record.note(f"client {self.name}: {method} {path} {identity} by {host} answered {status}")
+        return status
+
+
 class Operator:
     """Sends configurations and reads them back, as the pages tell operators to."""
 
--- a/review/harness/platform_standin.py
+++ b/review/harness/platform_standin.py
@@ -136,7 +136,10 @@
 
 
 class Server:
-    """A sound server of one service. `seen` holds (time, request id) of each request that it ran."""
+    """A sound server of one service. `seen` holds (time, request id) of each request that it ran.
+
+    While it is leaving, its answers announce that their connection closes and its health check fails, as the pages say.
+    """
 
     def __init__(self, record, identity, service, address, work_s=0.01, slots=2):
         self.record = record
@@ -145,24 +148,48 @@
         self.address = address
         self.work_s = work_s
         self.seen = []
-        self.slots = threading.Semaphore(slots)
+        self.leaving = False
+        self.slots = slots
+        self.free = threading.Semaphore(slots)
+        self.running = 0
+        self.waiting = 0
         self.listener = Listener(address, self.serve)
 
+    def load(self):
+        return ("X-Daisyroute-Server-Load", f"{self.running},{self.waiting},{self.slots}")
+
+    def run(self, identity, target):
+        self.waiting += 1
+        with self.free:
+            self.waiting -= 1
+            self.running += 1
+            self.seen.append((time.monotonic(), identity))
+            self.record.note(f"server {self.identity} ({self.service}) runs {identity} {target}")
+            time.sleep(self.work_s)
+            self.running -= 1
+
+    def answer(self, target, headers):
+        """Returns the status, headers and body of the answer to one request."""
+        identity = headers.get("x-daisyroute-request-id", "")
+        if target == "/health":
+            return 503 if self.leaving else 200, [("X-Daisyroute-Instance-Id", self.identity), self.load()], b""
+        if not identity:
+            return 400, [("X-Daisyroute-Not-Executed", "1")], b""
+        echo = [("X-Daisyroute-Request-Id", identity)]
+        if headers.get("x-daisyroute-target-instance", self.identity) != self.identity:
+            return 421, [*echo, ("X-Daisyroute-Not-Executed", "1")], b""
+        self.run(identity, target)
+        stamp = ("X-Daisyroute-Server-Stamp", f"{self.identity}.{identity}")
+        return 200, [*echo, stamp, self.load()], identity.encode()
+
     def serve(self, connection):
         reader = Reader(connection)
         while (request := reader.request()) is not None:
-            _, target, headers, _ = request
-            identity = headers.get("x-daisyroute-request-id", "")
-            echo = [("X-Daisyroute-Request-Id", identity)]
-            if headers.get("x-daisyroute-target-instance", self.identity) != self.identity:
-                connection.sendall(response(421, echo, b""))
-                continue
-            with self.slots:
-                self.seen.append((time.monotonic(), identity))
-                self.record.note(f"server {self.identity} ({self.service}) runs {identity} {target}")
-                time.sleep(self.work_s)
-            connection.sendall(response(200, echo + [("X-Daisyroute-Server-Stamp", f"{self.identity}.{identity}")],
-                                        identity.encode()))
+            status, headers, body = self.answer(request[1], request[2])
+            closes = self.leaving
+            connection.sendall(response(status, headers + [("Connection", "close")] * closes, body))
+            if closes:
+                return
 
     def end(self):
         self.listener.close()
