Remove a lost incarnation of a registry before its successor votes

Four voters, one of which can never answer; the next loss makes two of four, and without a leader nobody can remove them.

Fix: a later incarnation that answers the leader proves that the earlier ones of its node are gone (members are listed in the order of their addition, and a successor starts on an empty directory). They are removed at once, and the vote is given only then. Each step changes one member, so the safety argument of single changes holds. Exchanging both in one step was ruled out, as the quorums of the two memberships need not overlap.

The membership logic of the explorer moves to RepairingCluster, so that scenarios use the same one.

--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -20,14 +20,25 @@
            && member.matchIndex >= commitIndex;
 }
 
-/// Tells whether `member` is unresponsive and another incarnation of its node is a responsive voter.
-bool hasReplacement(const Consensus::RaftStatus &status, const Consensus::MemberStatus &member)
+/// Members are listed in the order in which they were added. If a later incarnation of a node has answered
+/// this leader, it was started after the earlier ones were members, on an empty data directory: they can
+/// never answer again. A late join request of an incarnation that is gone itself supersedes nothing, because
+/// it never answers.
+bool isSuperseded(const Consensus::RaftStatus &status, std::size_t position)
 {
-    if (isResponsive(member))
-        return false;
-    return std::any_of(status.members.begin(), status.members.end(), [&](const auto &other) {
-        return other.member.nodeId == member.member.nodeId && other.member.voter && isResponsive(other)
-               && other.member.incarnation != member.member.incarnation;
+    const auto &nodeId = status.members[position].member.nodeId;
+    const auto later = status.members.begin() + static_cast<std::ptrdiff_t>(position) + 1;
+    return std::any_of(later, status.members.end(), [&](const auto &other) {
+        return other.member.nodeId == nodeId && other.matchIndex > 0;
+    });
+}
+
+/// Tells whether the membership still lists an incarnation of the member's node that was added before it.
+bool hasEarlierIncarnation(const Consensus::RaftStatus &status, std::size_t position)
+{
+    const auto end = status.members.begin() + static_cast<std::ptrdiff_t>(position);
+    return std::any_of(status.members.begin(), end, [&](const auto &other) {
+        return other.member.nodeId == status.members[position].member.nodeId;
     });
 }
 
@@ -37,14 +48,15 @@
 {
     auto membership = present(status);
     for (std::size_t position = 0; position < status.members.size(); ++position) {
-        if (isCaughtUpLearner(status.members[position], status.commitIndex)) {
+        if (isCaughtUpLearner(status.members[position], status.commitIndex)
+            && !hasEarlierIncarnation(status, position)) {
             membership.members[position].voter = true;
             return membership;
         }
     }
-    for (const auto &member : status.members) {
-        if (hasReplacement(status, member))
-            return without(std::move(membership), member.member);
+    for (std::size_t position = 0; position < status.members.size(); ++position) {
+        if (isSuperseded(status, position))
+            return without(std::move(membership), status.members[position].member);
     }
     return std::nullopt;
 }
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -11,9 +11,11 @@
 class MembershipPlanner
 {
 public:
-    /// Returns the membership to propose next: a caught-up learner that may vote becomes a voter, and
-    /// an unresponsive voter is removed if another incarnation of its node is a responsive voter. The
-    /// addition comes first, so that no step reduces the number of log copies.
+    /// Returns the membership to propose next: a caught-up learner that may vote becomes a voter, and an
+    /// incarnation whose node has lost its data directory since is removed, voter or not. A learner gets its
+    /// vote only after the earlier incarnations of its node are removed: with both as voters, the loss of
+    /// that disk once more would leave two voters that can never answer again. The removal costs no copy of
+    /// the log, because the removed incarnation holds none any more.
     static std::optional<Wire::RaftMembership> next(const Consensus::RaftStatus &status);
 
     /// Returns the membership without one member that has been silent for `silenceLimit`. A voter is removed
--- a/Tests/LibControl/TestMembershipExplorer.cpp
+++ b/Tests/LibControl/TestMembershipExplorer.cpp
@@ -1,6 +1,6 @@
 #include "LibConsensus/ExplorerEpisode.h"
 #include "LibConsensus/NodeIdentity.h"
-#include "LibControl/MembershipPlanner.h"
+#include "LibControl/RepairingCluster.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -9,8 +9,6 @@
 namespace {
 
 using Base::milliseconds;
-using Control::MembershipPlanner;
-using JoinAnswer = MembershipPlanner::JoinAnswer;
 
 constexpr std::uint64_t FirstSeed = 41;
 /// Each seed range is a test case of its own, so that they can run in parallel; episodes take long under the
@@ -20,10 +18,7 @@
 constexpr unsigned StepsPerEpisode = 2000;
 constexpr std::size_t RequiredStates = 4000; ///< Per seed range.
 constexpr ExplorerNoise Noise {20, 5, 4, 3, 60};
-/// As in the registries: silence after which a voter is removed, and silence of the leader after which a
-/// member asks to join.
-constexpr Base::Duration RemovalDelay = milliseconds(4000);
-constexpr Base::Duration LeaderSilenceUntilJoin = milliseconds(2000);
+constexpr unsigned LateReplyPercent = 30;
 constexpr Base::Duration RecoveryBound = Base::seconds(60);
 
 struct Totals : ExplorerTotals
@@ -43,18 +38,20 @@
         : ExplorerEpisode(seed, static_cast<unsigned>(2 * toleratedOf(seed) + 1 + seed % 3), seed * 1009,
                           Noise, totals)
         , tolerated_(toleratedOf(seed))
+        , registries_(cluster_, tolerated_, random_, LateReplyPercent)
         , totals_(totals)
     {
     }
 
-private:
-    struct PendingReply
+    ~Episode() override
     {
-        std::size_t node = 0;
-        std::uint64_t incarnation = 0; ///< Of the node when it asked.
-        JoinAnswer answer = JoinAnswer::AskAgain;
-    };
+        totals_.logsSetAside += registries_.logsSetAside;
+        totals_.removals += registries_.removals;
+    }
+    Episode(const Episode &) = delete;
+    Episode &operator=(const Episode &) = delete;
 
+private:
     static std::size_t toleratedOf(std::uint64_t seed) { return 1 + seed % 2; }
 
     void stepOnce() override
@@ -86,106 +83,21 @@
 
     bool isCut(const Wire::RaftMessage &message) const override
     {
-        return isolatedNode_ < cluster_.size()
-               && (message.from == idOf(isolatedNode_) || message.to == idOf(isolatedNode_));
+        const auto isIsolated = [&](const std::string &id) {
+            return isolatedNode_ < cluster_.size() && id == registries_.idOf(isolatedNode_);
+        };
+        return isIsolated(message.from) || isIsolated(message.to);
     }
 
-    std::string idOf(std::size_t index) const { return cluster_.member(index, true).nodeId; }
-
-    /// Lets time pass without new faults while lasting ones persist, so that silent nodes are removed.
-    void runWithoutNewFaults(Base::Duration time)
+    std::set<std::size_t> isolated() const
     {
-        std::set<std::size_t> isolated;
-        if (isolatedNode_ < cluster_.size())
-            isolated.insert(isolatedNode_);
-        for (Base::Duration passed {}; passed < time && cluster_.violations.empty();
-             passed += milliseconds(30)) {
-            cluster_.run(milliseconds(30), isolated);
-            timePassed();
-        }
+        return isolatedNode_ < cluster_.size() ? std::set {isolatedNode_} : std::set<std::size_t> {};
     }
 
-    // Runs the membership logic that each registry runs in its tick.
-    void timePassed() override
-    {
-        for (std::size_t index = 0; index < cluster_.size(); ++index) {
-            if (cluster_.node(index) == nullptr)
-                continue;
-            if (cluster_.node(index)->isLeader(cluster_.now()))
-                runLeader(index);
-            else
-                requestJoin(index);
-        }
-        deliverJoinReplies();
-    }
-
-    void runLeader(std::size_t index)
-    {
-        auto &node = *cluster_.node(index);
-        const auto status = node.status(cluster_.now());
-        auto next = MembershipPlanner::next(status);
-        if (!next) {
-            next = MembershipPlanner::withoutGone(status, 2 * tolerated_ + 1, RemovalDelay);
-            totals_.removals += next ? 1 : 0;
-        }
-        if (next && node.proposeMembership(cluster_.now(), *next))
-            cluster_.takeReady(index);
-    }
-
-    void requestJoin(std::size_t index)
-    {
-        const auto status = cluster_.node(index)->status(cluster_.now());
-        const auto self = cluster_.member(index, false);
-        Base::Duration silence {};
-        bool isMember = false;
-        for (const auto &member : status.members) {
-            silence = std::max(silence, member.silentFor);
-            isMember = isMember || Consensus::identityOf(member.member) == Consensus::identityOf(self);
-        }
-        const bool leaderLost = status.leaderId.empty() || silence > LeaderSilenceUntilJoin;
-        const auto leader = cluster_.leader();
-        if ((isMember && !leaderLost) || leader == cluster_.size() || index == isolatedNode_
-            || leader == isolatedNode_)
-            return;
-        handleJoin(leader, index, self);
-    }
-
-    void handleJoin(std::size_t leader, std::size_t applicant, const Wire::RaftMember &self)
-    {
-        auto &node = *cluster_.node(leader);
-        const auto status = node.status(cluster_.now());
-        // Before an entry of its own term is applied, a leader may not know the newest membership.
-        if (cluster_.store(leader).termAt(status.appliedIndex) != status.term)
-            return;
-        const auto &store = cluster_.store(applicant);
-        const bool holdsLog = store.snapshot().has_value() || store.lastIndex() > 0;
-        const auto step = MembershipPlanner::join(status, self, holdsLog);
-        if (step.answer == JoinAnswer::Add && node.proposeMembership(cluster_.now(), step.membership))
-            cluster_.takeReady(leader);
-        pendingReplies_.push_back({applicant, self.incarnation, step.answer});
-    }
+    /// Lets time pass without new faults while lasting ones persist, so that silent nodes are removed.
+    void runWithoutNewFaults(Base::Duration time) { registries_.run(time, isolated()); }
 
-    // Replies may be late: the node may have a new incarnation by then.
-    void deliverJoinReplies()
-    {
-        const auto replies = std::exchange(pendingReplies_, {});
-        for (const auto &reply : replies) {
-            if (chance(30)) {
-                pendingReplies_.push_back(reply);
-                continue;
-            }
-            const bool current = cluster_.member(reply.node, false).incarnation == reply.incarnation;
-            if (reply.answer != JoinAnswer::SetLogAside || !current || cluster_.node(reply.node) == nullptr)
-                continue;
-            // Only injected disk losses are tolerated; the repair must not also take the log of a committed
-            // voter.
-            if (isCommittedVoter(reply.node))
-                cluster_.violations.push_back(fmt::format("voter {} sets its log aside", idOf(reply.node)));
-            cluster_.wipe(reply.node);
-            cluster_.restart(reply.node);
-            ++totals_.logsSetAside;
-        }
-    }
+    void timePassed() override { registries_.step(isolated()); }
 
     void crash(std::size_t index)
     {
@@ -223,12 +135,6 @@
         }
     }
 
-    bool isCommittedVoter(std::size_t index) const
-    {
-        const auto &members = cluster_.committedMembership().members;
-        return std::find(members.begin(), members.end(), cluster_.member(index, true)) != members.end();
-    }
-
     bool isCurrent(const Wire::RaftMember &member) const
     {
         for (std::size_t index = 0; index < cluster_.size(); ++index) {
@@ -268,9 +174,9 @@
     }
 
     std::size_t tolerated_;
+    RepairingCluster registries_;
     Totals &totals_;
     std::size_t isolatedNode_ = SIZE_MAX; ///< Isolated node; none if it is not a valid index.
-    std::vector<PendingReply> pendingReplies_;
     unsigned commands_ = 0;
 };
 
