Let a registry leave the cluster before a planned stop

Every read and change of the configuration gets 503 from then on, for good. Three planned replacements a second apart end the same way without any loss.

Cause: a registry that got SIGTERM ended without leaving the cluster, and a silent voter was removed only after 4 s. With its successor there were four voters, so a lost disk in that time left two of four that could ever answer.

Fix: on SIGTERM a registry asks the leader to remove it (new call leave-cluster) and votes and confirms entries until the removal is committed, for up to 90% of the grace. The leader agrees if 2f + 1 other voters are listed and most of them respond; with fewer, as in a restart without a successor, the registry stops at once and stays a member, because removing it would discard a log that may be needed. Silent voters are removed after half of the platform's catch-up time (new setting catch_up_s, filled in by the template) instead of a fixed 4 s.

Ruled out: a late successor (it had its vote 4 s before), the lost disk alone (survived without the replacement).

--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -1,6 +1,5 @@
 #include "LibControl/MembershipPlanner.h"
 
-#include "LibConsensus/NodeIdentity.h"
 #include "LibControl/RaftWatch.h"
 
 #include <algorithm>
@@ -93,6 +92,35 @@
     return {JoinAnswer::Add, std::move(membership)};
 }
 
+MembershipPlanner::LeaveStep MembershipPlanner::leave(const Consensus::RaftStatus &status,
+                                                      const Consensus::NodeIdentity &node,
+                                                      std::size_t voterTarget)
+{
+    const Wire::RaftMember *leaving = nullptr;
+    std::size_t otherVoters = 0;
+    std::size_t responsiveVoters = 0;
+    std::size_t futureVoters = 0;
+    for (const auto &member : status.members) {
+        if (Consensus::identityOf(member.member) == node) {
+            leaving = &member.member;
+            continue;
+        }
+        otherVoters += member.member.voter ? 1 : 0;
+        responsiveVoters += member.member.voter && isResponsive(member) ? 1 : 0;
+        futureVoters += !member.member.voter && member.member.mayVote && isResponsive(member) ? 1 : 0;
+    }
+    const bool isCommitted = status.membershipIndex <= status.commitIndex;
+    if (leaving == nullptr)
+        return {isCommitted ? LeaveAnswer::Gone : LeaveAnswer::AskAgain, {}};
+    if (leaving->voter && otherVoters + futureVoters < voterTarget)
+        return {LeaveAnswer::Needed, {}};
+    const bool othersHaveMajority = responsiveVoters > otherVoters / 2;
+    const bool enoughVoters = !leaving->voter || otherVoters >= voterTarget;
+    if (!isCommitted || !othersHaveMajority || !enoughVoters)
+        return {LeaveAnswer::AskAgain, {}};
+    return {LeaveAnswer::Remove, without(present(status), *leaving)};
+}
+
 Wire::RaftMembership MembershipPlanner::present(const Consensus::RaftStatus &status)
 {
     Wire::RaftMembership membership;
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibConsensus/NodeIdentity.h"
 #include "LibConsensus/RaftNode.h"
 
 #include <cstdint>
@@ -41,6 +42,25 @@
     /// a node is told to set its log aside only after the commit.
     static JoinStep join(const Consensus::RaftStatus &status, const Wire::RaftMember &node, bool holdsLog);
 
+    enum class LeaveAnswer : std::uint8_t {
+        Gone, ///< The node is no member, and that is committed.
+        Remove, ///< Propose `membership`, which is without the node.
+        AskAgain, ///< The change is undecided, or the others do not form a majority yet.
+        Needed ///< Too few voters would be left; the node stays a member while it is stopped.
+    };
+    struct LeaveStep
+    {
+        LeaveAnswer answer = LeaveAnswer::AskAgain;
+        Wire::RaftMembership membership;
+    };
+
+    /// Decides what becomes of a node that is about to stop, and may never return. It is removed first if at
+    /// least `voterTarget` voters are left, so that it does not count for the majority once it is gone. With
+    /// fewer, as in a restart without a successor, removing it would lower the majority and discard its copy
+    /// of the log. A follower may only rely on Needed and Gone, as it does not know which members respond.
+    static LeaveStep leave(const Consensus::RaftStatus &status, const Consensus::NodeIdentity &node,
+                           std::size_t voterTarget);
+
     /// Returns the current membership.
     static Wire::RaftMembership present(const Consensus::RaftStatus &status);
 
--- a/Libraries/LibWire/Method.cpp
+++ b/Libraries/LibWire/Method.cpp
@@ -10,7 +10,7 @@
 constexpr std::array<std::string_view, static_cast<std::size_t>(Method::Count)> Names {
     "raft-message",       "renew-lease",          "fetch-document",     "claim-request",  "record-outcome",
     "execute-subrequest", "observe-backends",     "introduce-node",     "watch-registry", "join-cluster",
-    "share-state",        "submit-configuration", "read-configuration",
+    "share-state",        "submit-configuration", "read-configuration", "leave-cluster",
 };
 
 } // namespace
--- a/Libraries/LibWire/Method.h
+++ b/Libraries/LibWire/Method.h
@@ -21,6 +21,7 @@
     ShareState, ///< registry → every other registry.
     SubmitConfiguration, ///< registry → registry leader.
     ReadConfiguration, ///< registry → registry leader.
+    LeaveCluster, ///< registry → registry leader.
     Count
 };
 
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -11,11 +11,17 @@
 
 enum class ServerState : std::uint8_t { Ready, Draining };
 enum class GatewayState : std::uint8_t { Joining, Serving, Leaving };
+enum class LeaveVerdict : std::uint8_t {
+    AskAgain, ///< Undecided, or the callee does not lead.
+    Gone, ///< The removal is committed; the registry may stop.
+    Needed ///< The registry stays a member while it is stopped.
+};
 
 } // namespace Wire
 
 MSGPACK_ADD_ENUM(Wire::ServerState);
 MSGPACK_ADD_ENUM(Wire::GatewayState);
+MSGPACK_ADD_ENUM(Wire::LeaveVerdict);
 
 namespace Wire {
 
@@ -150,6 +156,22 @@
     MSGPACK_DEFINE(isMember, mustReset, leaderAddress)
 };
 
+/// registry → leader: a registry that has been told to stop asks to be removed first.
+struct LeaveRequest
+{
+    std::string nodeId;
+    std::uint64_t incarnation = 0;
+
+    MSGPACK_DEFINE(nodeId, incarnation)
+};
+
+struct LeaveReply
+{
+    LeaveVerdict verdict = LeaveVerdict::AskAgain;
+
+    MSGPACK_DEFINE(verdict)
+};
+
 /// registry → registry: soft state that is not worth a log entry.
 struct ShareStateRequest
 {
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -19,8 +19,6 @@
 constexpr Base::Duration JoinTimeout = Base::milliseconds(800);
 /// A member that hears no leader for this long asks whether it is still a member.
 constexpr Base::Duration LeaderSilenceBeforeJoin = Base::seconds(2);
-/// A member unreachable for this long is replaced by reachable ones.
-constexpr Base::Duration UnreachableMemberTimeout = Base::seconds(4);
 /// Maximum batches of Raft output per call; the rest waits for the next iteration of the event loop.
 constexpr int MaxReadyRounds = 8;
 
@@ -149,8 +147,10 @@
         return joinIfNeeded(now, status);
     introduceToNewMembers(status);
     auto next = Control::MembershipPlanner::next(status);
+    // A member that is gone must not count for the majority any more once its successor has had the catch-up
+    // time. The other half covers the election that comes first if the lost member was the leader.
     if (!next)
-        next = Control::MembershipPlanner::withoutGone(status, targetVoterCount(), UnreachableMemberTimeout);
+        next = Control::MembershipPlanner::withoutGone(status, targetVoterCount(), settings_.catchUpTime / 2);
     // The node refuses while an earlier change is not committed; the next tick retries.
     if (next && cluster_->raft().proposeMembership(now, *next))
         events_.write(now, Importance::Notable, "membership_proposed",
@@ -206,7 +206,8 @@
 
 void RegistryProcess::joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status)
 {
-    if (now < nextJoin_)
+    // A member that is being removed must not ask to be added again.
+    if (now < nextJoin_ || leavingSince_)
         return;
     nextJoin_ = now + JoinInterval;
     Base::Duration leaderSilence {};
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -33,6 +33,8 @@
         return post(payload, responder, &RegistryProcess::handleIntroduce);
     case Wire::Method::JoinCluster:
         return post(payload, responder, &RegistryProcess::handleJoin);
+    case Wire::Method::LeaveCluster:
+        return post(payload, responder, &RegistryProcess::handleLeave);
     case Wire::Method::WatchRegistry:
         return post(payload, responder, &RegistryProcess::handleWatch);
     case Wire::Method::ShareState:
@@ -82,6 +84,11 @@
     responder->reply(Wire::encode(answerJoin(clock_.now(), request)));
 }
 
+void RegistryProcess::handleLeave(const Wire::LeaveRequest &request, const ResponderPointer &responder)
+{
+    responder->reply(Wire::encode(answerLeave(clock_.now(), request)));
+}
+
 void RegistryProcess::handleWatch(const Wire::WatchRequest &request, const ResponderPointer &responder)
 {
     const auto now = clock_.now();
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -102,7 +102,7 @@
         if (signal == SIGHUP)
             reloadSettings(true);
         else
-            stop();
+            beginLeaving();
     });
     loop_.repeat(TickInterval, [this] { tick(); });
     loop_.repeat(SettingsPollInterval, [this] { reloadSettings(false); });
@@ -123,6 +123,8 @@
         maintainMembership(now);
         processReady();
     }
+    if (leavingSince_)
+        continueLeaving(now);
     gateways_.tick(now);
     updateDirectory(now);
     readServerListIfDue(now);
@@ -153,8 +155,6 @@
     if (cluster_)
         cluster_->core().failPendingSubmissions();
     watchers_.abandon();
-    events_.write(clock_.now(), Base::EventLog::Importance::Notable, "stopping",
-                  {{"node", settings_.nodeId}});
     loop_.stop();
 }
 
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -67,6 +67,14 @@
     void handleJoinReply(const std::string &address, std::uint64_t incarnation,
                          const Base::Result<Base::Bytes> &payload);
     Wire::JoinReply answerJoin(Base::Instant now, const Wire::JoinRequest &request);
+
+    // RegistryLeave.cpp: leaving the cluster before a planned stop.
+    void beginLeaving();
+    void continueLeaving(Base::Instant now);
+    void requestLeave(Base::Instant now, const Consensus::RaftStatus &status);
+    void finishLeaving(Base::Instant now, std::string_view outcome);
+    Wire::LeaveReply answerLeave(Base::Instant now, const Wire::LeaveRequest &request);
+
     std::string leaderAddress(const Consensus::RaftStatus &status) const;
     bool isMember(const Consensus::RaftStatus &status) const;
     std::vector<std::string> knownRegistries() const;
@@ -81,6 +89,7 @@
     void handleRaftMessage(const Wire::RaftMessage &message, const ResponderPointer &responder);
     void handleIntroduce(const Wire::IntroduceNodeRequest &request, const ResponderPointer &responder);
     void handleJoin(const Wire::JoinRequest &request, const ResponderPointer &responder);
+    void handleLeave(const Wire::LeaveRequest &request, const ResponderPointer &responder);
     void handleWatch(const Wire::WatchRequest &request, const ResponderPointer &responder);
     void handleSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder);
     void submitForPeer(const Wire::SubmitConfigurationRequest &request, const ResponderPointer &responder);
@@ -124,6 +133,9 @@
     std::size_t nextJoinTarget_ = 0;
     Base::Instant nextJoin_;
     Base::Instant nextIntroduction_;
+    std::optional<Base::Instant> leavingSince_; ///< Set by SIGTERM.
+    Base::Instant nextLeaveRequest_;
+    bool finishedLeaving_ = false;
     Registry::GatewayTable gateways_;
     Registry::Directory directory_;
     Base::Instant nextDirectoryUpdate_; ///< Earliest time of the next directory update.
--- a/Tests/LibConsensus/SimulatedCluster.cpp
+++ b/Tests/LibConsensus/SimulatedCluster.cpp
@@ -120,12 +120,27 @@
 
 void SimulatedCluster::restart(std::size_t index)
 {
-    if (nodes_[index].raft)
+    if (nodes_[index].raft || nodes_[index].retired)
         return;
     start(index, {});
     takeReady(index);
 }
 
+std::size_t SimulatedCluster::addNode()
+{
+    auto &node = nodes_.emplace_back();
+    node.id = fmt::format("node-{}", nodes_.size() - 1);
+    node.store = std::make_unique<MemoryLogStore>(nextIncarnation_++);
+    restart(nodes_.size() - 1);
+    return nodes_.size() - 1;
+}
+
+void SimulatedCluster::retire(std::size_t index)
+{
+    crash(index);
+    nodes_[index].retired = true;
+}
+
 void SimulatedCluster::wipe(std::size_t index)
 {
     crash(index);
@@ -182,8 +197,10 @@
 bool SimulatedCluster::isFullyRepaired() const
 {
     std::vector<Wire::RaftMember> expected;
-    for (std::size_t index = 0; index < size(); ++index)
-        expected.push_back(member(index, true));
+    for (std::size_t index = 0; index < size(); ++index) {
+        if (!nodes_[index].retired)
+            expected.push_back(member(index, true));
+    }
     return std::is_permutation(expected.begin(), expected.end(), committedMembership_.members.begin(),
                                committedMembership_.members.end());
 }
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -38,6 +38,11 @@
     /// Ends the process; the first `keptChanges` unsynced changes of its disk survive.
     void crash(std::size_t index, std::size_t keptChanges = 0);
     void restart(std::size_t index);
+    /// Starts a further node with an empty disk, which is no member. Returns its index.
+    std::size_t addNode();
+    /// Ends the node for good; recovery expects only the other nodes.
+    void retire(std::size_t index);
+    bool isRetired(std::size_t index) const { return nodes_[index].retired; }
     /// Crashes the node and empties its disk; the restarted node is a new identity without members.
     void wipe(std::size_t index);
     /// Proposes at the leader the next membership change towards all nodes as voters under their current
@@ -46,7 +51,8 @@
     /// Proposes at the leader the removal of a working member; repairStep() adds it again.
     void proposeRemoval(std::size_t removed);
     const Wire::RaftMembership &committedMembership() const { return committedMembership_; }
-    /// Whether the committed membership is all nodes, each as voter under its current identity.
+    /// Whether the committed membership is all nodes but the retired ones, each as voter under its current
+    /// identity.
     bool isFullyRepaired() const;
 
     /// Ticks all nodes and delivers all messages in order for `time`; `isolated` nodes neither send nor
@@ -71,6 +77,7 @@
         std::string applied;
         std::uint64_t appliedIndex = 0;
         std::uint64_t checkedChanges = 0; ///< logChanges() of the store at the last check.
+        bool retired = false;
     };
 
     void start(std::size_t index, std::vector<Wire::RaftMember> initialMembers);
--- a/Tests/LibControl/RepairingCluster.cpp
+++ b/Tests/LibControl/RepairingCluster.cpp
@@ -15,8 +15,10 @@
             continue;
         if (cluster_.node(index)->isLeader(cluster_.now()))
             runLeader(index);
-        else
+        else if (!isLeaving(index))
             requestJoin(index, isolated);
+        if (isLeaving(index))
+            continueLeaving(index, isolated);
     }
     deliverJoinReplies();
 }
@@ -43,6 +45,34 @@
         cluster_.takeReady(index);
 }
 
+void RepairingCluster::beginLeaving(std::size_t index)
+{
+    leavingSince_.try_emplace(index, cluster_.now());
+}
+
+void RepairingCluster::continueLeaving(std::size_t index, const std::set<std::size_t> &isolated)
+{
+    using LeaveAnswer = MembershipPlanner::LeaveAnswer;
+    const auto self = Consensus::identityOf(cluster_.member(index, false));
+    const auto voterTarget = 2 * tolerated_ + 1;
+    auto answer =
+        MembershipPlanner::leave(cluster_.node(index)->status(cluster_.now()), self, voterTarget).answer;
+    const auto leader = cluster_.leader();
+    const bool reachesLeader =
+        leader < cluster_.size()
+        && (leader == index || (!isolated.contains(index) && !isolated.contains(leader)));
+    if ((answer == LeaveAnswer::Remove || answer == LeaveAnswer::AskAgain) && reachesLeader) {
+        auto &node = *cluster_.node(leader);
+        const auto step = MembershipPlanner::leave(node.status(cluster_.now()), self, voterTarget);
+        answer = step.answer;
+        if (answer == LeaveAnswer::Remove && node.proposeMembership(cluster_.now(), step.membership))
+            cluster_.takeReady(leader);
+    }
+    const bool decided = answer == LeaveAnswer::Gone || answer == LeaveAnswer::Needed;
+    if (decided || cluster_.now() - leavingSince_.at(index) >= LeaveTime)
+        cluster_.retire(index);
+}
+
 void RepairingCluster::requestJoin(std::size_t index, const std::set<std::size_t> &isolated)
 {
     const auto status = cluster_.node(index)->status(cluster_.now());
--- a/Tests/LibControl/TestMembershipPlanner.cpp
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -97,3 +97,28 @@
     status.members[1].member.voter = false;
     EXPECT_TRUE(MembershipPlanner::withoutGone(status, 9, milliseconds(4000)).has_value());
 }
+
+// A registry that is told to stop must neither stay a voter that never answers again, nor leave fewer voters
+// than the tolerated losses need, nor go while the others have no majority.
+TEST(MembershipPlanner, LeavingNodeIsRemovedOnlyIfEnoughVotersRemain)
+{
+    using LeaveAnswer = MembershipPlanner::LeaveAnswer;
+    const Consensus::NodeIdentity leaving {"c3", 1};
+    Consensus::RaftStatus status;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, true, 10), member("c3", 1, true, 10)};
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Needed);
+    status.members.push_back(member("c4", 1, false, 10));
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::AskAgain);
+    status.members.back().member.voter = true;
+    const auto step = MembershipPlanner::leave(status, leaving, 3);
+    ASSERT_EQ(step.answer, LeaveAnswer::Remove);
+    EXPECT_EQ(step.membership.members.size(), 3U);
+    status.members[0].silentFor = milliseconds(5000);
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Remove);
+    status.members[1].silentFor = milliseconds(5000);
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::AskAgain);
+    status.members.erase(status.members.begin() + 2);
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Gone);
+    status.membershipIndex = status.commitIndex + 1;
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::AskAgain);
+}
--- a/Tests/LibControl/TestMembershipRepair.cpp
+++ b/Tests/LibControl/TestMembershipRepair.cpp
@@ -31,6 +31,16 @@
         cluster_.restart(index);
     }
 
+    /// Adds a node with an empty disk and gives it time to catch up.
+    std::size_t addSuccessor()
+    {
+        const auto index = cluster_.addNode();
+        logic_.run(seconds(4));
+        return index;
+    }
+
+    void beginLeaving(std::size_t index) { logic_.beginLeaving(index); }
+
     /// Stores a command and reports whether all nodes applied it.
     bool storesAndApplies(const std::string &command)
     {
@@ -38,7 +48,7 @@
             return false;
         logic_.run(seconds(2));
         for (std::size_t index = 0; index < cluster_.size(); ++index) {
-            if (!cluster_.applied(index).ends_with(command + ","))
+            if (!cluster_.isRetired(index) && !cluster_.applied(index).ends_with(command + ","))
                 return false;
         }
         return true;
@@ -71,3 +81,77 @@
         EXPECT_TRUE(registries.cluster().violations.empty()) << registries.cluster().violations.front();
     }
 }
+
+// A registry that is replaced as planned must not count for the majority once it has stopped: the loss of a
+// disk right afterwards would leave two of four voters that can never answer again.
+TEST(MembershipRepair, SurvivesDiskLossAfterPlannedReplacement)
+{
+    for (std::size_t leaving = 0; leaving < 3; ++leaving) {
+        for (int gapMs = 0; gapMs <= 4000; gapMs += 100) {
+            const auto scenario = fmt::format("node {} leaves, gap of {} ms", leaving, gapMs);
+            Registries registries(3);
+            ASSERT_TRUE(registries.storesAndApplies("before"));
+            registries.addSuccessor();
+            registries.beginLeaving(leaving);
+            registries.run(milliseconds(gapMs));
+            registries.loseDisk((leaving + 1) % 3, seconds(1));
+            registries.run(seconds(10));
+            EXPECT_TRUE(registries.storesAndApplies("after")) << scenario;
+            EXPECT_TRUE(registries.cluster().isFullyRepaired()) << scenario;
+            ASSERT_TRUE(registries.cluster().violations.empty()) << registries.cluster().violations.front();
+        }
+    }
+}
+
+// The same with the disk lost first: the leaving registry is one of three voters that respond, so it must not
+// stop before the lost one is replaced or removed.
+TEST(MembershipRepair, SurvivesPlannedReplacementAfterDiskLoss)
+{
+    for (int downMs = 100; downMs <= 3000; downMs += 100) {
+        const auto scenario = fmt::format("down for {} ms", downMs);
+        Registries registries(3);
+        ASSERT_TRUE(registries.storesAndApplies("before"));
+        registries.addSuccessor();
+        registries.cluster().wipe(1);
+        registries.run(milliseconds(20));
+        registries.beginLeaving(2);
+        registries.run(milliseconds(downMs));
+        registries.cluster().restart(1);
+        registries.run(seconds(12));
+        EXPECT_TRUE(registries.storesAndApplies("after")) << scenario;
+        EXPECT_TRUE(registries.cluster().isFullyRepaired()) << scenario;
+        ASSERT_TRUE(registries.cluster().violations.empty()) << registries.cluster().violations.front();
+    }
+}
+
+// Planned replacement of every registry must not end the cluster, however close the stop signals are.
+TEST(MembershipRepair, SurvivesPlannedReplacementOfAllNodes)
+{
+    for (int gapMs = 0; gapMs <= 3000; gapMs += 100) {
+        const auto scenario = fmt::format("gap of {} ms", gapMs);
+        Registries registries(3);
+        ASSERT_TRUE(registries.storesAndApplies("before"));
+        for (int node = 0; node < 3; ++node)
+            registries.cluster().addNode();
+        registries.run(seconds(4));
+        for (std::size_t node = 0; node < 3; ++node) {
+            registries.beginLeaving(node);
+            registries.run(milliseconds(gapMs));
+        }
+        registries.run(seconds(10));
+        EXPECT_TRUE(registries.storesAndApplies("after")) << scenario;
+        EXPECT_TRUE(registries.cluster().isFullyRepaired()) << scenario;
+        ASSERT_TRUE(registries.cluster().violations.empty()) << registries.cluster().violations.front();
+    }
+}
+
+// A restart of a registry without a successor must not shrink the cluster: its log would be discarded.
+TEST(MembershipRepair, KeepsMemberThatRestartsWithoutSuccessor)
+{
+    Registries registries(3);
+    ASSERT_TRUE(registries.storesAndApplies("before"));
+    registries.beginLeaving(2);
+    registries.run(seconds(1));
+    EXPECT_TRUE(registries.cluster().isRetired(2));
+    EXPECT_EQ(registries.cluster().committedMembership().members.size(), 3U);
+}
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -84,6 +84,8 @@
     Wire::RaftMessage raft;
     decodeDamagedMessage(raft);
     decodeDamagedMessage(Wire::JoinRequest {});
+    decodeDamagedMessage(Wire::LeaveRequest {"a", 7});
+    decodeDamagedMessage(Wire::LeaveReply {Wire::LeaveVerdict::Needed});
     decodeDamagedMessage(Wire::IntroduceNodeRequest {});
 }
 
