Refuse deeply nested JSON before it is parsed

It can happen here: one entry of 3.5 million brackets, in a page of 7 MB, is rightly counted as unreadable, but takes 264 MB to decode, more than the 260 MB of a VM, and the registry that reads the list next dies of it as well.

Cause: an entry was parsed into a tree before anything was checked, and a level takes about 80 bytes.

Query bodies had a limit already.

--- a/Services/Control/OperatorInterface.cpp
+++ b/Services/Control/OperatorInterface.cpp
@@ -1,6 +1,7 @@
 #include "Services/Control/OperatorInterface.h"
 
 #include "LibBase/Digest.h"
+#include "LibBase/JsonDepth.h"
 #include "Services/Control/HttpAnswer.h"
 #include "Services/Control/StatusJson.h"
 
@@ -66,6 +67,14 @@
                               {"peer_address", result->peerAddress}});
 }
 
+/// Returns a discarded value for a body that is no JSON or is nested too deeply.
+json parseBody(const std::string &body)
+{
+    if (Base::isNestedDeeperThan(body, Base::MaxJsonDepth))
+        return json(json::value_t::discarded);
+    return json::parse(body, nullptr, false);
+}
+
 bool hasText(const json &body, const char *key)
 {
     return body.is_object() && body.contains(key) && body[key].is_string();
@@ -73,7 +82,7 @@
 
 Base::Result<Control::ProposePromotion> parsePromotion(const std::string &body)
 {
-    const auto parsed = json::parse(body, nullptr, false);
+    const auto parsed = parseBody(body);
     const auto isText = [&parsed](const char *key) {
         return parsed.contains(key) && parsed[key].is_string();
     };
@@ -167,7 +176,7 @@
 
 void OperatorInterface::addMember(const Http::Request &request, const Answer &answer)
 {
-    const auto parsed = json::parse(request.body, nullptr, false);
+    const auto parsed = parseBody(request.body);
     if (!hasText(parsed, "node_id") || !hasText(parsed, "peer_address"))
         return answer(errorResponse(
             {ErrorKind::InvalidRequest, "expected {\"node_id\": text, \"peer_address\": \"ip:port\"}"}));
--- a/Services/Entry/BackendProtocol.cpp
+++ b/Services/Entry/BackendProtocol.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/BackendProtocol.h"
 
+#include "LibBase/JsonDepth.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -70,7 +72,7 @@
 
 std::optional<Backend::BackendStatus> readBackendStatus(const Http::Response &response)
 {
-    if (response.status != OkStatus)
+    if (response.status != OkStatus || Base::isNestedDeeperThan(response.body, Base::MaxJsonDepth))
         return std::nullopt;
     try {
         const auto page = nlohmann::json::parse(response.body);
--- /dev/null
+++ b/Tests/Platform/TestServerPageDecoder.cpp
@@ -0,0 +1,83 @@
+#include "platform/PlatformProtocol.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <sys/resource.h>
+
+namespace {
+
+const Platform::PlatformProtocol Protocol;
+
+std::string entry(const std::string &id, const std::string &changedKey = {}, const std::string &value = {})
+{
+    std::string text = "{";
+    const std::pair<const char *, std::string> fields[] {
+        {"service", "\"s\""},
+        {"address", "\"10.0.0.1:80\""},
+        {"zone", "\"z\""},
+        {"version", "\"v1\""},
+        {"slots", "2"},
+        {"state", "\"ready\""},
+        {"warmupLeftMs", "120"},
+        {"id", "\"" + id + "\""},
+        {"born", "1700000000000"},
+    };
+    for (const auto &[key, usual] : fields)
+        text +=
+            fmt::format("{}\"{}\":{}", text.size() > 1 ? "," : "", key, key == changedKey ? value : usual);
+    return text + "}";
+}
+
+std::string page(const std::string &entries)
+{
+    return R"({"instances":[)" + entries + R"(],"nextPageToken":"p-50"})";
+}
+
+/// Peak memory of this process in kilobytes.
+long peakMemoryKb()
+{
+    rusage usage {};
+    getrusage(RUSAGE_SELF, &usage);
+    return usage.ru_maxrss;
+}
+
+/// Expects that the page beside a foreign entry names just the servers "before" and "after".
+void expectNeighboursOf(const std::string &foreign)
+{
+    const auto decoded =
+        Protocol.decodeServerPage(page(entry("before") + "," + foreign + "," + entry("after")));
+    ASSERT_TRUE(decoded.has_value()) << foreign.substr(0, 200);
+    ASSERT_EQ(decoded->servers.size(), 2U) << foreign.substr(0, 200);
+    EXPECT_EQ(decoded->servers[0].id, "before");
+    EXPECT_EQ(decoded->servers[1].id, "after");
+    EXPECT_EQ(decoded->nextPage, "p-50");
+}
+
+} // namespace
+
+// An entry of megabytes of brackets took about 80 bytes of memory for each; a registry that read it was
+// killed again and again, as the entry stayed in the list.
+TEST(ServerPageDecoder, DeeplyNestedEntryTakesNoMemory)
+{
+    constexpr std::size_t Depth = 3'500'000;
+    constexpr long AllowedKb = 64 * 1024; // The page has 7 MB and is copied a few times here.
+    const auto nested = R"({"id":"x","a":)" + std::string(Depth, '[') + std::string(Depth, ']') + "}";
+    const auto before = peakMemoryKb();
+    expectNeighboursOf(nested);
+    EXPECT_LT(peakMemoryKb() - before, AllowedKb);
+}
+
+// The same in a configuration that an operator sends.
+TEST(ConfigurationDecoder, RefusesDeeplyNestedConfiguration)
+{
+    constexpr std::size_t Depth = 1'500'000;
+    constexpr long AllowedKb = 32 * 1024;
+    const auto nested = R"({"version":7,"services":[],"limits":)" + std::string(Depth, '[')
+                        + std::string(Depth, ']') + R"(,"routes":[]})";
+    const auto before = peakMemoryKb();
+    const auto decoded = Protocol.decodeConfiguration(nested, nullptr);
+    ASSERT_FALSE(decoded.has_value());
+    EXPECT_EQ(decoded.error().kind, Base::ErrorKind::InvalidRequest);
+    EXPECT_LT(peakMemoryKb() - before, AllowedKb);
+}
