--- a/Tests/Platform/TestServerPageDecoder.cpp
+++ b/Tests/Platform/TestServerPageDecoder.cpp
@@ -68,6 +68,30 @@
     EXPECT_LT(peakMemoryKb() - before, AllowedKb);
 }
 
+// Numbers beyond their range were cut to another value: slots of 2^32 to none, a start beyond 2^63 to one
+// before 1970.
+TEST(ServerPageDecoder, NumbersOutOfRangeNameNoServer)
+{
+    for (const char *slots :
+         {"0", "-1", "4294967296", "4294967298", "1e9", "1e400", "18446744073709551615", "2.5"})
+        expectNeighboursOf(entry("x", "slots", slots));
+    for (const char *born : {"-1", "9223372036854775808", "18446744073709551615", "1e30", "0.5"})
+        expectNeighboursOf(entry("x", "born", born));
+    for (const char *warmUp : {"-1", "1e400", "\"5\""})
+        expectNeighboursOf(entry("x", "warmupLeftMs", warmUp));
+    for (const char *address :
+         {"\"10.0.0.1:0\"", "\"10.0.0.1:65536\"", "\"10.0.0.1:-1\"", "\"10.0.0.1\"", "\"10.0.0.256:80\""})
+        expectNeighboursOf(entry("x", "address", address));
+}
+
+// The id goes into a header of each request: a line break in it would add headers, or a second request.
+TEST(ServerPageDecoder, TextsThatDoNotFitAHeaderNameNoServer)
+{
+    for (const char *id : {"i\\r\\nX-Other: 1", "i\\u0000", "i\\u007f", "i\\t"})
+        expectNeighboursOf(entry(id));
+    expectNeighboursOf(entry(std::string(2000, 'i')));
+}
+
 // The same in a configuration that an operator sends.
 TEST(ConfigurationDecoder, RefusesDeeplyNestedConfiguration)
 {
