Refuse requests that a leaving gateway could not answer any more

Cause: taking a request did not depend on whether it could be answered before the stop.

Fix: the core knows the time of the stop from the SIGTERM on. It refuses a request as not run, with a Retry-After of 10 ms, if the time left is less than what the route's slow requests take (99th percentile, or the latency target without samples), three times that for requests that may run only once, bounded by the request's own limit. The refusal closes the connection, so the caller comes back to another gateway, which serves it at once.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -1,6 +1,7 @@
 #include "LibForward/ForwardCore.h"
 
 #include "LibForward/GatherPolicy.h"
+#include "LibForward/LeavingPolicy.h"
 #include "LibForward/TopRecords.h"
 
 #include <algorithm>
@@ -20,6 +21,10 @@
 /// recovery after half of it on average.
 constexpr Base::Duration ProbeInterval = Base::milliseconds(200);
 
+/// Retry-After of a gateway that stops. Another one can take the request as soon as the caller has connected
+/// to it.
+constexpr Base::Duration RetryElsewhereDelay = Base::milliseconds(10);
+
 /// Callers take these statuses to mean that the request has not run.
 bool impliesNotRun(int status)
 {
@@ -74,7 +79,10 @@
     }
     for (const auto &leg : exchange.legs)
         budgetOf(leg.service).earn(extraTokensPerRequest());
-    if (auto refusal = refuseUnservable(exchange)) {
+    auto refusal = refuseUnfinishable(exchange);
+    if (!refusal)
+        refusal = refuseUnservable(exchange);
+    if (refusal) {
         finish(now, id, exchange, std::move(*refusal));
         return id;
     }
@@ -155,6 +163,22 @@
     return std::nullopt;
 }
 
+/// Refuses a request that this gateway could not answer before its planned stop.
+std::optional<Outcome> ForwardCore::refuseUnfinishable(const Exchange &exchange)
+{
+    if (stopTime_ == Base::Instant::max())
+        return std::nullopt;
+    const auto &route = *exchange.facts.route;
+    const auto times = routeTimes_.find(route.name);
+    const auto expected = expectedDuration(route, times == routeTimes_.end() ? nullptr : &times->second);
+    if (std::min(exchange.arrivedAt + expected, exchange.deadline) <= stopTime_)
+        return std::nullopt;
+    auto outcome = failedOutcome(exchange, Base::ErrorKind::ShuttingDown,
+                                 "gateway stops before this request would be done");
+    outcome.retryAfter = RetryElsewhereDelay;
+    return outcome;
+}
+
 /// Returns whether this request should probe silent servers, and if so starts a new probe interval.
 bool ForwardCore::probeIsDue(const Exchange &exchange)
 {
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -109,6 +109,10 @@
     /// soon.
     void callerLeft(Base::Instant now, ExchangeId exchange);
 
+    /// Sets when endAll() will be called: from now on, requests that would probably not be done by then are
+    /// refused as not run.
+    void setStopTime(Base::Instant at) { stopTime_ = at; }
+
     /// Answers every exchange with the parts it has, or with a failure, because the process is about to stop.
     void endAll(Base::Instant now);
 
@@ -189,6 +193,7 @@
     bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
     std::optional<Outcome> refuseUnservable(const Exchange &exchange);
+    std::optional<Outcome> refuseUnfinishable(const Exchange &exchange);
     std::unordered_map<std::string_view, std::size_t> waitingAhead(const Exchange &exchange) const;
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service, std::size_t ahead) const;
     bool dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
@@ -223,6 +228,7 @@
     BackendTable backends_;
     Base::RandomSource random_;
     std::size_t gatewayCount_ = 1;
+    Base::Instant stopTime_ = Base::Instant::max();
     std::map<ExchangeId, Exchange> exchanges_;
     std::map<AttemptId, Attempt> attempts_;
     std::vector<WaitingLeg> waiting_; ///< Legs in the state Waiting.
--- a/Libraries/LibForward/RouteTimes.h
+++ b/Libraries/LibForward/RouteTimes.h
@@ -4,6 +4,7 @@
 #include "LibQuery/LatencyRecord.h"
 
 #include <algorithm>
+#include <optional>
 
 namespace Forward {
 
@@ -27,6 +28,9 @@
 
     Base::Duration mean() const { return mean_; }
 
+    /// What one attempt in a hundred takes or exceeds; empty while there are too few samples.
+    std::optional<Base::Duration> tail() const { return record_.quantile(0.99); }
+
     /// Time after which an attempt without a reply is probably slower than a second one would be. Based on
     /// the median, because the slow attempts of a fault that hits up to half of the servers do not move it.
     Base::Duration hedgeDelay() const
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -33,6 +33,8 @@
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
 
+    /// Sets when endAll() will be called during a planned stop.
+    void setStopTime(Base::Instant at) { core_.setStopTime(at); }
     /// Refuses requests from now on, because there is no time left to serve them.
     void refuseNewRequests() { refusingNewRequests_ = true; }
     /// Answers all requests in flight with the results received so far.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -377,6 +377,8 @@
     if (leavingSince_)
         return;
     leavingSince_ = clock_.now();
+    const auto untilEnd = EndRequestsFraction * std::chrono::duration<double>(settings_.shutdownGrace);
+    forwarder_->setStopTime(*leavingSince_ + std::chrono::duration_cast<Base::Duration>(untilEnd));
     loop_.repeat(ShutdownStepInterval, [this] { continueLeaving(clock_.now()); });
     callerServer_->beginDrain();
     watcher_->reportNow();
