Test that a response whose head breaks off is no answer

Another operator's report: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole. It cannot happen here: a head counts only once its blank line has come, whatever delimits the body, also in pieces that end with a line and behind an interim response. BrokenServers.HeadThatBreaksOffIsNoAnswer cuts three heads at every byte on a real connection, Client.RefusesTruncatedHead does so for the client of the entry processes. Both pass on the code of before; a body without a length that breaks off with an orderly close cannot be told from a whole one.

--- a/Tests/LibEdge/TestBrokenServers.cpp
+++ b/Tests/LibEdge/TestBrokenServers.cpp
@@ -191,6 +191,35 @@
     EXPECT_FALSE(exchange.connection().isQuiet());
 }
 
+// A server that stops in the middle of its head and closes has not answered, also where the bytes so far end
+// a line, and where nothing but the end of the connection delimits the body. Callers of another system got a
+// 200 with an empty body.
+TEST(BrokenServers, HeadThatBreaksOffIsNoAnswer)
+{
+    const std::array<std::string, 3> heads {
+        "HTTP/1.1 200 OK\r\nId: 1\r\nStamp: a.b\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nStamp: a.b\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.0 200 OK\r\nId: 1\r\n\r\n",
+    };
+    for (const auto &head : heads) {
+        // The pieces are sent apart, so that the parser sees each line, and each part of one, on its own.
+        for (std::size_t cut = 0; cut < head.size(); ++cut) {
+            const auto firstPiece = std::min(cut, head.find("\r\n") + 2);
+            Exchange exchange([&](const RawSocket &socket) {
+                socket.receiveUntil("\r\n\r\n");
+                socket.send(head.substr(0, firstPiece));
+                std::this_thread::sleep_for(milliseconds(1));
+                socket.send(head.substr(firstPiece, cut - firstPiece));
+                socket.finishSending();
+                socket.receive();
+            });
+            const auto &seen = exchange.send();
+            EXPECT_FALSE(seen.reply.has_value()) << cut << " of " << head;
+            EXPECT_TRUE(seen.failure.has_value()) << cut << " of " << head;
+        }
+    }
+}
+
 // Whatever byte a response breaks off at, it must not pass for a whole one. Without a length or chunks only
 // the end of the connection delimits the body, so nobody can tell there.
 TEST(BrokenServers, ResponsesThatBreakOffAreNotWhole)
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -66,6 +66,16 @@
     expectLost(exchangeWith("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"));
 }
 
+// Guards against a head that breaks off and passes as a response without a body.
+TEST(Client, RefusesTruncatedHead)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 0\r\n\r\n";
+    for (std::size_t cut = 0; cut < whole.size(); ++cut) {
+        const auto result = exchangeWith(whole.substr(0, cut));
+        EXPECT_FALSE(result.has_value()) << cut;
+    }
+}
+
 // Guards against a body whose end cannot be told from a broken connection.
 TEST(Client, RefusesBodyWithoutLength)
 {
