Send no more work to servers that announce their end

Servers now say in every answer that they leave (Server-Leaving: 1). The header was not read: a server that the list still showed as ready went on getting its share until the list caught up.

From the first such answer on, placing prefers the other copies, hedges skip the server, and its idle connections are closed. If no other copy qualifies, it is a last resort for half of the drain time (new setting server_drain_ms); afterwards its part is left out or the request refused at once. The mark is part of the server's row in the table, so it belongs to one incarnation, outlives list changes, and ends with the entry. One log line (server_leaving) and a counter for each.

Retries now ask whether an untried server is left instead of comparing counts: a tried server that left the table made the count too low, and the other copy was not tried.

--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -21,6 +21,7 @@
     std::string_view targetServer; ///< Id of the only server that may run the request.
     std::string_view serverProof; ///< Proof that a backend server made the response.
     std::string_view serverLoad; ///< Running, waiting, slots; comma-separated.
+    std::string_view serverLeaving; ///< The backend server is about to leave.
     std::string_view notExecuted; ///< The backend server has not run the request.
     std::string_view partProofs; ///< Proofs of the parts in a gathered answer.
     std::string_view missingParts; ///< Number of shards missing from a gathered answer.
@@ -68,6 +69,9 @@
 
     virtual std::optional<ServerLoad> decodeServerLoad(std::string_view text) const = 0;
 
+    /// Whether this value of the header `serverLeaving` says that the server is about to leave.
+    virtual bool announcesLeaving(std::string_view value) const = 0;
+
     /// Request target for one page of the server list; `page` is empty for the first.
     virtual std::string serverListTarget(std::string_view page) const = 0;
     virtual Base::Result<ServerPage> decodeServerPage(std::string_view text) const = 0;
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -7,10 +7,18 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace Forward {
 
+/// Whether a server may get a new attempt.
+enum class Availability : std::uint8_t {
+    None,
+    LastResort, ///< Only while no other server of its service may.
+    Usual
+};
+
 /// One incarnation of a backend server with this gateway's observations of it.
 struct Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
@@ -20,6 +28,9 @@
     bool listed = true; ///< False once it has been removed from the platform's list.
     bool displaced = false; ///< Its address now belongs to another server.
     std::uint32_t absentReads = 0; ///< Consecutive list reads without it.
+    /// Set once the server has announced in a response that it leaves: the end of its use as a last resort.
+    /// The platform's list shows it as draining later.
+    std::optional<Base::Instant> lastUse;
 
     std::vector<Base::Instant> openSince; ///< Send times of open attempts, oldest first.
     Base::Instant unansweredSince = Base::Instant::max(); ///< Earliest send since its last response.
@@ -33,7 +44,21 @@
     Base::Instant loadAt;
     bool loadKnown = false;
 
-    bool acceptsWork() const { return listed && !displaced && record.state == Wire::ServerState::Ready; }
+    /// Whether connections to it are kept for later requests.
+    bool keepsConnections() const
+    {
+        return listed && !displaced && !lastUse && record.state == Wire::ServerState::Ready;
+    }
+
+    Availability availability(Base::Instant now) const
+    {
+        if (keepsConnections())
+            return Availability::Usual;
+        const bool isLeaving = listed && !displaced && record.state == Wire::ServerState::Ready;
+        return isLeaving && now < *lastUse ? Availability::LastResort : Availability::None;
+    }
+
+    bool acceptsWork(Base::Instant now) const { return availability(now) != Availability::None; }
 };
 
 using BackendPointer = boost::intrusive_ptr<Backend>;
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -161,11 +161,20 @@
     return found == byService_.end() ? std::span<const BackendPointer>() : found->second;
 }
 
-std::size_t BackendTable::eligibleCount(std::string_view service) const
+std::size_t BackendTable::eligibleCount(Base::Instant now, std::string_view service) const
 {
     const auto servers = serversOf(service);
     return static_cast<std::size_t>(std::count_if(
-        servers.begin(), servers.end(), [](const auto &backend) { return backend->acceptsWork(); }));
+        servers.begin(), servers.end(), [now](const auto &backend) { return backend->acceptsWork(now); }));
+}
+
+bool BackendTable::hasUntried(Base::Instant now, std::string_view service,
+                              std::span<const BackendPointer> tried) const
+{
+    const auto servers = serversOf(service);
+    return std::any_of(servers.begin(), servers.end(), [&](const auto &backend) {
+        return backend->acceptsWork(now) && std::find(tried.begin(), tried.end(), backend) == tried.end();
+    });
 }
 
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
@@ -174,8 +183,11 @@
 {
     BackendPointer best;
     double bestEstimate = 0.0;
+    auto bestAvailability = Availability::None;
     for (const auto &backend : serversOf(service)) {
-        if (!backend->acceptsWork() || !hasRoom(now, *backend, connectionShare)
+        const auto availability = backend->availability(now);
+        if (availability == Availability::None || availability < bestAvailability
+            || !hasRoom(now, *backend, connectionShare)
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
         const auto distance =
@@ -184,9 +196,10 @@
                 : OtherDataCentreMs + OtherDataCentreShare * Base::toMilliseconds(latencyTarget);
         const auto estimate =
             placementCostMs(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit()) + distance;
-        if (!best || estimate < bestEstimate) {
+        if (availability > bestAvailability || estimate < bestEstimate) {
             best = backend;
             bestEstimate = estimate;
+            bestAvailability = availability;
         }
     }
     return best;
@@ -225,7 +238,7 @@
 {
     double rate = 0.0;
     for (const auto &backend : serversOf(service)) {
-        if (backend->acceptsWork() && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
+        if (backend->acceptsWork(now) && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
             rate += attemptLimit(now, *backend, connectionShare)
                     / std::max(0.1, latencyEstimateMs(now, *backend, meanLatency));
     }
@@ -247,7 +260,7 @@
 {
     bool silent = false;
     for (const auto &backend : serversOf(service)) {
-        if (!backend->acceptsWork())
+        if (!backend->acceptsWork(now))
             continue;
         if (backend->unansweredSince == Base::Instant::max() || now - backend->unansweredSince < silence)
             return false;
@@ -311,6 +324,14 @@
     backend.avoidUntil = now + std::min(MaxAvoidance, MinAvoidance * (1 << doublings));
 }
 
+bool BackendTable::markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime)
+{
+    if (backend.lastUse)
+        return false;
+    backend.lastUse = now + useTime;
+    return true;
+}
+
 void BackendTable::recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load)
 {
     backend.load = load;
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -33,15 +33,18 @@
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
     /// (or two), or none if they report a long queue, qualify; those in `excluded` do not. Servers that stall
-    /// (pause), fail part of their requests, are warming up or report a queue are ranked lower. A server in
-    /// another data centre must be faster by a fraction of the latency target, because traffic between data
-    /// centres costs money.
+    /// (pause), fail part of their requests, are warming up or report a queue are ranked lower, and those
+    /// that have announced that they leave are used only if no other server qualifies. A server in another
+    /// data centre must be faster by a fraction of the latency target, because traffic between data centres
+    /// costs money.
     BackendPointer choose(Base::Instant now, std::string_view service,
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                           Base::Duration meanLatency, Base::Duration latencyTarget);
 
     /// Number of servers that accept work.
-    std::size_t eligibleCount(std::string_view service) const;
+    std::size_t eligibleCount(Base::Instant now, std::string_view service) const;
+    /// Whether a server that accepts work is not among `tried`.
+    bool hasUntried(Base::Instant now, std::string_view service, std::span<const BackendPointer> tried) const;
     /// True if the service has servers that accept work, and attempts to each of them have gone unanswered
     /// for at least `silence`.
     bool isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const;
@@ -68,6 +71,9 @@
     /// Another server answered at its address. The platform may list a terminated server for some seconds
     /// after reassigning its address, so the server gets no more work even while it is listed.
     static void markDisplaced(Backend &backend) { backend.displaced = true; }
+    /// The server announced in a response that it leaves. It may be used as a last resort for `useTime`, and
+    /// gets nothing afterwards. Returns false if it had announced that before.
+    static bool markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime);
     static void recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
     /// Estimated latency of a new attempt at the server's present speed and load.
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -137,7 +137,7 @@
     std::size_t inTime = 0;
     const auto waiting = waitingAhead(exchange);
     for (const auto &leg : exchange.legs) {
-        if (backends_.eligibleCount(leg.service) == 0)
+        if (backends_.eligibleCount(exchange.arrivedAt, leg.service) == 0)
             continue;
         ++reachable;
         silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
@@ -238,6 +238,8 @@
         reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
     if (reply.response.status == 421)
         BackendTable::markDisplaced(*attempt.backend);
+    else if (reply.isWhole)
+        takeNotice(now, attempt, reply);
     const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
     if (succeeded) {
         const auto times = routeTimes_.find(attempt.routeName);
@@ -276,6 +278,16 @@
     dispatchWaiting(now);
 }
 
+/// Takes over what the server says of itself. A response with status 421 comes from another server, and one
+/// that is not whole may have other damage.
+void ForwardCore::takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply)
+{
+    auto &backend = *attempt.backend;
+    if (reply.announcesLeaving && BackendTable::markLeaving(now, backend, options_.leavingUseTime))
+        actions_.emplace_back(
+            ServerNotice {ServerNotice::Kind::Leaving, attempt.backend, *backend.lastUse, reply.requestId});
+}
+
 void ForwardCore::takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
                               AttemptReply &reply)
 {
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -39,6 +39,8 @@
     std::string proof; ///< Empty if the response has none.
     bool notExecuted = false; ///< The server states that it has not run the request.
     bool isWhole = true; ///< False if the response body cannot be the server's own.
+    bool announcesLeaving = false; ///< The server states that it is about to leave.
+    std::string requestId; ///< For the log.
     std::optional<Adapter::ServerLoad> load;
 };
 
@@ -76,7 +78,17 @@
     ExchangeId exchange = 0;
     Outcome outcome;
 };
-using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller>;
+/// A server has said something of itself that changes which attempts it gets; for the log.
+struct ServerNotice
+{
+    enum class Kind : std::uint8_t { Leaving };
+
+    Kind kind = Kind::Leaving;
+    BackendPointer backend;
+    Base::Instant until; ///< Leaving: the end of its use.
+    std::string requestId; ///< The caller's request that it answered with the notice.
+};
+using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, ServerNotice>;
 
 /// Deployment settings and limits given by the platform.
 struct ForwardOptions
@@ -87,6 +99,8 @@
     double extraLoadRatio = 0.0;
     /// Extra arrivals allowed at backend servers beyond the ratio, for all gateways together.
     double extraLoadSlack = 0.0;
+    /// How long a server that has announced its end may get work if no other server of its service can.
+    Base::Duration leavingUseTime = Base::milliseconds(1500);
 };
 
 /// Decides which servers a caller's request is sent to, when it is retried or hedged, and how it is answered.
@@ -204,8 +218,9 @@
     bool canMeetTarget(Base::Instant now, const Exchange &exchange) const;
     bool isQueued(ExchangeId id, std::size_t legIndex) const;
     bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
-    bool mayRetry(const Exchange &exchange, const Leg &leg) const;
+    bool mayRetry(Base::Instant now, const Exchange &exchange, const Leg &leg) const;
     void retryOrClose(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
+    void takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply);
     void takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
                      AttemptReply &reply);
     void review(Base::Instant now, ExchangeId id);
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -93,7 +93,7 @@
         send(now, id, exchange, legIndex, backend, false);
         return true;
     }
-    if (backends_.eligibleCount(leg.service) == 0) {
+    if (backends_.eligibleCount(now, leg.service) == 0) {
         leg.state = LegState::Closed;
         return false;
     }
@@ -191,7 +191,7 @@
             continue;
         const auto timeLeft = exchange.deadline - now;
         const auto useful = timesOf(*exchange.facts.route).mean() * MinUsefulLatencyFraction;
-        if (!mayRetry(exchange, leg) || std::chrono::duration<double, std::micro>(timeLeft) < useful) {
+        if (!mayRetry(now, exchange, leg) || std::chrono::duration<double, std::micro>(timeLeft) < useful) {
             leg.hedgeAt = Base::Instant::max();
             if (leg.open == 0 && !beginRecovery(now, exchange, leg))
                 leg.state = LegState::Closed;
@@ -212,8 +212,11 @@
     const auto backend = backends_.choose(
         now, leg.service, leg.tried, connectionShare(exchange.facts.table->configuration(), leg.service),
         timesOf(*exchange.facts.route).mean(), exchange.facts.route->latencyTarget);
-    // A hedge to an avoided server is unlikely to help while the first attempt may still be answered.
-    if (!backend || (leg.open > 0 && now < backend->avoidUntil))
+    // A hedge to an avoided or leaving server is unlikely to help while the first attempt may still be
+    // answered.
+    const bool isDoubtful =
+        backend && (now < backend->avoidUntil || backend->availability(now) != Availability::Usual);
+    if (!backend || (leg.open > 0 && isDoubtful))
         return false;
     budget.take();
     send(now, id, exchange, legIndex, backend, true);
@@ -221,19 +224,19 @@
 }
 
 /// Returns whether another attempt of this leg is allowed and an untried server exists.
-bool ForwardCore::mayRetry(const Exchange &exchange, const Leg &leg) const
+bool ForwardCore::mayRetry(Base::Instant now, const Exchange &exchange, const Leg &leg) const
 {
     if (leg.sends >= std::max(1U, exchange.facts.route->attempts))
         return false;
     if (!exchange.isRepeatable() && (leg.mayHaveRun || leg.open > 0))
         return false;
-    return leg.tried.size() < backends_.eligibleCount(leg.service);
+    return backends_.hasUntried(now, leg.service, leg.tried);
 }
 
 void ForwardCore::retryOrClose(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex)
 {
     auto &leg = exchange.legs[legIndex];
-    if (mayRetry(exchange, leg)) {
+    if (mayRetry(now, exchange, leg)) {
         if (!sendExtra(now, id, exchange, legIndex))
             leg.hedgeAt = now + ExtraAttemptRetryInterval;
         return;
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -71,6 +71,8 @@
         static_cast<Base::Duration::rep>(table.number("shutdown_grace_s", {0.0, 3600.0, 6.0}) * 1e6));
     settings.extraLoadRatio = table.number("extra_load_ratio", {0.0, 10.0, 0.0});
     settings.extraLoadSlack = table.number("extra_load_slack", {0.0, 1e9, 0.0});
+    settings.serverDrain = Base::Duration(
+        static_cast<Base::Duration::rep>(table.number("server_drain_ms", {0.0, 3600e3, 3000.0}) * 1e3));
     settings.catchUpTime = Base::Duration(
         static_cast<Base::Duration::rep>(table.number("catch_up_s", {0.0, 3600.0, 4.0}) * 1e6));
     settings.lostVmsTolerated = table.integer("lost_vms_tolerated", {0, 100, 1});
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -42,6 +42,7 @@
     Base::Duration shutdownGrace {}; ///< From the stop signal to the kill.
     double extraLoadRatio = 0.0; ///< Extra arrivals per request of a service, of all gateways together.
     double extraLoadSlack = 0.0; ///< Extra arrivals beyond the ratio in one window.
+    Base::Duration serverDrain {}; ///< How long a backend server that leaves serves on, at least.
     /// How long a VM that is back, or new, may take to catch up with the others.
     Base::Duration catchUpTime {};
     std::uint32_t lostVmsTolerated = 1; ///< VMs with a disk that may be lost at once.
--- a/Services/Gateway/BackendPool.cpp
+++ b/Services/Gateway/BackendPool.cpp
@@ -109,7 +109,7 @@
         return;
     auto owned = std::move(found->second);
     busy_.erase(found);
-    if (keep && owned->connection().isReusable(clock_.now()) && owned->backend()->acceptsWork())
+    if (keep && owned->connection().isReusable(clock_.now()) && owned->backend()->keepsConnections())
         idle_[owned->backend()].push_back(std::move(owned));
 }
 
@@ -123,7 +123,7 @@
     const auto now = clock_.now();
     for (auto next = idle_.begin(); next != idle_.end();) {
         auto &[backend, pooledConnections] = *next;
-        const bool gone = !backend->acceptsWork();
+        const bool gone = !backend->keepsConnections();
         pooledConnections.remove_if(
             [&](const auto &pooled) { return gone || !pooled->connection().isReusable(now); });
         // One connection is enough under low load; the others come from a burst. They are closed, because the
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -189,6 +189,8 @@
             metrics_.attemptEnded("aborted");
         } else if (auto *answerAction = std::get_if<Forward::AnswerCaller>(&action)) {
             answerCaller(*answerAction);
+        } else if (const auto *notice = std::get_if<Forward::ServerNotice>(&action)) {
+            logNotice(*notice);
         }
     } catch (const std::exception &exception) {
         events_.write(clock_.now(), Importance::Notable, "action_failed", {{"reason", exception.what()}});
@@ -240,9 +242,11 @@
 void Forwarder::attemptReplied(Forward::AttemptId attempt, Edge::ResponseMessage response)
 {
     const auto &names = adapter_.headers();
-    attemptRequestIds_.erase(attempt);
+    const auto requestId = attemptRequestIds_.extract(attempt);
     const bool succeeded = response.status / 100 == 2;
     Forward::AttemptReply reply;
+    reply.requestId = requestId ? requestId.mapped() : std::string();
+    reply.announcesLeaving = adapter_.announcesLeaving(response.header(names.serverLeaving));
     reply.proof = response.header(names.serverProof);
     reply.notExecuted = !response.header(names.notExecuted).empty();
     // Callers request bodies without a content encoding, so an encoded body was not produced by the server.
@@ -269,6 +273,20 @@
     performActions();
 }
 
+void Forwarder::logNotice(const Forward::ServerNotice &notice)
+{
+    const auto now = clock_.now();
+    const auto &record = notice.backend->record;
+    metrics_.serverNotice("leaving");
+    events_.write(now, Importance::Notable, "server_leaving",
+                  {{"server", record.id},
+                   {"started_at", record.bornAt},
+                   {"service", record.service},
+                   {"address", record.address},
+                   {"used_for_ms", Base::toMilliseconds(notice.until - now)},
+                   {"source", notice.requestId}});
+}
+
 void Forwarder::answerCaller(Forward::AnswerCaller &action)
 {
     const auto found = pending_.find(action.exchange);
--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -36,6 +36,14 @@
     counter->add();
 }
 
+void GatewayMetrics::serverNotice(const std::string &kind)
+{
+    registry_
+        .counter("daisyroute_server_notices_total", "Announcements of backend servers of themselves.",
+                 {{"kind", kind}})
+        .add();
+}
+
 void GatewayMetrics::setGauge(const char *name, const char *help, double value)
 {
     registry_.gauge(name, help).set(value);
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -13,6 +13,8 @@
 public:
     void requestAnswered(const std::string &route, const std::string &outcome, Base::Duration duration);
     void attemptEnded(const std::string &result);
+    /// A server has said of itself that it is about to leave.
+    void serverNotice(const std::string &kind);
     void setGauge(const char *name, const char *help, double value);
 
     const Metrics::Registry &registry() const { return registry_; }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -36,6 +36,9 @@
 /// Interval at which the shutdown steps above are checked.
 constexpr Base::Duration ShutdownStepInterval = Base::milliseconds(40);
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(100);
+/// A server that has announced its end gets work as a last resort for its drain time divided by this; the
+/// rest is for work that it has begun and for requests that wait here.
+constexpr int LeavingUseDivisor = 2;
 /// Number of gateways assumed to share connections and budgets until the directory is known.
 constexpr std::size_t AssumedGateways = 12;
 /// Lower bound, so that a briefly incomplete directory does not make the rest take all connections.
@@ -85,7 +88,8 @@
 
 Forward::ForwardOptions GatewayProcess::forwardOptions() const
 {
-    return {settings_.dataCentre, incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack};
+    return {settings_.dataCentre, incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack,
+            settings_.serverDrain / LeavingUseDivisor};
 }
 
 Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
@@ -365,6 +369,7 @@
     settings_.extraLoadSlack = (*settings)->extraLoadSlack;
     settings_.shutdownGrace = (*settings)->shutdownGrace;
     settings_.lookupMaxAge = (*settings)->lookupMaxAge;
+    settings_.serverDrain = (*settings)->serverDrain;
     for (const auto &seed : settings_.seeds)
         watcher_->addRegistries({settings_.registryPeerAddress(seed)});
     forwarder_->setOptions(forwardOptions());
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -157,6 +157,8 @@
                 answers.push_back(std::move(*answer));
             } else if (auto *abort = std::get_if<Forward::AbortAttempt>(&action))
                 aborts.push_back(abort->attempt);
+            else if (auto *notice = std::get_if<Forward::ServerNotice>(&action))
+                notices.push_back(*notice);
         }
     }
 
@@ -168,6 +170,7 @@
     std::vector<Forward::AnswerCaller> answers;
     std::map<Forward::ExchangeId, Instant> answeredAt;
     std::vector<Forward::AttemptId> aborts;
+    std::vector<Forward::ServerNotice> notices;
 };
 
 } // namespace Tests
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -27,7 +27,7 @@
     auto leaving = serverRecord("b", "s", 2);
     leaving.state = Wire::ServerState::Draining;
     table.update(Start, listOf({serverRecord("a", "s", 1), leaving}));
-    EXPECT_EQ(table.eligibleCount("s"), 1U);
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
     for (int i = 0; i < 20; ++i)
         EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Target)->record.id, "a");
 }
@@ -38,9 +38,9 @@
     BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1)}));
     table.update(Start, listOf({}));
-    EXPECT_EQ(table.eligibleCount("s"), 1U);
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
     table.update(Start, listOf({}));
-    EXPECT_EQ(table.eligibleCount("s"), 0U);
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
 }
 
 // A terminated server stays listed for seconds after its address was reassigned. Requests sent to it reach a
@@ -51,8 +51,8 @@
     table.update(Start, listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2)}));
     table.update(Start + Base::seconds(1), listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2),
                                                    serverRecord("new", "t", 1)}));
-    EXPECT_EQ(table.eligibleCount("s"), 1U);
-    EXPECT_EQ(table.eligibleCount("t"), 1U);
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
+    EXPECT_EQ(table.eligibleCount(Start, "t"), 1U);
 }
 
 // Two servers with one address that first appear in the same read can be ordered only by their start times.
@@ -64,11 +64,11 @@
     auto old = serverRecord("b-old", "s", 1);
     old.bornAt = 1000;
     table.update(Start, listOf({old, young}));
-    EXPECT_EQ(table.eligibleCount("t"), 1U);
-    EXPECT_EQ(table.eligibleCount("s"), 0U);
+    EXPECT_EQ(table.eligibleCount(Start, "t"), 1U);
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
     BackendTable unknown(1, "dc-a");
     unknown.update(Start, listOf({serverRecord("a", "t", 1), serverRecord("b", "s", 1)}));
-    EXPECT_EQ(unknown.eligibleCount("t") + unknown.eligibleCount("s"), 2U);
+    EXPECT_EQ(unknown.eligibleCount(Start, "t") + unknown.eligibleCount(Start, "s"), 2U);
 }
 
 // A server pauses. An attempt that has been open for several times the mean latency shows the stall.
