Send nothing to servers that ask for a pause

A server that turns a request away with 503 and Retry-After wants nothing from this gateway for so long. The header was not read: such a server went on getting first attempts, repeats and hedges.

The end of the pause is part of the server's row in the table, which placing, hedging, retries, admission and the budget of extra arrivals already ask, so no path needs a rule of its own. The end belongs to the incarnation; a later answer may only move it on; at most 10 minutes count, so that a damaged value does not ban a server for good. Values that are no number above 0, and dates, are passed over. After the end the server gets one attempt at a time until it has served one.

When all copies of a service pause, or more shards of a gather than its coverage allows, the request is refused at once as not run. Its Retry-After ends behind the earliest end that makes it servable again, spread over a fifth of the wait, so that callers and gateways do not return together. One log line (server_paused) and a counter for each; `paused` among the reasons of lacking shards.

The decoder of the header is tested with damaged values.

--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -72,6 +72,10 @@
     /// Whether this value of the header `serverLeaving` says that the server is about to leave.
     virtual bool announcesLeaving(std::string_view value) const = 0;
 
+    /// How long a server that turns a request away with `Retry-After: value` wants none; empty for a value
+    /// that states no time above 0.
+    virtual std::optional<Base::Duration> decodePause(std::string_view value) const = 0;
+
     /// Request target for one page of the server list; `page` is empty for the first.
     virtual std::string serverListTarget(std::string_view page) const = 0;
     virtual Base::Result<ServerPage> decodeServerPage(std::string_view text) const = 0;
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -32,6 +32,9 @@
     /// The platform's list shows it as draining later.
     std::optional<Base::Instant> lastUse;
 
+    Base::Instant pausedUntil; ///< It has asked for no request before then.
+    bool resuming = false; ///< It has not served anything since its last pause.
+
     std::vector<Base::Instant> openSince; ///< Send times of open attempts, oldest first.
     Base::Instant unansweredSince = Base::Instant::max(); ///< Earliest send since its last response.
     double slowness = 1.0; ///< Moving average of its latency over the route's mean, as of `slownessAt`.
@@ -50,7 +53,8 @@
         return listed && !displaced && !lastUse && record.state == Wire::ServerState::Ready;
     }
 
-    Availability availability(Base::Instant now) const
+    /// Apart from a pause that it has asked for.
+    Availability availabilityAfterPause(Base::Instant now) const
     {
         if (keepsConnections())
             return Availability::Usual;
@@ -58,6 +62,11 @@
         return isLeaving && now < *lastUse ? Availability::LastResort : Availability::None;
     }
 
+    Availability availability(Base::Instant now) const
+    {
+        return now < pausedUntil ? Availability::None : availabilityAfterPause(now);
+    }
+
     bool acceptsWork(Base::Instant now) const { return availability(now) != Availability::None; }
 };
 
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -61,10 +61,11 @@
 /// Maximum number of attempts that this gateway keeps open at one server. When callers return together after
 /// an outage, there is more work than the servers can run at once. Beyond the slots it would wait in the FIFO
 /// queues of the servers; queued in the gateway, it is dispatched by urgency. All gateways together can
-/// exceed the slots many times over, so each sends only one attempt at a time to a server with a long queue.
+/// exceed the slots many times over, so each sends only one attempt at a time to a server with a long queue,
+/// or to one whose pause has ended.
 std::uint32_t attemptLimit(Base::Instant now, const Backend &backend, std::uint32_t connectionShare)
 {
-    if (reportsLongQueue(now, backend))
+    if (backend.resuming || reportsLongQueue(now, backend))
         return 1;
     return std::min(connectionShare, std::max(MinOpenAttempts, backend.record.slots));
 }
@@ -256,6 +257,17 @@
     return estimate;
 }
 
+std::optional<Base::Instant> BackendTable::resumesAt(Base::Instant now, std::string_view service) const
+{
+    std::optional<Base::Instant> earliest;
+    for (const auto &backend : serversOf(service)) {
+        const auto end = backend->pausedUntil;
+        if (now < end && backend->availabilityAfterPause(end) != Availability::None)
+            earliest = std::min(earliest.value_or(end), end);
+    }
+    return earliest;
+}
+
 bool BackendTable::isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const
 {
     bool silent = false;
@@ -305,6 +317,8 @@
     backend.slownessAt = now;
     backend.consecutiveFailures = 0;
     backend.avoidUntil = now;
+    // A reply to a request that was sent before the pause does not end it.
+    backend.resuming = now < backend.pausedUntil;
     addErrorSample(now, backend, 0.0);
 }
 
@@ -332,6 +346,12 @@
     return true;
 }
 
+void BackendTable::markPaused(Base::Instant now, Backend &backend, Base::Duration duration)
+{
+    backend.pausedUntil = std::max(backend.pausedUntil, now + std::min(duration, MaxPause));
+    backend.resuming = true;
+}
+
 void BackendTable::recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load)
 {
     backend.load = load;
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -4,6 +4,7 @@
 #include "LibForward/Backend.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -18,6 +19,8 @@
     /// A server that has not answered for this long is considered gone rather than paused (120 to 150 ms) or
     /// slow.
     static constexpr Base::Duration MinSilence = Base::milliseconds(600);
+    /// Longest pause that a server may ask for; a longer one is more likely an error than a wish.
+    static constexpr Base::Duration MaxPause = Base::seconds(600);
 
     /// `dataCentre` is where this gateway runs; servers there have a shorter round trip.
     BackendTable(std::uint64_t seed, std::string dataCentre)
@@ -45,6 +48,8 @@
     std::size_t eligibleCount(Base::Instant now, std::string_view service) const;
     /// Whether a server that accepts work is not among `tried`.
     bool hasUntried(Base::Instant now, std::string_view service, std::span<const BackendPointer> tried) const;
+    /// When the first paused server of the service accepts work again; empty if none is paused.
+    std::optional<Base::Instant> resumesAt(Base::Instant now, std::string_view service) const;
     /// True if the service has servers that accept work, and attempts to each of them have gone unanswered
     /// for at least `silence`.
     bool isSilent(Base::Instant now, std::string_view service, Base::Duration silence) const;
@@ -74,6 +79,10 @@
     /// The server announced in a response that it leaves. It may be used as a last resort for `useTime`, and
     /// gets nothing afterwards. Returns false if it had announced that before.
     static bool markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime);
+    /// The server has turned a request away and wants none from this gateway for `duration`, of which at most
+    /// MaxPause counts. Afterwards it gets one attempt at a time until it has served one. A later pause may
+    /// only end later.
+    static void markPaused(Base::Instant now, Backend &backend, Base::Duration duration);
     static void recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
     /// Estimated latency of a new attempt at the server's present speed and load.
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -134,11 +134,14 @@
     const auto latest =
         exchange.isGather() ? std::min(exchange.answerBy, exchange.deadline) : exchange.deadline;
     std::size_t reachable = 0;
+    std::size_t pausing = 0;
     std::size_t inTime = 0;
     const auto waiting = waitingAhead(exchange);
     for (const auto &leg : exchange.legs) {
-        if (backends_.eligibleCount(exchange.arrivedAt, leg.service) == 0)
+        if (backends_.eligibleCount(exchange.arrivedAt, leg.service) == 0) {
+            pausing += backends_.resumesAt(exchange.arrivedAt, leg.service) ? 1 : 0;
             continue;
+        }
         ++reachable;
         silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
         const auto ahead = waiting.find(leg.service);
@@ -149,16 +152,19 @@
     }
     const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
     const auto needed = share * static_cast<double>(exchange.legs.size()) - 1e-9;
+    if (static_cast<double>(reachable) < needed && static_cast<double>(reachable + pausing) >= needed)
+        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
+                             "too many of the required services have only servers that asked for a pause");
     if (static_cast<double>(reachable) < needed)
-        return failedOutcome(exchange, Base::ErrorKind::NoEligibleReplica,
+        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
                              backends_.isLoaded()
                                  ? "too few of the required services have a server that accepts work"
                                  : "the list of servers is not known yet");
     if (static_cast<double>(reachable - silent) < needed && !probeIsDue(exchange))
-        return failedOutcome(exchange, Base::ErrorKind::NoEligibleReplica,
+        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
                              "too many of the required services have only unresponsive servers");
     if (static_cast<double>(inTime) < needed)
-        return failedOutcome(exchange, Base::ErrorKind::Overloaded,
+        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
                              "the queued work would delay this request past its time limit");
     return std::nullopt;
 }
@@ -173,7 +179,7 @@
     const auto expected = expectedDuration(route, times == routeTimes_.end() ? nullptr : &times->second);
     if (std::min(exchange.arrivedAt + expected, exchange.deadline) <= stopTime_)
         return std::nullopt;
-    auto outcome = failedOutcome(exchange, Base::ErrorKind::ShuttingDown,
+    auto outcome = failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::ShuttingDown,
                                  "gateway stops before this request would be done");
     outcome.retryAfter = RetryElsewhereDelay;
     return outcome;
@@ -286,6 +292,11 @@
     if (reply.announcesLeaving && BackendTable::markLeaving(now, backend, options_.leavingUseTime))
         actions_.emplace_back(
             ServerNotice {ServerNotice::Kind::Leaving, attempt.backend, *backend.lastUse, reply.requestId});
+    if (reply.pause && reply.response.status == 503) {
+        BackendTable::markPaused(now, backend, *reply.pause);
+        actions_.emplace_back(
+            ServerNotice {ServerNotice::Kind::Pause, attempt.backend, backend.pausedUntil, reply.requestId});
+    }
 }
 
 void ForwardCore::takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -40,6 +40,7 @@
     bool notExecuted = false; ///< The server states that it has not run the request.
     bool isWhole = true; ///< False if the response body cannot be the server's own.
     bool announcesLeaving = false; ///< The server states that it is about to leave.
+    std::optional<Base::Duration> pause; ///< How long the server wants no request from this gateway.
     std::string requestId; ///< For the log.
     std::optional<Adapter::ServerLoad> load;
 };
@@ -81,11 +82,11 @@
 /// A server has said something of itself that changes which attempts it gets; for the log.
 struct ServerNotice
 {
-    enum class Kind : std::uint8_t { Leaving };
+    enum class Kind : std::uint8_t { Leaving, Pause };
 
     Kind kind = Kind::Leaving;
     BackendPointer backend;
-    Base::Instant until; ///< Leaving: the end of its use.
+    Base::Instant until; ///< Leaving: the end of its use. Pause: the end of the pause.
     std::string requestId; ///< The caller's request that it answered with the notice.
 };
 using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, ServerNotice>;
@@ -230,7 +231,9 @@
     bool concludeGather(Base::Instant now, ExchangeId id, Exchange &exchange, bool early);
     bool concludeSingle(Base::Instant now, ExchangeId id, Exchange &exchange);
     Outcome gatheredOutcome(Exchange &exchange) const;
-    Outcome failedOutcome(const Exchange &exchange, Base::ErrorKind kind, std::string cause);
+    Outcome failedOutcome(Base::Instant now, const Exchange &exchange, Base::ErrorKind kind,
+                          std::string cause);
+    Base::Duration retryDelay(Base::Instant now, const Exchange &exchange);
     void finish(Base::Instant now, ExchangeId id, Exchange &exchange, Outcome outcome);
     void abandonAttempts(Base::Instant now, ExchangeId id);
     void scheduleReview(ExchangeId id, Exchange &exchange);
--- a/Libraries/LibForward/ForwardCoreAnswer.cpp
+++ b/Libraries/LibForward/ForwardCoreAnswer.cpp
@@ -11,9 +11,11 @@
 
 namespace {
 
-/// Callers are told to retry after one to two times this value, with jitter so that callers refused together
-/// do not return together. Short enough for a retry within the usual latency targets.
+/// Callers are told to retry after one to two times this value if nothing else is known. Short enough for a
+/// retry within the usual latency targets.
 constexpr Base::Duration MinRetryAfter = Base::milliseconds(100);
+/// A longer Retry-After is spread over this fraction of it.
+constexpr int RetrySpreadDivisor = 5;
 /// Shards named in one log line.
 constexpr std::size_t MaxShardsLogged = 6;
 
@@ -62,7 +64,7 @@
                       : expired   ? Base::ErrorKind::DeadlineExceeded
                                   : Base::ErrorKind::BackendFailed;
     finish(now, id, exchange,
-           failedOutcome(exchange, kind,
+           failedOutcome(now, exchange, kind,
                          fmt::format("only {} of {} parts arrived", progress.present, progress.total)));
     return true;
 }
@@ -84,7 +86,7 @@
     auto kind = Base::ErrorKind::Overloaded;
     if (leg.mayHaveRun || leg.open > 0)
         kind = expired ? Base::ErrorKind::DeadlineExceeded : Base::ErrorKind::BackendReplyLost;
-    finish(now, id, exchange, failedOutcome(exchange, kind, std::string(leg.failure)));
+    finish(now, id, exchange, failedOutcome(now, exchange, kind, std::string(leg.failure)));
     return true;
 }
 
@@ -108,16 +110,44 @@
     return outcome;
 }
 
-Outcome ForwardCore::failedOutcome(const Exchange &exchange, Base::ErrorKind kind, std::string cause)
+/// Time after which a refused request may be served: if it lacks services whose servers have all asked for a
+/// pause, when enough of them accept work again. Spread, so that callers refused together do not return
+/// together.
+Base::Duration ForwardCore::retryDelay(Base::Instant now, const Exchange &exchange)
+{
+    std::vector<Base::Instant> ends;
+    std::size_t unavailable = 0;
+    for (const auto &leg : exchange.legs) {
+        if (leg.state == LegState::Present || backends_.eligibleCount(now, leg.service) > 0)
+            continue;
+        if (const auto end = backends_.resumesAt(now, leg.service))
+            ends.push_back(*end);
+        else
+            ++unavailable;
+    }
+    const auto coverage = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
+    const auto dispensable =
+        static_cast<std::size_t>((1.0 - coverage) * static_cast<double>(exchange.legs.size()));
+    const auto lacking = ends.size() + unavailable;
+    Base::Duration wait {};
+    if (!ends.empty() && lacking > dispensable) {
+        std::sort(ends.begin(), ends.end());
+        wait = ends[std::min(lacking - dispensable, ends.size()) - 1] - now;
+    }
+    const auto spread = std::max(MinRetryAfter, wait / RetrySpreadDivisor);
+    return std::max(wait, MinRetryAfter)
+           + Base::Duration(
+               static_cast<Base::Duration::rep>(random_.below(static_cast<std::uint64_t>(spread.count()))));
+}
+
+Outcome ForwardCore::failedOutcome(Base::Instant now, const Exchange &exchange, Base::ErrorKind kind,
+                                   std::string cause)
 {
     Outcome outcome;
     outcome.error = kind;
     outcome.cause = std::move(cause);
-    if (Base::errorAnswer(kind).runState == Base::RunState::NotRun) {
-        outcome.retryAfter = MinRetryAfter
-                             + Base::Duration(static_cast<Base::Duration::rep>(
-                                 random_.below(static_cast<std::uint64_t>(MinRetryAfter.count()))));
-    }
+    if (Base::errorAnswer(kind).runState == Base::RunState::NotRun)
+        outcome.retryAfter = retryDelay(now, exchange);
     std::size_t named = 0;
     for (const auto &leg : exchange.legs) {
         if (leg.state != LegState::Present && ++named <= MaxShardsLogged)
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -94,6 +94,8 @@
         return true;
     }
     if (backends_.eligibleCount(now, leg.service) == 0) {
+        if (backends_.resumesAt(now, leg.service))
+            leg.failure = "paused";
         leg.state = LegState::Closed;
         return false;
     }
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -246,6 +246,7 @@
     const bool succeeded = response.status / 100 == 2;
     Forward::AttemptReply reply;
     reply.requestId = requestId ? requestId.mapped() : std::string();
+    reply.pause = adapter_.decodePause(response.header("Retry-After"));
     reply.announcesLeaving = adapter_.announcesLeaving(response.header(names.serverLeaving));
     reply.proof = response.header(names.serverProof);
     reply.notExecuted = !response.header(names.notExecuted).empty();
@@ -277,13 +278,14 @@
 {
     const auto now = clock_.now();
     const auto &record = notice.backend->record;
-    metrics_.serverNotice("leaving");
-    events_.write(now, Importance::Notable, "server_leaving",
+    const bool isPause = notice.kind == Forward::ServerNotice::Kind::Pause;
+    metrics_.serverNotice(isPause ? "pause" : "leaving");
+    events_.write(now, Importance::Notable, isPause ? "server_paused" : "server_leaving",
                   {{"server", record.id},
                    {"started_at", record.bornAt},
                    {"service", record.service},
                    {"address", record.address},
-                   {"used_for_ms", Base::toMilliseconds(notice.until - now)},
+                   {"until_in_ms", Base::toMilliseconds(notice.until - now)},
                    {"source", notice.requestId}});
 }
 
--- a/Tests/LibForward/TestServerNotices.cpp
+++ b/Tests/LibForward/TestServerNotices.cpp
@@ -19,6 +19,23 @@
         return reply;
     }
 
+    static Forward::AttemptReply pausing(Base::Duration pause)
+    {
+        auto reply = notExecuted(503);
+        reply.pause = pause;
+        return reply;
+    }
+
+    /// Makes all servers of service s0 ask for a pause. Returns when the first of them ends.
+    Base::Instant pauseAll(Base::Duration first, Base::Duration second)
+    {
+        begin("/s/x");
+        reply(sends.back().attempt, pausing(first));
+        reply(sends.back().attempt, pausing(second));
+        clear();
+        return now + std::min(first, second);
+    }
+
     /// Sends requests to service s0 until each of the servers has got one, and answers them with `answer`.
     void answerFrom(const std::set<std::string> &servers, const Forward::AttemptReply &answer)
     {
@@ -156,3 +173,133 @@
     reply(other.attempt, leaving(notExecuted(421)));
     EXPECT_FALSE(other.backend->lastUse.has_value());
 }
+
+// A server that turned requests away with a time to wait went on getting them. No first attempt, repeat or
+// hedge may go to it before that time is over.
+TEST_F(ServerNotices, PausedServerGetsNothingUntilTheEnd)
+{
+    answerFrom({"s0-a"}, pausing(seconds(3)));
+    for (int step = 0; step < 29; ++step) {
+        EXPECT_EQ(serversOf("/s/x", 4), Ids {"s0-b"});
+        begin("/s/x"); // Answered late, so that it would be hedged.
+        const auto late = sends.back().attempt;
+        advance(milliseconds(100));
+        reply(late, success());
+    }
+    for (const auto &send : sends)
+        EXPECT_EQ(send.backend->record.id, "s0-b");
+}
+
+// When all copies pause, callers waited until the deadline. The request is refused at once as not run, and
+// the Retry-After leads behind the earliest end, spread so that callers do not return together.
+TEST_F(ServerNotices, RefusedAtOnceWhileAllCopiesPause)
+{
+    const auto end = pauseAll(milliseconds(3000), milliseconds(2000));
+    std::set<Base::Duration> delays;
+    for (const char *path : {"/s/x", "/o/x", "/s/x", "/o/x"})
+        begin(path);
+    EXPECT_TRUE(sends.empty());
+    ASSERT_EQ(answers.size(), 4U);
+    for (const auto &answer : answers) {
+        EXPECT_EQ(answer.outcome.error, ErrorKind::Overloaded);
+        ASSERT_TRUE(answer.outcome.retryAfter.has_value());
+        EXPECT_GE(now + *answer.outcome.retryAfter, end);
+        EXPECT_LE(now + *answer.outcome.retryAfter, end + milliseconds(400));
+        delays.insert(*answer.outcome.retryAfter);
+    }
+    EXPECT_GT(delays.size(), 1U);
+    advance(milliseconds(2000));
+    clear();
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 1U);
+}
+
+// The last copy asks for a pause while the request is at work on it: nothing has run, so nothing is waited
+// for.
+TEST_F(ServerNotices, RequestTurnedAwayByTheLastCopyIsRefusedAtOnce)
+{
+    begin("/o/x");
+    reply(sends.back().attempt, pausing(seconds(2)));
+    reply(sends.back().attempt, pausing(seconds(2)));
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, ErrorKind::Overloaded);
+    EXPECT_GE(*answers.front().outcome.retryAfter, seconds(2));
+}
+
+// A gather does without the paused shards while its coverage allows, and is refused beyond.
+TEST_F(ServerNotices, GatherLeavesOutPausedShards)
+{
+    const auto pauseShard = [this](int shard) {
+        const auto service = fmt::format("s{}", shard);
+        sends.clear();
+        begin("/g/x");
+        for (std::size_t index = 0; index < sends.size(); ++index) {
+            const auto send = sends[index];
+            reply(send.attempt, send.backend->record.service == service ? pausing(seconds(2)) : success());
+        }
+        clear();
+    };
+    pauseShard(0);
+    pauseShard(1);
+    begin("/g/x");
+    EXPECT_EQ(sends.size(), std::size_t {Shards} - 2);
+    for (const auto &send : std::vector(sends))
+        reply(send.attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.missingParts, 2U);
+    pauseShard(2);
+    begin("/g/x");
+    EXPECT_TRUE(sends.empty());
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().outcome.error, ErrorKind::Overloaded);
+    EXPECT_GE(*answers.front().outcome.retryAfter, seconds(2));
+}
+
+// All that waited for the end of a pause would arrive at once, and the server would turn most of it away
+// again.
+TEST_F(ServerNotices, ResumesWithOneAttemptAtATime)
+{
+    pauseAll(seconds(1), seconds(1));
+    advance(seconds(1));
+    for (int request = 0; request < 6; ++request)
+        begin("/s/x");
+    EXPECT_EQ(sends.size(), 2U);
+    for (const auto &send : std::vector(sends))
+        reply(send.attempt, success());
+    EXPECT_GE(sends.size(), 6U);
+}
+
+// An enormous value must not ban a server for good, and a second answer must not shorten what the first asked
+// for.
+TEST_F(ServerNotices, PausesHaveABoundAndDoNotShrink)
+{
+    pauseAll(seconds(1'000'000), seconds(1'000'000));
+    begin("/s/x");
+    EXPECT_TRUE(sends.empty());
+    advance(Forward::BackendTable::MaxPause);
+    begin("/s/x");
+    ASSERT_EQ(sends.size(), 1U);
+
+    Forward::Backend backend;
+    Forward::BackendTable::markPaused(now, backend, seconds(5));
+    Forward::BackendTable::markPaused(now, backend, seconds(1));
+    EXPECT_EQ(backend.pausedUntil, now + seconds(5));
+}
+
+// Only a refusal with 503 asks for a pause; a Retry-After beside another status, or of another server, does
+// not.
+TEST_F(ServerNotices, OnlyRefusalsPause)
+{
+    auto served = success();
+    served.pause = seconds(5);
+    auto displaced = notExecuted(421);
+    displaced.pause = seconds(5);
+    begin("/s/x");
+    const auto first = sends.back();
+    reply(first.attempt, served);
+    EXPECT_LE(first.backend->pausedUntil, now);
+    begin("/s/x");
+    const auto second = sends.back();
+    reply(second.attempt, displaced);
+    EXPECT_LE(second.backend->pausedUntil, now);
+}
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -125,5 +125,7 @@
         R"({"instances":[{"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":2,)"
         R"("state":"ready","warmupLeftMs":0,"id":"i-7f3a91c2","born":5}],"nextPageToken":"p-50"})";
     decodeDamaged(page, [&](const std::string &text) { (void)protocol.decodeServerPage(text); });
+    decodeDamaged("3.25", [&](const std::string &text) { (void)protocol.decodePause(text); });
+    decodeDamaged("1", [&](const std::string &text) { (void)protocol.announcesLeaving(text); });
     decodeDamaged("3,0,8", [&](const std::string &text) { (void)protocol.decodeServerLoad(text); });
 }
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -197,6 +197,19 @@
     EXPECT_FALSE(Protocol.decodeServerLoad("x,1,8").has_value());
 }
 
+// A damaged value must neither pause a server nor pass for the end of one.
+TEST(PlatformProtocol, DecodesNoticesOfServers)
+{
+    EXPECT_TRUE(Protocol.announcesLeaving("1"));
+    for (const char *value : {"", "0", "true", "1 ", "11", "1,1"})
+        EXPECT_FALSE(Protocol.announcesLeaving(value)) << value;
+    EXPECT_EQ(Protocol.decodePause("3"), Base::seconds(3));
+    EXPECT_EQ(Protocol.decodePause("0.25"), Base::milliseconds(250));
+    EXPECT_GT(Protocol.decodePause("1e300"), Base::seconds(600));
+    for (const char *value : {"", "0", "-1", "x", "3s", "3,4", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"})
+        EXPECT_FALSE(Protocol.decodePause(value).has_value()) << value;
+}
+
 TEST(PlatformProtocol, ClassifiesCalls)
 {
     EXPECT_EQ(Protocol.classify("GET", "/v1/lookup"), Adapter::Call::LookUpGateways);
