Tell the entries of the server list apart despite damaged ones

Cause: entries were told apart by counting quotes and brackets over the whole page, so a quote without a partner turned text and structure round for all entries behind it. The end of the list was not found and the page refused, by every process.

A log line server_entries_refused says what was expected and how the first unreadable entry begins, when that changes; a gauge has the count.

The registries' logs show dependency_lost "the page holds no list of servers" before.

--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -41,6 +41,7 @@
 {
     std::vector<Wire::ServerRecord> servers;
     std::size_t unreadable = 0; ///< Number of malformed entries that were skipped.
+    std::string firstUnreadable; ///< First bytes of the first of them, for the log.
     std::string nextPage; ///< Token of the next page; empty on the last.
 };
 
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -200,7 +200,8 @@
         && now - startedAt_ < Registry::ServerListHolder::firstReadDelay(settings_.registryPeerAddress(),
                                                                          knownRegistries()))
         return;
-    listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list, std::size_t unreadable) {
+    listReader_->read(now, [this](const Base::Result<Wire::ServerList> &list,
+                                  const ServerListReader::Unreadable &unreadable) {
         const auto readAt = clock_.now();
         listPages_ = std::max(listPages_, listReader_->pagesRead());
         nextRead_ = list ? readAt : readAt + FailedReadPause;
@@ -213,10 +214,20 @@
         if (!list)
             return;
         metrics_.counter("daisyroute_server_list_reads_total", "Complete reads of the server list.").add();
+        metrics_.gauge("daisyroute_server_list_unreadable", "Entries of the server list that name no server.")
+            .set(static_cast<double>(unreadable.count));
+        if (std::exchange(unreadableSample_, unreadable.sample) != unreadable.sample && unreadable.count > 0)
+            events_.write(
+                readAt, Importance::Notable, "server_entries_refused",
+                {{"count", unreadable.count},
+                 {"expected",
+                  "id, service, ip:port, zone, slots from 1, state ready or draining, start and warm-up "
+                  "from 0"},
+                 {"first", unreadable.sample}});
         if (serverList_.offer(readAt, *list)) {
             events_.write(readAt, Importance::Notable, "server_list_changed",
                           {{"servers", list->servers.size()},
-                           {"unreadable", unreadable},
+                           {"unreadable", unreadable.count},
                            {"age_ms", list->ageMs},
                            {"digest", list->digest}});
             watchers_.answer(readAt);
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -142,6 +142,7 @@
     Registry::ServerListHolder serverList_;
     std::unique_ptr<ServerListReader> listReader_;
     Base::Instant nextRead_;
+    std::string unreadableSample_; ///< Of the latest read; a change is logged.
     std::size_t listPages_ = 1; ///< Largest number of pages of any read.
     bool serverListReachable_ = true;
     struct PeerServerList
--- a/Services/Registry/ServerListReader.cpp
+++ b/Services/Registry/ServerListReader.cpp
@@ -38,7 +38,7 @@
     page_.clear();
     pages_ = 0;
     servers_.clear();
-    unreadable_ = 0;
+    unreadable_ = {};
     requestPage();
 }
 
@@ -70,7 +70,9 @@
     auto page = adapter_.decodeServerPage(response.body);
     if (!page)
         return fail(page.error().kind, page.error().detail);
-    unreadable_ += page->unreadable;
+    if (unreadable_.count == 0)
+        unreadable_.sample = std::move(page->firstUnreadable);
+    unreadable_.count += page->unreadable;
     servers_.insert(servers_.end(), std::make_move_iterator(page->servers.begin()),
                     std::make_move_iterator(page->servers.end()));
     const bool repeatsPage = !page->nextPage.empty() && page->nextPage == page_;
--- a/Services/Registry/ServerListReader.h
+++ b/Services/Registry/ServerListReader.h
@@ -15,8 +15,15 @@
 class ServerListReader final : public Edge::BackendConnectionEvents
 {
 public:
+    /// Entries of a list that name no server.
+    struct Unreadable
+    {
+        std::size_t count = 0;
+        std::string sample; ///< First bytes of the first of them.
+    };
+
     /// Receives a complete list with its digest, or the error.
-    using ReadCallback = std::function<void(Base::Result<Wire::ServerList>, std::size_t unreadableEntries)>;
+    using ReadCallback = std::function<void(Base::Result<Wire::ServerList>, const Unreadable &)>;
 
     ServerListReader(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, std::string address);
 
@@ -47,7 +54,7 @@
     Base::Instant startedAt_;
     std::string page_;
     std::size_t pages_ = 0;
-    std::size_t unreadable_ = 0;
+    Unreadable unreadable_;
     std::vector<Wire::ServerRecord> servers_;
 };
 
--- a/Tests/Platform/TestServerPageDecoder.cpp
+++ b/Tests/Platform/TestServerPageDecoder.cpp
@@ -1,5 +1,6 @@
 #include "platform/PlatformProtocol.h"
 
+#include <chrono>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <string>
@@ -68,6 +69,88 @@
     EXPECT_LT(peakMemoryKb() - before, AllowedKb);
 }
 
+// One damaged byte in an entry of another writer hid the whole list: quotes and brackets were counted over
+// the page. None of its bytes, whatever they become, may move the bounds of its neighbours.
+TEST(ServerPageDecoder, DamagedByteLeavesTheNeighbours)
+{
+    const auto whole = entry("x");
+    const std::string replacements("\"\\{}[]:,\xfe\x00 1e-\n", 16);
+    for (std::size_t at = 0; at < whole.size(); ++at) {
+        for (const char replacement : replacements) {
+            auto damaged = whole;
+            damaged[at] = replacement;
+            const auto decoded =
+                Protocol.decodeServerPage(page(entry("a") + "," + damaged + "," + entry("b")));
+            ASSERT_TRUE(decoded.has_value()) << damaged;
+            ASSERT_GE(decoded->servers.size(), 2U) << damaged;
+            EXPECT_EQ(decoded->servers.front().id, "a") << damaged;
+            EXPECT_EQ(decoded->servers.back().id, "b") << damaged;
+            EXPECT_EQ(decoded->nextPage, "p-50") << damaged;
+        }
+    }
+}
+
+// The same for an entry that ends anywhere, for one of binary bytes, and for lists, texts and numbers in its
+// place.
+TEST(ServerPageDecoder, CutOrForeignElementLeavesTheNeighbours)
+{
+    const auto whole = entry("x");
+    for (std::size_t size = 1; size < whole.size(); ++size)
+        expectNeighboursOf(whole.substr(0, size));
+    for (const std::string foreign : {"\x9d\"\xfe\x03\xc1",
+                                      "[1,{\"a\":2}]",
+                                      "\"text, with ] and }\"",
+                                      "17",
+                                      "-1.5e3",
+                                      "null",
+                                      "true",
+                                      "{}",
+                                      "[]",
+                                      "}",
+                                      "]]",
+                                      "{\"x\":[1",
+                                      "{\"x\":[1,{",
+                                      "{\"x\":{\"y\":[",
+                                      "{\"x\":\"",
+                                      "\"",
+                                      "{{{{",
+                                      "[[[[",
+                                      "{\"nextPageToken\":\"other\"}",
+                                      "{\"nextPageToken\":\"other\",\xff}",
+                                      ",,,",
+                                      "],\"x\":1}"})
+        expectNeighboursOf(foreign);
+}
+
+// Several damaged entries, also at both ends of the list.
+TEST(ServerPageDecoder, DamagedEntriesAtTheEndsLeaveTheOthers)
+{
+    const std::string damaged = "{\"service\":\"s\xfe,\"x\":[}";
+    const auto decoded = Protocol.decodeServerPage(
+        page(damaged + "," + entry("a") + "," + damaged + "," + entry("b") + "," + damaged));
+    ASSERT_TRUE(decoded.has_value());
+    ASSERT_EQ(decoded->servers.size(), 2U);
+    EXPECT_EQ(decoded->unreadable, 3U);
+    EXPECT_TRUE(decoded->firstUnreadable.starts_with("{\"service\""));
+    EXPECT_EQ(decoded->nextPage, "p-50");
+}
+
+// Damaged bytes with many opening brackets must not be scanned again from each of them.
+TEST(ServerPageDecoder, DamagedBytesTakeNoQuadraticTime)
+{
+    for (const std::string piece : {"{\"a\":", "{\"a\":[", "{},{\"a\":[", "{\"", "[{", "{\"a\":\"b\","}) {
+        std::string damaged;
+        while (damaged.size() < 2'000'000)
+            damaged += piece;
+        const auto startedAt = std::chrono::steady_clock::now();
+        const auto decoded =
+            Protocol.decodeServerPage(page(entry("a") + "," + damaged + "\xff," + entry("b")));
+        EXPECT_LT(std::chrono::steady_clock::now() - startedAt, std::chrono::seconds(20)) << piece;
+        ASSERT_TRUE(decoded.has_value());
+        EXPECT_EQ(decoded->servers.back().id, "b") << piece;
+    }
+}
+
 // Numbers beyond their range were cut to another value: slots of 2^32 to none, a start beyond 2^63 to one
 // before 1970.
 TEST(ServerPageDecoder, NumbersOutOfRangeNameNoServer)
