Displace a server only while an entry that could be there stands

Cause: a newer entry with the same address set a mark on the older one that nothing took back, whatever its service.

Fix: displacement is derived anew from each list. Only entries in the latest read displace, and only those of a service that the configuration in force names: another writer's entry names no server. Same cause on a related path: a single 421 set the same mark for good; now the server pauses for 5 s, doubled up to 80 s while it serves nothing.

Tests, failing with the old rules put back: BackendTable.EntryOfAnUnknownServiceDisplacesNobody, DisplacementEndsWithTheEntry, MisdirectedServerComesBackAfterATime. Ruled out: the decoding of the list and the avoidance after failures.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -26,7 +26,10 @@
     Base::Instant firstListedAt;
     Base::Instant warmAt; ///< End of its warm-up.
     bool listed = true; ///< False once it has been removed from the platform's list.
-    bool displaced = false; ///< Its address now belongs to another server.
+    bool displaced = false; ///< By the latest list, its address belongs to a newer server.
+    /// Set while another server has answered at its address; it gets nothing before then.
+    std::optional<Base::Instant> misdirectedUntil;
+    std::uint32_t misdirections = 0; ///< Such answers in a row.
     std::uint32_t absentReads = 0; ///< Consecutive list reads without it.
     /// Set once the server has announced in a response that it leaves: the end of its use as a last resort.
     /// The platform's list shows it as draining later.
@@ -47,19 +50,20 @@
     Base::Instant loadAt;
     bool loadKnown = false;
 
+    /// Whether the list names it as a server to use.
+    bool isListedReady() const { return listed && !displaced && record.state == Wire::ServerState::Ready; }
+
     /// Whether connections to it are kept for later requests.
-    bool keepsConnections() const
-    {
-        return listed && !displaced && !lastUse && record.state == Wire::ServerState::Ready;
-    }
+    bool keepsConnections() const { return isListedReady() && !lastUse && !misdirectedUntil; }
 
     /// Apart from a pause that it has asked for.
     Availability availabilityAfterPause(Base::Instant now) const
     {
-        if (keepsConnections())
+        if (!isListedReady() || (misdirectedUntil && now < *misdirectedUntil))
+            return Availability::None;
+        if (!lastUse)
             return Availability::Usual;
-        const bool isLeaving = listed && !displaced && record.state == Wire::ServerState::Ready;
-        return isLeaving && now < *lastUse ? Availability::LastResort : Availability::None;
+        return now < *lastUse ? Availability::LastResort : Availability::None;
     }
 
     Availability availability(Base::Instant now) const
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -48,6 +48,9 @@
 /// Bounds of the exponential backoff after consecutive failures.
 constexpr Base::Duration MinAvoidance = Base::milliseconds(250);
 constexpr Base::Duration MaxAvoidance = Base::seconds(2);
+/// Pause after an answer of another server; doubled up to four times. Terminated servers stay listed for
+/// seconds.
+constexpr Base::Duration MinMisdirection = Base::seconds(5);
 /// A single lost connection may be chance; two in a row indicate a fault.
 constexpr std::uint32_t FailuresBeforeAvoidance = 2;
 
@@ -119,10 +122,8 @@
         const bool isNew = backend->record.id.empty();
         backend->record = record;
         backend->listed = true;
-        if (isNew) {
+        if (isNew)
             backend->firstListedAt = now;
-            displaceOlder(*backend);
-        }
         backend->absentReads = 0;
         backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
     }
@@ -135,20 +136,38 @@
         next = gone ? backends_.erase(next) : std::next(next);
     }
     loaded_ = true;
+    findDisplaced();
     index();
 }
 
-void BackendTable::displaceOlder(const Backend &added)
+void BackendTable::setServices(std::set<std::string, std::less<>> services)
+{
+    services_ = std::move(services);
+    findDisplaced();
+}
+
+/// Follows from the present list alone, so that it ends with the entry that causes it.
+void BackendTable::findDisplaced()
 {
-    for (auto &[identity, backend] : backends_) {
-        // Servers that first appear in the same read can be ordered only by their start times.
-        const bool older = backend->firstListedAt < added.firstListedAt
-                           || (backend->record.bornAt != 0 && backend->record.bornAt < added.record.bornAt);
-        if (backend.get() != &added && backend->record.address == added.record.address && older)
-            markDisplaced(*backend);
+    std::unordered_map<std::string_view, std::vector<Backend *>> byAddress;
+    for (const auto &[identity, backend] : backends_)
+        byAddress[backend->record.address].push_back(backend.get());
+    for (const auto &[address, sharing] : byAddress) {
+        for (auto *backend : sharing)
+            backend->displaced = std::any_of(sharing.begin(), sharing.end(), [&](const Backend *other) {
+                return displaces(*other, *backend);
+            });
     }
 }
 
+bool BackendTable::displaces(const Backend &newer, const Backend &older) const
+{
+    // Servers that first appear in the same read can be ordered only by their start times.
+    const bool isNewer = older.firstListedAt < newer.firstListedAt
+                         || (older.record.bornAt != 0 && older.record.bornAt < newer.record.bornAt);
+    return &newer != &older && isNewer && newer.absentReads == 0 && services_.contains(newer.record.service);
+}
+
 void BackendTable::index()
 {
     byService_.clear();
@@ -316,6 +335,8 @@
     backend.slowness = slowness + SlownessWeight * (ratio - slowness);
     backend.slownessAt = now;
     backend.consecutiveFailures = 0;
+    backend.misdirections = 0;
+    backend.misdirectedUntil.reset();
     backend.avoidUntil = now;
     // A reply to a request that was sent before the pause does not end it.
     backend.resuming = now < backend.pausedUntil;
@@ -338,6 +359,12 @@
     backend.avoidUntil = now + std::min(MaxAvoidance, MinAvoidance * (1 << doublings));
 }
 
+void BackendTable::markMisdirected(Base::Instant now, Backend &backend)
+{
+    const auto doublings = std::min(backend.misdirections++, 4U);
+    backend.misdirectedUntil = now + MinMisdirection * (1 << doublings);
+}
+
 bool BackendTable::markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime)
 {
     if (backend.lastUse)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +34,10 @@
     /// because a list that is read page by page may miss one that moved between pages.
     void update(Base::Instant now, const Wire::ServerList &list);
 
+    /// Sets the services that the configuration in force names. An entry of another service names no server
+    /// that could have taken over an address.
+    void setServices(std::set<std::string, std::less<>> services);
+
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
     /// (or two), or none if they report a long queue, qualify; those in `excluded` do not. Servers that stall
@@ -74,8 +79,9 @@
     /// The server could not be reached, or the connection ended without a reply.
     static void recordUnreachable(Base::Instant now, Backend &backend);
     /// Another server answered at its address. The platform may list a terminated server for some seconds
-    /// after reassigning its address, so the server gets no more work even while it is listed.
-    static void markDisplaced(Backend &backend) { backend.displaced = true; }
+    /// after reassigning its address, so it gets nothing for a while even though it is listed, and longer
+    /// each time.
+    static void markMisdirected(Base::Instant now, Backend &backend);
     /// The server announced in a response that it leaves. It may be used as a last resort for `useTime`, and
     /// gets nothing afterwards. Returns false if it had announced that before.
     static bool markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime);
@@ -96,11 +102,13 @@
     using Identity = std::pair<std::string, std::int64_t>; ///< Id and start time.
 
     std::span<const BackendPointer> serversOf(std::string_view service) const;
-    void displaceOlder(const Backend &added);
+    void findDisplaced();
+    bool displaces(const Backend &newer, const Backend &older) const;
     void index();
 
     std::map<Identity, BackendPointer> backends_;
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
+    std::set<std::string, std::less<>> services_;
     Base::RandomSource random_;
     std::string dataCentre_;
     bool loaded_ = false;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -243,7 +243,7 @@
     const bool succeeded =
         reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
     if (reply.response.status == 421)
-        BackendTable::markDisplaced(*attempt.backend);
+        BackendTable::markMisdirected(now, *attempt.backend);
     else if (reply.isWhole)
         takeNotice(now, attempt, reply);
     const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -114,6 +115,11 @@
 
     void setOptions(const ForwardOptions &options);
     void setServers(Base::Instant now, const Wire::ServerList &list);
+    /// Sets the services that the configuration in force names.
+    void setServices(std::set<std::string, std::less<>> services)
+    {
+        backends_.setServices(std::move(services));
+    }
     /// Sets the number of gateways that share connections and budgets; 0 counts as 1.
     void setGatewayCount(std::size_t count);
 
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -61,6 +61,15 @@
 {
 }
 
+void Forwarder::setRoutes(std::shared_ptr<const Route::RouteTable> table)
+{
+    table_ = std::move(table);
+    std::set<std::string, std::less<>> services;
+    for (const auto &[name, service] : table_->configuration().services)
+        services.emplace(name);
+    core_.setServices(std::move(services));
+}
+
 void Forwarder::setServers(Base::Instant now, const Wire::ServerList &list)
 {
     serversReadAt_ = now - Base::milliseconds(list.ageMs);
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -25,7 +25,7 @@
     void handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller);
 
     /// Sets the route table for requests that arrive from now on.
-    void setRoutes(std::shared_ptr<const Route::RouteTable> table) { table_ = std::move(table); }
+    void setRoutes(std::shared_ptr<const Route::RouteTable> table);
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
     void setServers(Base::Instant now, const Wire::ServerList &list);
     /// Updates the age of a server list that was read again with the same content.
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -48,6 +48,7 @@
 TEST(BackendTable, SelectsNoServerWhoseAddressWasReassigned)
 {
     BackendTable table(1, "dc-a");
+    table.setServices({"s", "t"});
     table.update(Start, listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2)}));
     table.update(Start + Base::seconds(1), listOf({serverRecord("old", "s", 1), serverRecord("x", "s", 2),
                                                    serverRecord("new", "t", 1)}));
@@ -55,10 +56,58 @@
     EXPECT_EQ(table.eligibleCount(Start, "t"), 1U);
 }
 
+// An entry of another writer bears the address of a sound server. It banned that server for good, also when
+// it was gone.
+TEST(BackendTable, EntryOfAnUnknownServiceDisplacesNobody)
+{
+    BackendTable table(1, "dc-a");
+    table.setServices({"s"});
+    table.update(Start, listOf({serverRecord("sound", "s", 1)}));
+    table.update(Start + Base::seconds(1),
+                 listOf({serverRecord("sound", "s", 1), serverRecord("x", "foreign", 1)}));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
+    // A configuration that names the service makes it one that could be there.
+    table.setServices({"s", "foreign"});
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
+    EXPECT_EQ(table.eligibleCount(Start, "foreign"), 1U);
+}
+
+// The address may come back: a server is displaced for as long as the newer entry stands in the list.
+TEST(BackendTable, DisplacementEndsWithTheEntry)
+{
+    BackendTable table(1, "dc-a");
+    table.setServices({"s", "t"});
+    table.update(Start, listOf({serverRecord("old", "s", 1)}));
+    table.update(Start + Base::seconds(1),
+                 listOf({serverRecord("old", "s", 1), serverRecord("new", "t", 1)}));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
+    table.update(Start + Base::seconds(2), listOf({serverRecord("old", "s", 1)}));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
+}
+
+// A server whose address answered once for another was never used again, although the list goes on naming it.
+TEST(BackendTable, MisdirectedServerComesBackAfterATime)
+{
+    BackendTable table(1, "dc-a");
+    table.update(Start, listOf({serverRecord("a", "s", 1)}));
+    const auto server = table.choose(Start, "s", {}, Share, Mean, Target);
+    BackendTable::markMisdirected(Start, *server);
+    EXPECT_EQ(table.eligibleCount(Start + Base::seconds(4), "s"), 0U);
+    EXPECT_EQ(table.eligibleCount(Start + Base::seconds(5), "s"), 1U);
+    EXPECT_FALSE(server->keepsConnections());
+    const auto later = Start + Base::seconds(5);
+    BackendTable::markMisdirected(later, *server);
+    EXPECT_EQ(table.eligibleCount(later + Base::seconds(9), "s"), 0U);
+    EXPECT_EQ(table.eligibleCount(later + Base::seconds(10), "s"), 1U);
+    BackendTable::recordSuccess(later + Base::seconds(10), *server, Mean, Mean);
+    EXPECT_TRUE(server->keepsConnections());
+}
+
 // Two servers with one address that first appear in the same read can be ordered only by their start times.
 TEST(BackendTable, OrdersServersOfOneReadByStartTime)
 {
     BackendTable table(1, "dc-a");
+    table.setServices({"s", "t"});
     auto young = serverRecord("a-young", "t", 1);
     young.bornAt = 2000;
     auto old = serverRecord("b-old", "s", 1);
@@ -67,6 +116,7 @@
     EXPECT_EQ(table.eligibleCount(Start, "t"), 1U);
     EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
     BackendTable unknown(1, "dc-a");
+    unknown.setServices({"s", "t"});
     unknown.update(Start, listOf({serverRecord("a", "t", 1), serverRecord("b", "s", 1)}));
     EXPECT_EQ(unknown.eligibleCount(Start, "t") + unknown.eligibleCount(Start, "s"), 2U);
 }
