Accept the first configuration only with voters for the tolerated losses

Cause: a time of 6 s ended the refusal. Two voters bear no lost disk. Fix: no time ends it. The cluster needs 2f + 1 voters before it holds its first configuration; all that the settings name if they name fewer than three; one where the founder has no disk, as those without never vote. A cluster that holds a configuration goes on while it is one voter short; before, it refused changes for 6 s after each election then.

The price is 503 to the operator while a machine is down at the first start.

--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -136,9 +136,6 @@
     const auto status = cluster_->raft().status(now);
     raftWatch_.observe(status);
     const bool leads = isLeader(now);
-    if (leads && !wasLeader_)
-        leadingSince_ = now;
-    wasLeader_ = leads;
     metrics_.gauge("daisyroute_registry_leader", "1 on the leader.").set(leads ? 1 : 0);
     metrics_.gauge("daisyroute_registry_term", "Raft term.").set(static_cast<double>(status.term));
     metrics_.gauge("daisyroute_configuration_version", "Version held.")
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -1,6 +1,7 @@
 // The operators' interface: reading and replacing the configuration.
 
 #include "LibBase/Compression.h"
+#include "LibRegistry/Formation.h"
 #include "Services/Registry/RegistryProcess.h"
 
 #include <algorithm>
@@ -15,10 +16,6 @@
 
 /// Operators ask another registry after about a second without an answer.
 constexpr Base::Duration ForwardTimeout = Base::milliseconds(900);
-/// Maximum time for which a new cluster refuses configurations until it has enough voters: a configuration on
-/// a single disk would be lost with it.
-constexpr Base::Duration FormationTimeout = Base::seconds(6);
-
 Edge::ResponseMessage jsonResponse(int status, std::string body)
 {
     Edge::ResponseMessage response;
@@ -43,14 +40,6 @@
                         fmt::format("{{\"error\":\"{}\"}}", Base::errorName(error.kind)));
 }
 
-bool isForming(const Consensus::RaftStatus &status, std::size_t targetVoterCount)
-{
-    const auto voters =
-        static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
-                                               [](const auto &member) { return member.member.voter; }));
-    return voters < targetVoterCount;
-}
-
 } // namespace
 
 void RegistryProcess::handleOperator(const Edge::RequestMessage &request,
@@ -87,8 +76,11 @@
                              const Registry::RegistryCore::SubmitCallback &done)
 {
     const auto now = clock_.now();
-    if (isLeader(now) && isForming(cluster_->raft().status(now), targetVoterCount())
-        && now - leadingSince_ < FormationTimeout)
+    const auto needed = Registry::votersToForm(
+        {settings_.lostVmsTolerated, settings_.seeds.size(), !settings_.dataDirectory.empty()});
+    if (isLeader(now)
+        && Registry::isForming(cluster_->raft().status(now), cluster_->core().configuration().version(),
+                               needed))
         return done(Base::fail(ErrorKind::ControlUnavailable, "cluster has fewer voters than required"));
     cluster_->core().submit(now, version, text, done);
     processReady();
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -124,8 +124,6 @@
     std::unique_ptr<ClusterNode> cluster_; ///< Null while the data directory cannot be used.
     Base::Instant nextOpenAttempt_;
     Base::Instant startedAt_;
-    Base::Instant leadingSince_;
-    bool wasLeader_ = false;
     std::string openFailure_;
     AddressBook addresses_;
     /// Leader address returned by a registry, by address of that registry.
