Refuse requests in a transfer encoding that is not understood

A POST with "Transfer-Encoding: xchunked" was taken for a request without a body, and its body ran as a request of its own (seen in the review). The parser knows only "chunked" and passed over any other value. Now such a request gets 400 and the connection closes, as its end is unknown.

--- a/Libraries/LibEdge/MessageParser.cpp
+++ b/Libraries/LibEdge/MessageParser.cpp
@@ -60,8 +60,12 @@
     message_.target = toText(target);
 }
 
-void RequestParser::on_field_impl(boost::beast::http::field field, Text name, Text value, Error &)
+// The end of a body in an encoding that is not understood is unknown, so what follows could be taken for a
+// request.
+void RequestParser::on_field_impl(boost::beast::http::field field, Text name, Text value, Error &error)
 {
+    if (field == boost::beast::http::field::transfer_encoding && !boost::beast::iequals(value, "chunked"))
+        error = boost::beast::http::error::bad_transfer_encoding;
     if (field == boost::beast::http::field::expect && boost::beast::iequals(value, "100-continue"))
         expectsContinue_ = true;
     message_.headers.emplace_back(toText(name), toText(value));
--- a/Tests/LibEdge/TestEdge.cpp
+++ b/Tests/LibEdge/TestEdge.cpp
@@ -26,6 +26,19 @@
     EXPECT_EQ(handled, 0);
 }
 
+// The same for an encoding that is not understood: the request was taken for one without a body, and its body
+// ran.
+TEST_F(EdgeTest, RefusesTransferEncodingsThatItDoesNotKnow)
+{
+    for (const std::string encoding : {"xchunked", "gzip, chunked", "chunked, gzip", "identity", ""}) {
+        const auto answer = exchange("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: " + encoding
+                                     + "\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n");
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << encoding << answer;
+        EXPECT_EQ(answer.find("smuggled"), std::string::npos) << encoding;
+    }
+    EXPECT_EQ(handled, 0);
+}
+
 TEST_F(EdgeTest, RefusesConflictingLengths)
 {
     const auto answer =
