Answer requests that were read behind one at work on a planned stop

Now the connection closes with the answer to the last request that was read; requests still in the socket are not taken. PlannedStop.AnswersRequestsReadBehindOneAtWork fails before with one answer of three.

--- a/Libraries/LibEdge/CallerConnection.cpp
+++ b/Libraries/LibEdge/CallerConnection.cpp
@@ -172,7 +172,9 @@
     if (state_ != State::Handling || sequence != sequence_ || closesAfterWrite_)
         return;
     callerLeft_ = nullptr;
-    closesAfterWrite_ = !keepAlive_ || context_->draining;
+    // A request that was read behind this one gets an answer as well, and the last answer closes the
+    // connection.
+    closesAfterWrite_ = !keepAlive_ || (context_->draining && input_.empty());
     // The request is over; its sequence number must not be answered again.
     ++sequence_;
     write(formatResponse(response, closesAfterWrite_, headRequest_));
--- a/Tests/LibEdge/TestPlannedStop.cpp
+++ b/Tests/LibEdge/TestPlannedStop.cpp
@@ -73,6 +73,29 @@
     EXPECT_EQ(handled, 40);
 }
 
+// Requests that a caller sent without waiting for the answer were read behind the one at work and never
+// answered.
+TEST_F(PlannedStop, AnswersRequestsReadBehindOneAtWork)
+{
+    const auto caller = RawSocket::connectTo(address);
+    caller.send("GET /held HTTP/1.1\r\nHost: h\r\n\r\n" + std::string(Request) + std::string(Request));
+    ASSERT_TRUE(eventually([&] { return handled == 1; }));
+    std::this_thread::sleep_for(Delivery);
+    loop.post([&] {
+        server->beginDrain();
+        held.respond({});
+    });
+    const auto answers = caller.receiveAll();
+    EXPECT_EQ(handled, 3);
+    std::size_t count = 0;
+    for (auto at = answers.find("HTTP/1.1 200"); at != std::string::npos;
+         at = answers.find("HTTP/1.1 200", at + 1))
+        ++count;
+    EXPECT_EQ(count, 3U);
+    EXPECT_GT(answers.find("Connection: close"), answers.rfind("HTTP/1.1 200"));
+    EXPECT_NE(answers.find("Connection: close"), std::string::npos);
+}
+
 // One request that meets a fault must not take the process, or other callers, with it.
 TEST_F(EdgeTest, FailingHandlerEndsOneRequestOnly)
 {
