Hold signals back until a process can handle them

A SIGHUP or SIGTERM in the first milliseconds of a gateway or registry ended it, as no handler was set yet (seen in the review). The command now holds these signals back first, in all its threads, and the loop takes them once it handles them.

Loop.HandlesSignalsThatWereHeldBack raises SIGHUP before the loop exists.

--- a/Libraries/LibEdge/Loop.cpp
+++ b/Libraries/LibEdge/Loop.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 #include <exception>
 #include <list>
 
@@ -16,6 +17,15 @@
 
 constexpr Base::Log Log("loop");
 
+sigset_t signalSet(std::initializer_list<int> signals)
+{
+    sigset_t set {};
+    sigemptyset(&set);
+    for (const int signal : signals)
+        sigaddset(&set, signal);
+    return set;
+}
+
 /// Runs `task`. An exception ends what the task was doing and nothing else.
 template<typename Task>
 void runContained(const Task &task)
@@ -123,12 +133,20 @@
     implementation_->wakeUp_.cancel();
 }
 
+void Loop::holdSignals(std::initializer_list<int> signals)
+{
+    const auto set = signalSet(signals);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+}
+
 void Loop::onSignals(std::initializer_list<int> signals, std::function<void(int)> task)
 {
     for (const int signal : signals)
         implementation_->signals_.add(signal);
     implementation_->signalTask_ = std::move(task);
     implementation_->waitForSignal();
+    const auto set = signalSet(signals);
+    pthread_sigmask(SIG_UNBLOCK, &set, nullptr);
 }
 
 boost::asio::io_context &Loop::context()
--- a/Libraries/LibEdge/Loop.h
+++ b/Libraries/LibEdge/Loop.h
@@ -37,7 +37,11 @@
     void setWakeUp(Base::Duration delay, std::function<void()> task);
     void clearWakeUp();
 
-    /// Calls `task` for each arrival of one of these signals.
+    /// Holds these signals back in this thread, and those that it starts, until onSignals() takes them. A
+    /// process calls this first, because a signal without a handler would end it.
+    static void holdSignals(std::initializer_list<int> signals);
+
+    /// Calls `task` for each arrival of one of these signals, also for one that was held back.
     void onSignals(std::initializer_list<int> signals, std::function<void(int)> task);
 
     boost::asio::io_context &context();
--- a/Services/Cli/RoutingCommands.cpp
+++ b/Services/Cli/RoutingCommands.cpp
@@ -20,6 +20,7 @@
 template<typename Process>
 int runProcess(const Settings::CommandLine &line, const Adapter::PlatformAdapter &adapter)
 {
+    Edge::Loop::holdSignals({SIGTERM, SIGINT, SIGHUP});
     // A peer that closes its connection must show as an error of the write.
     std::signal(SIGPIPE, SIG_IGN);
     const auto process = Process::create(line.text("config"), line.text("metrics-port"), adapter);
--- a/Tests/LibEdge/TestPlannedStop.cpp
+++ b/Tests/LibEdge/TestPlannedStop.cpp
@@ -2,6 +2,8 @@
 
 #include "LibEdge/EdgeFixture.h"
 
+#include <csignal>
+
 using Base::milliseconds;
 using Support::RawSocket;
 using Tests::EdgeTest;
@@ -103,6 +105,23 @@
     EXPECT_TRUE(exchange(std::string(Request)).starts_with("HTTP/1.1 200"));
 }
 
+// A signal in the first moments of a process ended it, as nothing handled it yet.
+TEST(Loop, HandlesSignalsThatWereHeldBack)
+{
+    Edge::Loop::holdSignals({SIGHUP});
+    std::raise(SIGHUP);
+    Edge::Loop loop;
+    int signals = 0;
+    loop.onSignals({SIGHUP}, [&](int) { ++signals; });
+    for (int i = 0; i < 100 && signals == 0; ++i)
+        loop.runFor(milliseconds(10));
+    EXPECT_EQ(signals, 1);
+    std::raise(SIGHUP);
+    for (int i = 0; i < 100 && signals == 1; ++i)
+        loop.runFor(milliseconds(10));
+    EXPECT_EQ(signals, 2);
+}
+
 // Tasks and timers of a process go on after one of them has failed.
 TEST(Loop, GoesOnAfterAFailingTask)
 {
