Declare tenants, allowances, evacuations and their settings

Cause: the two new deployments name tenants with keys and allowances, cold servers and evacuated data centres; no type holds them yet. Nothing reads them yet; a configuration without tenants and settings without the new keys behave as before. ForwardCore asks RequestFacts::rank(), which a tenant may replace. Forwarder::handle hands requests to admit(), where keys and allowances come in. Ruled out: keys in memory as text; a digest serves the look-up and cannot leak.

--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -25,6 +25,9 @@
     std::string_view notExecuted; ///< The backend server has not run the request.
     std::string_view partProofs; ///< Proofs of the parts in a gathered answer.
     std::string_view missingParts; ///< Number of shards missing from a gathered answer.
+    std::string_view callerKey; ///< Key of the caller's tenant; never passed on.
+    std::string_view tenant; ///< Name of the tenant, set by this system only.
+    std::string_view serverWarmUp; ///< How much longer the server stays cold, in milliseconds.
 };
 
 /// Load as reported by a backend server.
@@ -51,7 +54,9 @@
     LookUpGateways,
     CheckReadiness,
     ReplaceConfiguration,
-    ReadConfiguration
+    ReadConfiguration,
+    BeginEvacuation,
+    EndEvacuation
 };
 
 /// Translates between the product and the protocols of its platform. Stateless.
--- a/Libraries/LibBase/ErrorKind.cpp
+++ b/Libraries/LibBase/ErrorKind.cpp
@@ -40,6 +40,8 @@
     {"not_leader", 421, RunState::NotRun, "This control process is not the leader."},
     {"not_owner", 421, RunState::NotRun, "This entry process does not own the backend server."},
     {"control_unavailable", 503, RunState::NotRun, "No control leader could be reached."},
+    {"configuration_not_current", 503, RunState::NotRun,
+     "This process cannot be sure that its configuration is the newest."},
     {"revision_conflict", 409, RunState::NotRun, "Another change was accepted on the base revision."},
     {"document_invalid", 422, RunState::NotRun, "The document has mistakes."},
     {"document_rejected", 409, RunState::NotRun, "An entry process rejected the document."},
--- a/Libraries/LibBase/ErrorKind.h
+++ b/Libraries/LibBase/ErrorKind.h
@@ -39,6 +39,7 @@
     NotLeader,
     NotOwner,
     ControlUnavailable,
+    ConfigurationNotCurrent,
     RevisionConflict,
     DocumentInvalid,
     DocumentRejected,
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -31,6 +31,13 @@
     const Route::RouteRule *route = nullptr; ///< Of `table`.
     std::optional<Base::Duration> callerDeadline;
     CallerDelay callerDelay;
+    const Route::TenantRule *tenant = nullptr; ///< Of `table`; null for a request without one.
+
+    /// 0 is the most urgent.
+    std::uint32_t rank() const
+    {
+        return tenant != nullptr ? tenant->rank.value_or(route->rank) : route->rank;
+    }
 };
 
 /// A backend server's whole response to one attempt.
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -62,7 +62,7 @@
     std::unordered_map<std::string_view, std::size_t> counts;
     for (const auto &waiting : waiting_) {
         const auto &other = exchanges_.at(waiting.exchange);
-        if (other.facts.route->rank <= exchange.facts.route->rank)
+        if (other.facts.rank() <= exchange.facts.rank())
             ++counts[other.legs[waiting.leg].service];
     }
     return counts;
@@ -127,7 +127,7 @@
         return;
     const auto urgency = [this, now](const WaitingLeg &waiting) {
         const auto &exchange = exchanges_.at(waiting.exchange);
-        return std::tuple(exchange.facts.route->rank, !canMeetTarget(now, exchange), exchange.deadline);
+        return std::tuple(exchange.facts.rank(), !canMeetTarget(now, exchange), exchange.deadline);
     };
     std::vector<std::pair<decltype(urgency(waiting_.front())), WaitingLeg>> queue;
     queue.reserve(waiting_.size());
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Error.h"
 #include "LibBase/Time.h"
+#include "LibRoute/KeyDigest.h"
 
 #include <cstdint>
 #include <map>
@@ -47,6 +48,7 @@
     std::uint32_t attempts = 1; ///< Maximum number of backend servers per request or gather shard.
     std::vector<WeightedService> targets; ///< Empty for a gather.
     std::optional<GatherRule> gather;
+    bool isPublic = false; ///< Needs no key, even if the configuration has tenants.
     std::uint64_t sourceDigest = 0; ///< Of the source text; equal texts give equal rules.
 
     bool operator==(const RouteRule &) const = default;
@@ -56,10 +58,25 @@
 {
     std::string name;
     std::uint32_t maxConnections = 1; ///< To one backend server, over all processes.
+    /// Requests per second that a cold server tolerates, over all processes; 0 if it has no limit.
+    double coldRequestsPerSecond = 0.0;
 
     bool operator==(const ServiceRule &) const = default;
 };
 
+/// A customer of the deployment, told by the keys that its callers send.
+struct TenantRule
+{
+    std::string name;
+    std::vector<KeyDigest> keys;
+    std::optional<std::uint32_t> rank; ///< Replaces the rank of the route.
+    double requestsPerSecond = 0.0; ///< Over all gateways; 0 if it has no limit.
+    double burst = 0.0; ///< Requests that may come at once in addition to the rate.
+    std::uint64_t sourceDigest = 0; ///< Of the source text; equal texts give equal rules.
+
+    bool operator==(const TenantRule &) const = default;
+};
+
 /// Size and time limits for requests and connections of callers.
 struct CallerLimits
 {
@@ -77,6 +94,7 @@
     std::uint64_t version = 0;
     std::vector<RouteRule> routes;
     std::map<std::string, ServiceRule, std::less<>> services;
+    std::vector<TenantRule> tenants; ///< If there are any, requests need a key, except on public routes.
     CallerLimits limits;
     std::uint64_t servicesDigest = 0; ///< Of the text that `services` was decoded from.
 };
--- a/Libraries/LibWire/Method.cpp
+++ b/Libraries/LibWire/Method.cpp
@@ -8,9 +8,11 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Method::Count)> Names {
-    "raft-message",       "renew-lease",          "fetch-document",     "claim-request",  "record-outcome",
-    "execute-subrequest", "observe-backends",     "introduce-node",     "watch-registry", "join-cluster",
-    "share-state",        "submit-configuration", "read-configuration", "leave-cluster",
+    "raft-message",       "renew-lease",        "fetch-document",        "claim-request",
+    "record-outcome",     "execute-subrequest", "observe-backends",      "introduce-node",
+    "watch-registry",     "join-cluster",       "share-state",           "submit-configuration",
+    "read-configuration", "leave-cluster",      "confirm-configuration", "take-allowance",
+    "change-evacuation",
 };
 
 } // namespace
--- a/Libraries/LibWire/Method.h
+++ b/Libraries/LibWire/Method.h
@@ -22,6 +22,9 @@
     SubmitConfiguration, ///< registry → registry leader.
     ReadConfiguration, ///< registry → registry leader.
     LeaveCluster, ///< registry → registry leader.
+    ConfirmConfiguration, ///< registry → registry leader.
+    TakeAllowance, ///< gateway → registry leader.
+    ChangeEvacuation, ///< registry → registry leader.
     Count
 };
 
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -114,9 +114,10 @@
     bool mayWait = true; ///< False asks for an answer at once.
     std::vector<GatewayReport> relayed; ///< Of gateways that reach the sender but no registry.
     std::uint32_t serverListAgeMs = UINT32_MAX; ///< Since the list held was read; an older one is not wanted.
+    std::uint64_t evacuationRevision = 0;
 
     MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait, relayed,
-                   serverListAgeMs)
+                   serverListAgeMs, evacuationRevision)
 };
 
 struct WatchReply
@@ -130,9 +131,16 @@
     DirectoryCopy directory;
     std::vector<std::string> registryAddresses; ///< Peer addresses of all known registries.
     std::string dataCentre; ///< Of the process that answers.
+    std::string leaderAddress; ///< Peer address of the leader; empty while none is known.
+    /// Set if no configuration above `configurationVersion` had been accepted at an instant this long before
+    /// the request arrived at the callee, or later (0). The caller counts from when it sent the request.
+    std::optional<std::uint32_t> confirmedBeforeMs;
+    std::uint64_t evacuationRevision = 0; ///< Log index of the last evacuation order.
+    std::vector<std::string> evacuatedDataCentres; ///< Meaningful if `evacuationRevision` is not 0.
 
     MSGPACK_DEFINE(leaderKnown, leaderSilentMs, configurationVersion, configurationText, serverList,
-                   directory, registryAddresses, dataCentre)
+                   directory, registryAddresses, dataCentre, leaderAddress, confirmedBeforeMs,
+                   evacuationRevision, evacuatedDataCentres)
 };
 
 /// registry → registry: a node that is not a member asks to be added.
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -76,6 +76,17 @@
     settings.catchUpTime = Base::Duration(
         static_cast<Base::Duration::rep>(table.number("catch_up_s", {0.0, 3600.0, 4.0}) * 1e6));
     settings.lostVmsTolerated = table.integer("lost_vms_tolerated", {0, 100, 1});
+    settings.keyRemovalBound = Base::Duration(
+        static_cast<Base::Duration::rep>(table.number("key_removal_bound_ms", {0.0, 3600e3, 0.0}) * 1e3));
+    settings.allowanceWindow = Base::Duration(
+        static_cast<Base::Duration::rep>(table.number("allowance_window_s", {0.0, 3600.0, 0.0}) * 1e6));
+    settings.allowanceOverage = table.number("allowance_overage", {0.0, 10.0, 0.0});
+    settings.allowanceSlack = table.number("allowance_slack", {0.0, 1e9, 0.0});
+    settings.coldOverage = table.number("cold_overage", {0.0, 100.0, 1.0});
+    settings.coldSlack = table.number("cold_slack", {0.0, 1e9, 0.0});
+    settings.memoryMegabytes = table.number("memory_megabytes", {0.0, 1e9, 0.0});
+    settings.maxDescriptors = table.integer("max_descriptors", {0, 10'000'000, 0});
+    settings.learnServerLimits = table.boolean("learn_server_limits", false);
     table.refuseUnknownKeys();
     return settings;
 }
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -47,6 +47,19 @@
     Base::Duration catchUpTime {};
     std::uint32_t lostVmsTolerated = 1; ///< VMs with a disk that may be lost at once.
 
+    /// A caller's key that a newer configuration has removed may be served for this long after that was
+    /// accepted, on any gateway; zero if there is no such bound.
+    Base::Duration keyRemovalBound {};
+    Base::Duration allowanceWindow {}; ///< A tenant's allowance counts in any window of this length.
+    double allowanceOverage = 0.0; ///< Fraction by which the allowance of a window may be exceeded.
+    double allowanceSlack = 0.0; ///< Requests by which it may be exceeded besides.
+    double coldOverage = 1.0; ///< Factor on the requests that a cold server may get in any second.
+    double coldSlack = 0.0; ///< Requests that it may get besides.
+    double memoryMegabytes = 0.0; ///< Of this process; 0 if it has no limit.
+    std::uint32_t maxDescriptors = 0; ///< Of this process; 0 if it has no limit.
+    /// Whether gateways find out how many attempts at once each server takes well.
+    bool learnServerLimits = false;
+
     /// Address of the registry on the VM of an operator address; empty when that is no address.
     std::string registryPeerAddress(std::string_view seed) const;
     std::string registryPeerAddress() const;
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -87,24 +87,32 @@
     const auto *route = table_->find(request.header("Host"), request.path());
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
+    admit(request, caller, *route, nullptr);
+}
+
+/// Hands a request that may be served to the core.
+void Forwarder::admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                      const Route::RouteRule &route, const Route::TenantRule *tenant)
+{
     const auto now = clock_.now();
     auto callerDelay = Forward::estimateCallerDelay(caller.roundTripTime(), caller.isFirstOnConnection());
     callerDelay.network += answerLag_.allowance();
-    const auto id = core_.begin(
-        now, {table_, route, parseDeadline(request.header(adapter_.headers().deadline)), callerDelay});
+    const auto id =
+        core_.begin(now, {table_, &route, parseDeadline(request.header(adapter_.headers().deadline)),
+                          callerDelay, tenant});
     auto &pending = pending_[id];
     pending.caller = caller;
     pending.requestId = request.header(adapter_.headers().requestId);
-    pending.routeName = route->name;
+    pending.routeName = route.name;
     pending.version = table_->version();
     pending.arrivedAt = now;
     pending.callerDelay = callerDelay.network;
     pending.head = forwardedHead(request);
     pending.body = request.body;
     pending.headRequest = request.method == "HEAD";
-    pending.attemptsAllowed = route->attempts;
-    pending.isGather = route->gather.has_value();
-    pending.repeatable = route->repeatability == Route::Repeatability::Idempotent;
+    pending.attemptsAllowed = route.attempts;
+    pending.isGather = route.gather.has_value();
+    pending.repeatable = route.repeatability == Route::Repeatability::Idempotent;
     caller.onCallerLeft([this, id] {
         const auto found = pending_.find(id);
         if (found == pending_.end())
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -62,6 +62,8 @@
         std::uint32_t attemptsAllowed = 1; ///< Servers per service that the route allows.
     };
 
+    void admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+               const Route::RouteRule &route, const Route::TenantRule *tenant);
     std::string forwardedHead(const Edge::RequestMessage &request) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
