Name the registries' leader in replies to gateways

Cause: gateways will ask the leader directly for shares of an allowance, but know all registries only as a list. Change: registries, and gateways that relay, fill WatchReply::leaderAddress; a gateway keeps the last one named. Ruled out: asking every registry in turn, which costs a call to each.

--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -218,6 +218,7 @@
         reply.configurationText = configurationText_;
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
+    reply.leaderAddress = leaderAddress_;
     return reply;
 }
 
@@ -232,6 +233,8 @@
     const auto before = state();
     if (fresh)
         leaderHeardAt_ = clock_.now() - Base::milliseconds(reply.leaderSilentMs);
+    if (!reply.leaderAddress.empty())
+        leaderAddress_ = reply.leaderAddress;
     applyConfiguration(reply, fresh);
     if (reply.serverList)
         applyServerList(*reply.serverList);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -56,6 +56,8 @@
     void continueLeaving(Base::Instant now);
     Wire::GatewayState state() const;
     bool isReady() const;
+    /// Peer address of the registries' leader as far as known; empty until a registry has named one.
+    const std::string &leaderAddress() const { return leaderAddress_; }
     Forward::ForwardOptions forwardOptions() const;
 
     std::string settingsPath_;
@@ -77,6 +79,7 @@
     /// Gateways that report here because they cannot reach a registry.
     Registry::GatewayTable relayedGateways_;
     Base::Instant leaderHeardAt_; ///< Last time a registry is known to have heard from its leader.
+    std::string leaderAddress_; ///< Kept while no registry names another.
     WatchDesk watchers_;
     Registry::Directory directory_;
     /// Gateways of `directory_` that are advertised to callers.
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -121,6 +121,7 @@
             if (member.member.nodeId == status.leaderId)
                 reply.leaderSilentMs = static_cast<std::uint32_t>(member.silentFor / Base::milliseconds(1));
         }
+        reply.leaderAddress = leaderAddress(status);
         const auto &configuration = cluster_->core().configuration();
         reply.configurationVersion = configuration.version();
         if (configuration.version() > request.configurationVersion)
