Decode tenants, public routes and rates of cold servers

Cause: configurations name tenants with keys, routes that need none and the rate that a cold server tolerates; the decoder passed over them. Change: the decoder reads them. Only tenants whose text differs are decoded, by the code that does so for routes. A configuration is invalid where two tenants share a key or a name, where a name is empty or no header value, or where a key is empty. Mistakes name tenants or positions, never keys. Ruled out: an error for a key that one tenant lists twice, and for a tenant without keys: its last one may be taken away.

--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -1,8 +1,10 @@
 #include "LibRoute/Configuration.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 #include <numeric>
 #include <set>
+#include <unordered_map>
 
 namespace Route {
 
@@ -53,17 +55,56 @@
         checkGather(configuration, route, mistakes);
 }
 
+/// A name is sent to backend servers as the value of a header.
+bool isHeaderValue(std::string_view text)
+{
+    const auto isVisible = [](unsigned char c) { return c >= 0x20 && c != 0x7f; };
+    return !text.empty() && text.front() != ' ' && text.back() != ' '
+           && std::all_of(text.begin(), text.end(), isVisible);
+}
+
+/// The first bytes of a cryptographic digest are as good a hash as any.
+struct DigestHash
+{
+    std::size_t operator()(const KeyDigest &digest) const
+    {
+        std::size_t hash = 0;
+        std::copy_n(digest.begin(), sizeof(hash), reinterpret_cast<std::uint8_t *>(&hash));
+        return hash;
+    }
+};
+
+void checkTenants(const Configuration &configuration, std::vector<std::string> &mistakes)
+{
+    std::set<std::string_view> names;
+    std::unordered_map<KeyDigest, const TenantRule *, DigestHash> holders;
+    const auto emptyKey = digestOfKey({});
+    for (const auto &tenant : configuration.tenants) {
+        if (!isHeaderValue(tenant.name))
+            mistakes.emplace_back("tenants: a name is empty or holds characters that a header may not hold");
+        else if (!names.insert(tenant.name).second)
+            mistakes.push_back(fmt::format("tenant {}: another tenant already has this name", tenant.name));
+        for (const auto &key : tenant.keys) {
+            if (key == emptyKey)
+                mistakes.push_back(fmt::format("tenant {}: a key is empty", tenant.name));
+            const auto [holder, isNew] = holders.emplace(key, &tenant);
+            if (!isNew && holder->second != &tenant)
+                mistakes.push_back(
+                    fmt::format("tenant {}: tenant {} has the same key", tenant.name, holder->second->name));
+        }
+    }
+}
+
 } // namespace
 
 std::vector<std::string> findMistakes(const Configuration &configuration)
 {
     std::vector<std::size_t> all(configuration.routes.size());
     std::iota(all.begin(), all.end(), 0);
-    return findMistakes(configuration, all);
+    return findMistakes(configuration, ChangedParts {all, true});
 }
 
-std::vector<std::string> findMistakes(const Configuration &configuration,
-                                      std::span<const std::size_t> changed)
+std::vector<std::string> findMistakes(const Configuration &configuration, const ChangedParts &changed)
 {
     std::vector<std::string> mistakes;
     std::set<std::pair<std::string_view, std::string_view>> places;
@@ -72,8 +113,10 @@
             mistakes.push_back(fmt::format("route {}: another route already has host and prefix {}{}",
                                            route.name, route.host, route.prefix));
     }
-    for (const auto position : changed)
+    for (const auto position : changed.routes)
         checkRoute(configuration, configuration.routes[position], mistakes);
+    if (changed.tenants)
+        checkTenants(configuration, mistakes);
     return mistakes;
 }
 
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -97,12 +97,20 @@
     std::vector<TenantRule> tenants; ///< If there are any, requests need a key, except on public routes.
     CallerLimits limits;
     std::uint64_t servicesDigest = 0; ///< Of the text that `services` was decoded from.
+    std::uint64_t tenantsDigest = 0; ///< Of the text that `tenants` was decoded from.
 };
 
-/// Validates the configuration. Returns all errors, each with the name of its route.
+/// The parts of a configuration that differ from one that was valid.
+struct ChangedParts
+{
+    std::span<const std::size_t> routes; ///< Indices.
+    bool tenants = true;
+};
+
+/// Validates the configuration. Returns all errors, each with the name of its route or tenant and never with
+/// a key.
 std::vector<std::string> findMistakes(const Configuration &configuration);
-/// The same, but checks only the routes at the indices `changed`, and all routes for equal host and prefix.
-std::vector<std::string> findMistakes(const Configuration &configuration,
-                                      std::span<const std::size_t> changed);
+/// The same, but checks only the changed parts, and all routes for equal host and prefix.
+std::vector<std::string> findMistakes(const Configuration &configuration, const ChangedParts &changed);
 
 } // namespace Route
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -114,7 +114,9 @@
         R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":1000,)"
         R"("gather":["s","t"],"topK":3,"minCoverage":0.5},{"name":"q","host":"h","pathPrefix":"/b/",)"
         R"("routeType":"unsafe","timeoutMs":10,"trafficSplit":[{"service":"s","weight":3}]}],)"
-        R"("services":[{"name":"s","maxConnections":28},{"name":"t"}],"limits":{"maxHeaderBytes":16384}})";
+        R"("services":[{"name":"s","maxConnections":28,"warmupPerS":2},{"name":"t"}],)"
+        R"("limits":{"maxHeaderBytes":16384},"tenants":[{"name":"x","apiKeys":["k1","k2"],"priority":1,)"
+        R"("ratePerS":17,"burst":17},{"name":"y","apiKeys":[]}]})";
     const auto known = protocol.decodeConfiguration(configuration, nullptr);
     ASSERT_TRUE(known.has_value());
     decodeDamaged(configuration, [&](const std::string &text) {
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -119,6 +119,132 @@
     EXPECT_EQ(decodedAnew, 3);
 }
 
+namespace {
+
+/// A configuration of one route and these tenants.
+std::string withTenants(const std::string &tenants, const std::string &version = "7")
+{
+    auto text = configuration(std::string(ProperRoute) + R"(,"public":true)", version);
+    text.back() = ',';
+    return text + R"("tenants":)" + tenants + "}";
+}
+
+} // namespace
+
+TEST(PlatformProtocol, DecodesTenants)
+{
+    const auto decoded = decode(withTenants(
+        R"([{"name":"a","apiKeys":["first","second"],"priority":1,"ratePerS":17,"burst":2.5},{"name":"b"}])"));
+    ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+    EXPECT_TRUE(decoded->routes[0].isPublic);
+    ASSERT_EQ(decoded->tenants.size(), 2U);
+    const auto &tenant = decoded->tenants[0];
+    EXPECT_EQ(tenant.name, "a");
+    EXPECT_EQ(tenant.keys, (std::vector {Route::digestOfKey("first"), Route::digestOfKey("second")}));
+    EXPECT_EQ(tenant.rank, 1U);
+    EXPECT_DOUBLE_EQ(tenant.requestsPerSecond, 17.0);
+    EXPECT_DOUBLE_EQ(tenant.burst, 2.5);
+    // The last key of a tenant may be taken away.
+    EXPECT_TRUE(decoded->tenants[1].keys.empty());
+    EXPECT_FALSE(decoded->tenants[1].rank.has_value());
+    EXPECT_DOUBLE_EQ(decoded->tenants[1].requestsPerSecond, 0.0);
+}
+
+TEST(PlatformProtocol, ConfigurationsWithoutTenantsHaveNone)
+{
+    for (const auto &text : {configuration(ProperRoute), withTenants("[]"), withTenants("null")}) {
+        const auto decoded = decode(text);
+        ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+        EXPECT_TRUE(decoded->tenants.empty());
+    }
+    EXPECT_FALSE(decode(configuration(ProperRoute))->routes[0].isPublic);
+}
+
+TEST(PlatformProtocol, DecodesTheRateOfColdServers)
+{
+    const auto decoded =
+        decode(R"({"version":1,"routes":[],"services":[{"name":"s","warmupPerS":2.5},{"name":"t"}]})");
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_DOUBLE_EQ(decoded->services.at("s").coldRequestsPerSecond, 2.5);
+    EXPECT_DOUBLE_EQ(decoded->services.at("t").coldRequestsPerSecond, 0.0);
+    EXPECT_FALSE(decode(R"({"version":1,"routes":[],"services":[{"name":"s","warmupPerS":"2"}]})"));
+}
+
+// An operator's mistake must neither take effect nor show a key in a log.
+TEST(PlatformProtocol, RefusesInvalidTenantsWithoutNamingKeys)
+{
+    const std::string key = "sK9x2";
+    for (const char *tenants : {
+             R"([{"name":"a","apiKeys":["sK9x2"]},{"name":"b","apiKeys":["other","sK9x2"]}])",
+             R"([{"name":"a"},{"name":"a"}])",
+             R"([{"name":"a","apiKeys":["sK9x2"]},{"name":"a","apiKeys":["sK9x2"]}])",
+             R"([{"apiKeys":["sK9x2"]}])",
+             R"([{"name":"","apiKeys":["sK9x2"]}])",
+             R"([{"name":"a\r\nX-Other: 1","apiKeys":["sK9x2"]}])",
+             R"([{"name":" a"}])",
+             R"([{"name":7,"apiKeys":["sK9x2"]}])",
+             R"([{"name":"a","apiKeys":[""]}])",
+             R"([{"name":"a","apiKeys":["sK9x2",7]}])",
+             R"([{"name":"a","apiKeys":"sK9x2"}])",
+             R"([{"name":"a","apiKeys":{"sK9x2":1}}])",
+             R"([{"name":"a","priority":"sK9x2"}])",
+             R"([{"name":"a","priority":-1}])",
+             R"([{"name":"a","ratePerS":"1"}])",
+             R"([{"name":"a","ratePerS":-1}])",
+             R"([{"name":"a","burst":[]}])",
+             R"(["sK9x2"])",
+             R"({"name":"a","apiKeys":["sK9x2"]})",
+             R"("sK9x2")",
+             R"(7)",
+         }) {
+        const auto decoded = decode(withTenants(tenants));
+        ASSERT_FALSE(decoded.has_value()) << tenants;
+        EXPECT_EQ(decoded.error().kind, Base::ErrorKind::DocumentInvalid) << tenants;
+        EXPECT_EQ(decoded.error().detail.find(key), std::string::npos) << decoded.error().detail;
+    }
+    EXPECT_FALSE(decode(configuration(std::string(ProperRoute) + R"(,"public":1)")).has_value());
+}
+
+// Load pattern: keys of one tenant among thousands are added and taken away hundreds of times a day.
+TEST(PlatformProtocol, DecodesOnlyTenantsThatChanged)
+{
+    const auto tenants = [](int changed) {
+        std::string list = "[";
+        for (int index = 0; index < 40; ++index)
+            list += fmt::format(R"({}{{"name":"t{}","apiKeys":["k{}"{}]}})", index == 0 ? "" : ",", index,
+                                index, index == changed ? R"(,"new")" : "");
+        return list + "]";
+    };
+    auto before = decode(withTenants(tenants(-1)));
+    ASSERT_TRUE(before.has_value());
+    // A mark on what is held shows which tenants were taken over.
+    for (auto &tenant : before->tenants)
+        tenant.burst = 9.0;
+    const auto after = decode(withTenants(tenants(5), "8"), &*before);
+    ASSERT_TRUE(after.has_value());
+    EXPECT_EQ(after->tenants[5].keys.size(), 2U);
+    EXPECT_EQ(std::count_if(after->tenants.begin(), after->tenants.end(),
+                            [](const auto &tenant) { return tenant.burst != 9.0; }),
+              1);
+    EXPECT_NE(after->tenantsDigest, before->tenantsDigest);
+    const auto same = decode(withTenants(tenants(5), "9"), &*after);
+    ASSERT_TRUE(same.has_value());
+    EXPECT_EQ(same->tenantsDigest, after->tenantsDigest);
+    EXPECT_EQ(same->tenants, after->tenants);
+}
+
+// A tenant whose text did not change may hold a key that another one gets, or stand in the list twice.
+TEST(PlatformProtocol, ChecksTenantsThatAreTakenOver)
+{
+    const std::string first = R"({"name":"a","apiKeys":["k"]})";
+    const auto before = decode(withTenants("[" + first + "]"));
+    ASSERT_TRUE(before.has_value());
+    EXPECT_FALSE(
+        decode(withTenants("[" + first + R"(,{"name":"b","apiKeys":["k"]}])"), &*before).has_value());
+    EXPECT_FALSE(decode(withTenants("[" + first + "," + first + "]"), &*before).has_value());
+    EXPECT_TRUE(decode(withTenants(R"([{"name":"b","apiKeys":["k"]}])"), &*before).has_value());
+}
+
 // Routes that are taken over may name a service that is gone, or a place that a new route takes.
 TEST(PlatformProtocol, ChecksRoutesThatAreTakenOver)
 {
