Ask callers of tenants for their key and tell servers the tenant

Cause: with tenants in the configuration, gateways passed keys on to backend servers and named no tenant. Change: Forwarder judges a request between its route and admit(): 401 for a missing, unknown or repeated key while the configuration is known to be current, otherwise 503 as not run. forwardedHead() is a function of its own: the key's header and the caller's own copies of the tenant's header are dropped in any case and number, and the tenant's name is part of the head that all attempts share. Lines request_answered carry the tenant. Ruled out: a second check before the first send. The bound is on requests that callers send after the removal, and one that waits here was sent before.

--- a/Libraries/LibBase/EventLog.cpp
+++ b/Libraries/LibBase/EventLog.cpp
@@ -50,7 +50,7 @@
     return true;
 }
 
-void EventLog::append(std::string_view event, std::initializer_list<LogField> fields)
+void EventLog::append(std::string_view event, std::span<const LogField> fields)
 {
     buffer_ += "time=" + logTimeStamp();
     appendLogField(buffer_, {"part", part_});
--- a/Libraries/LibBase/EventLog.h
+++ b/Libraries/LibBase/EventLog.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -31,7 +32,11 @@
     bool admits(Instant now, Importance importance);
 
     /// Writes a line for which admits() returned true.
-    void append(std::string_view event, std::initializer_list<LogField> fields);
+    void append(std::string_view event, std::span<const LogField> fields);
+    void append(std::string_view event, std::initializer_list<LogField> fields)
+    {
+        append(event, std::span(fields.begin(), fields.size()));
+    }
 
     /// admits() and append() in one call.
     void write(Instant now, Importance importance, std::string_view event,
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -1,5 +1,7 @@
 #include "Services/Gateway/Forwarder.h"
 
+#include "Services/Gateway/ForwardedHead.h"
+
 #include <algorithm>
 #include <charconv>
 #include <exception>
@@ -19,6 +21,9 @@
 constexpr std::uint64_t MaxPartBytes = std::uint64_t {1} * 1024 * 1024;
 /// Minimum Retry-After of a gateway that is not ready.
 constexpr Base::Duration MinRetryAfter = Base::milliseconds(250);
+/// Retry-After of a gateway that has lost touch with the registries. Load pattern: a few VMs are cut off or
+/// have been frozen while the others serve; callers go to another gateway, which needs no time to prepare.
+constexpr Base::Duration OutOfTouchRetryAfter = Base::milliseconds(100);
 
 std::string formatSeconds(Base::Duration duration)
 {
@@ -50,7 +55,8 @@
 } // namespace
 
 Forwarder::Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
-                     GatewayMetrics &metrics, const Forward::ForwardOptions &options)
+                     GatewayMetrics &metrics, const Forward::ForwardOptions &options,
+                     Base::Duration keyRemovalBound)
     : loop_(loop)
     , adapter_(adapter)
     , events_(events)
@@ -58,6 +64,7 @@
     , core_(options)
     , pool_(loop, *this)
     , startedAt_(clock_.now())
+    , authenticator_(keyRemovalBound)
 {
 }
 
@@ -68,6 +75,7 @@
     for (const auto &[name, service] : table_->configuration().services)
         services.emplace(name);
     core_.setServices(std::move(services));
+    authenticator_.setTable(table_);
 }
 
 void Forwarder::setServers(Base::Instant now, const Wire::ServerList &list)
@@ -87,7 +95,23 @@
     const auto *route = table_->find(request.header("Host"), request.path());
     if (route == nullptr)
         return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
-    admit(request, caller, *route, nullptr);
+    const auto verdict = authenticate(request, *route);
+    if (verdict.refusal)
+        return refuse(request, caller, *verdict.refusal, verdict.cause);
+    admit(request, caller, *route, verdict.tenant);
+}
+
+Tenant::Authenticator::Verdict Forwarder::authenticate(const Edge::RequestMessage &request,
+                                                       const Route::RouteRule &route) const
+{
+    if (!authenticator_.isActive())
+        return {};
+    std::vector<std::string_view> keys;
+    for (const auto &[name, value] : request.headers) {
+        if (Edge::equalsIgnoringCase(name, adapter_.headers().callerKey))
+            keys.emplace_back(value);
+    }
+    return authenticator_.check(clock_.now(), route, keys);
 }
 
 /// Hands a request that may be served to the core.
@@ -104,10 +128,12 @@
     pending.caller = caller;
     pending.requestId = request.header(adapter_.headers().requestId);
     pending.routeName = route.name;
+    if (tenant != nullptr)
+        pending.tenantName = tenant->name;
     pending.version = table_->version();
     pending.arrivedAt = now;
     pending.callerDelay = callerDelay.network;
-    pending.head = forwardedHead(request);
+    pending.head = forwardedHead(request, adapter_.headers(), table_->configuration(), tenant);
     pending.body = request.body;
     pending.headRequest = request.method == "HEAD";
     pending.attemptsAllowed = route.attempts;
@@ -130,25 +156,6 @@
     performActions();
 }
 
-/// Request line and headers common to all attempts: the caller's headers without connection headers and those
-/// that this process sets.
-std::string Forwarder::forwardedHead(const Edge::RequestMessage &request) const
-{
-    const auto &names = adapter_.headers();
-    const auto options = request.header("Connection");
-    auto head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
-    for (const auto &[name, value] : request.headers) {
-        if (Edge::isConnectionHeader(name, options) || Edge::equalsIgnoringCase(name, "Content-Length")
-            || Edge::equalsIgnoringCase(name, "Expect") || Edge::equalsIgnoringCase(name, names.deadline)
-            || Edge::equalsIgnoringCase(name, names.targetServer))
-            continue;
-        fmt::format_to(std::back_inserter(head), "{}: {}\r\n", name, value);
-    }
-    if (request.hasBody)
-        fmt::format_to(std::back_inserter(head), "Content-Length: {}\r\n", request.body.size());
-    return head;
-}
-
 /// Callers have only a few attempts, so Retry-After names a time at which this gateway is likely to be ready.
 /// Load pattern: many callers connect at once to a gateway that has just started.
 Base::Duration Forwarder::timeUntilReady(Base::Instant now) const
@@ -156,6 +163,14 @@
     return std::max(MinRetryAfter, startedAt_ + TypicalStartupTime - now);
 }
 
+Base::Duration Forwarder::retryAfter(Base::Instant now, Base::ErrorKind error) const
+{
+    const bool hadTouch = authenticator_.currency().confirmedAt().has_value();
+    if (error == Base::ErrorKind::ConfigurationNotCurrent && hadTouch)
+        return OutOfTouchRetryAfter;
+    return timeUntilReady(now);
+}
+
 void Forwarder::refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                        Base::ErrorKind error, std::string_view cause)
 {
@@ -167,7 +182,7 @@
     if (!requestId.empty())
         response.headers.emplace_back(names.requestId, requestId);
     if (response.status == 503)
-        response.headers.emplace_back("Retry-After", formatSeconds(timeUntilReady(now)));
+        response.headers.emplace_back("Retry-After", formatSeconds(retryAfter(now, error)));
     caller.respond(response);
     metrics_.requestAnswered("none", std::string(Base::errorName(error)), {});
     events_.write(now, Importance::Notable, "request_answered",
@@ -351,7 +366,7 @@
     const auto importance = name == "served" ? Importance::Routine : Importance::Notable;
     if (!events_.admits(now, importance))
         return;
-    events_.append("request_answered", {{"request", pending.requestId},
+    std::vector<Base::LogField> fields {{"request", pending.requestId},
                                         {"route", pending.routeName},
                                         {"outcome", name},
                                         {"status", status},
@@ -365,7 +380,10 @@
                                         {"extra_attempts", outcome.extraAttempts},
                                         {"missing", outcome.missingParts},
                                         {"lacking", outcome.lackingShards},
-                                        {"cause", outcome.cause}});
+                                        {"cause", outcome.cause}};
+    if (!pending.tenantName.empty())
+        fields.emplace_back("tenant", pending.tenantName);
+    events_.append("request_answered", fields);
 }
 
 void Forwarder::endAll()
@@ -393,8 +411,25 @@
     });
 }
 
+/// Logs when this gateway stops or resumes serving keys.
+void Forwarder::watchCurrency(Base::Instant now)
+{
+    if (!authenticator_.needsConfirmations())
+        return;
+    const auto confirmedAt = authenticator_.currency().confirmedAt();
+    const auto ageMs = confirmedAt ? Base::toMilliseconds(now - *confirmedAt) : -1.0;
+    metrics_.setGauge("daisyroute_configuration_confirmed_age_seconds",
+                      "Time since the configuration is known to have been the newest; negative if never.",
+                      ageMs / 1000.0);
+    const bool serves = authenticator_.mayServeKeys(now);
+    if (std::exchange(servesKeys_, serves) != serves)
+        events_.write(now, Importance::Notable, serves ? "keys_served_again" : "keys_not_served",
+                      {{"configuration_version", table_->version()}, {"confirmed_before_ms", ageMs}});
+}
+
 void Forwarder::maintain(Base::Instant now)
 {
+    watchCurrency(now);
     pool_.closeUnusedConnections();
     metrics_.setGauge("daisyroute_requests_in_flight", "Requests of callers without an answer.",
                       static_cast<double>(core_.exchangesInFlight()));
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -6,6 +6,7 @@
 #include "LibEdge/CallerServer.h"
 #include "LibForward/AnswerLag.h"
 #include "LibForward/ForwardCore.h"
+#include "LibTenant/Authenticator.h"
 #include "Services/Gateway/BackendPool.h"
 #include "Services/Gateway/GatewayMetrics.h"
 
@@ -20,7 +21,8 @@
 {
 public:
     Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
-              GatewayMetrics &metrics, const Forward::ForwardOptions &options);
+              GatewayMetrics &metrics, const Forward::ForwardOptions &options,
+              Base::Duration keyRemovalBound = {});
 
     void handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller);
 
@@ -32,6 +34,13 @@
     void setServersReadAt(Base::Instant readAt) { serversReadAt_ = readAt; }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
+    void setKeyRemovalBound(Base::Duration bound) { authenticator_.setKeyRemovalBound(bound); }
+    /// Records that no configuration above `version` had been accepted at `at`.
+    void confirmConfiguration(std::uint64_t version, Base::Instant at)
+    {
+        authenticator_.confirm(version, at);
+    }
+    const Tenant::Authenticator &authenticator() const { return authenticator_; }
 
     /// Sets when endAll() will be called during a planned stop.
     void setStopTime(Base::Instant at) { core_.setStopTime(at); }
@@ -51,6 +60,7 @@
         Edge::CallerExchange caller;
         std::string requestId;
         std::string routeName;
+        std::string tenantName; ///< Empty for a request without a tenant.
         std::uint64_t version = 0;
         Base::Instant arrivedAt;
         Base::Duration callerDelay {}; ///< Estimated network delay to the caller.
@@ -64,10 +74,13 @@
 
     void admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                const Route::RouteRule &route, const Route::TenantRule *tenant);
-    std::string forwardedHead(const Edge::RequestMessage &request) const;
+    Tenant::Authenticator::Verdict authenticate(const Edge::RequestMessage &request,
+                                                const Route::RouteRule &route) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
     Base::Duration timeUntilReady(Base::Instant now) const;
+    Base::Duration retryAfter(Base::Instant now, Base::ErrorKind error) const;
+    void watchCurrency(Base::Instant now);
     void performActions();
     void performAction(Forward::Action &action);
     void send(const Forward::SendAttempt &action);
@@ -92,6 +105,8 @@
     BackendPool pool_;
     Base::Instant startedAt_;
     std::shared_ptr<const Route::RouteTable> table_;
+    Tenant::Authenticator authenticator_;
+    bool servesKeys_ = true; ///< As last logged.
     std::unordered_map<Forward::ExchangeId, PendingRequest> pending_;
     /// Request id that the response to an attempt must echo.
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -236,6 +236,8 @@
     if (!reply.leaderAddress.empty())
         leaderAddress_ = reply.leaderAddress;
     applyConfiguration(reply, fresh);
+    if (fresh && forwarder_->authenticator().isActive())
+        forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
     if (reply.serverList)
         applyServerList(*reply.serverList);
     applyDirectory(reply);
