--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -1,9 +1,11 @@
 // The replicated log of a registry and its members.
 
 #include "LibControl/MembershipPlanner.h"
+#include "LibRegistry/Formation.h"
 #include "Services/Registry/RegistryProcess.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Services {
 
@@ -140,8 +142,11 @@
     metrics_.gauge("daisyroute_registry_term", "Raft term.").set(static_cast<double>(status.term));
     metrics_.gauge("daisyroute_configuration_version", "Version held.")
         .set(static_cast<double>(cluster_->core().configuration().version()));
-    if (!leads)
+    if (!leads) {
+        formation_.reset();
         return joinIfNeeded(now, status);
+    }
+    watchFormation(now, status);
     introduceToNewMembers(status);
     auto next = Control::MembershipPlanner::next(status);
     // A member that is gone must not count for the majority any more once its successor has had the catch-up
@@ -154,6 +159,32 @@
                       {{"members_before", status.members.size()}, {"members_after", next->members.size()}});
 }
 
+std::size_t RegistryProcess::votersToForm() const
+{
+    return Registry::votersToForm(
+        {settings_.lostVmsTolerated, settings_.seeds.size(), !settings_.dataDirectory.empty()});
+}
+
+void RegistryProcess::watchFormation(Base::Instant now, const Consensus::RaftStatus &status)
+{
+    std::vector<std::string> seeds;
+    for (const auto &seed : settings_.seeds)
+        seeds.push_back(settings_.registryPeerAddress(seed));
+    const auto state = formation_.observe(now, status, {votersToForm(), seeds, settings_.catchUpTime});
+    const auto voters =
+        static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
+                                               [](const auto &member) { return member.member.voter; }));
+    if (state == Registry::FormationWatch::State::Starting || voters >= targetVoterCount()
+        || std::exchange(warnedOfFewVoters_, true))
+        return;
+    events_.write(now, Importance::Notable, "deployment_warning",
+                  {{"what", "fewer registries with a disk than the tolerated losses need"},
+                   {"voters", voters},
+                   {"needed", targetVoterCount()},
+                   {"losses_borne", Registry::FormationWatch::lossesBorne(voters)},
+                   {"losses_asked", settings_.lostVmsTolerated}});
+}
+
 /// A node that has just been added does not know the membership, so it could not answer the leader.
 void RegistryProcess::introduceToNewMembers(const Consensus::RaftStatus &status)
 {
@@ -274,6 +305,8 @@
         request.holdsLog);
     reply.isMember = decision.answer == JoinAnswer::IsMember;
     reply.mustReset = decision.answer == JoinAnswer::SetLogAside;
+    if (decision.answer != JoinAnswer::IsMember && request.hasDisk)
+        formation_.noteVoterOnItsWay();
     if (decision.answer != JoinAnswer::Add)
         return reply;
     if (cluster_->raft().proposeMembership(now, decision.membership))
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -76,11 +76,9 @@
                              const Registry::RegistryCore::SubmitCallback &done)
 {
     const auto now = clock_.now();
-    const auto needed = Registry::votersToForm(
-        {settings_.lostVmsTolerated, settings_.seeds.size(), !settings_.dataDirectory.empty()});
-    if (isLeader(now)
+    if (isLeader(now) && formation_.state() != Registry::FormationWatch::State::Undersized
         && Registry::isForming(cluster_->raft().status(now), cluster_->core().configuration().version(),
-                               needed))
+                               votersToForm()))
         return done(Base::fail(ErrorKind::ControlUnavailable, "cluster has fewer voters than required"));
     cluster_->core().submit(now, version, text, done);
     processReady();
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -9,6 +9,7 @@
 #include "LibMetrics/Registry.h"
 #include "LibPeer/Endpoint.h"
 #include "LibRegistry/Directory.h"
+#include "LibRegistry/FormationWatch.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
 #include "LibWire/IntroduceMessages.h"
@@ -62,6 +63,8 @@
     void processReady();
     void sendRaft(const std::vector<Wire::RaftMessage> &messages);
     void maintainMembership(Base::Instant now);
+    void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
+    std::size_t votersToForm() const;
     void introduceToNewMembers(const Consensus::RaftStatus &status);
     void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
     void handleJoinReply(const std::string &address, std::uint64_t incarnation,
@@ -131,6 +134,8 @@
     std::size_t nextJoinTarget_ = 0;
     Base::Instant nextJoin_;
     Base::Instant nextIntroduction_;
+    Registry::FormationWatch formation_;
+    bool warnedOfFewVoters_ = false;
     std::optional<Base::Instant> leavingSince_; ///< Set by SIGTERM.
     Base::Instant nextLeaveRequest_;
     bool finishedLeaving_ = false;
