Share scarce room among tenants by weight

Cause: what waits in a gateway was ordered by rank, what can be in time and deadline, so a tenant that sends many times its usual took the room of all others. Change: Forward::FairQueue, a start-time fair queue for each service with a small burst, a floor for lower ranks and no I/O. ForwardCore dispatches, admits and makes room by it while the configuration has tenants. Each decision has a result and a tenant class in the log (scarce_room) and in daisyroute_scarce_room_total. Without tenants nothing is kept and the old order holds; a property compares it with the old key. Ruled out: deficit round robin, which cannot tell a new request how much goes before it. Fair turns before "can be in time": late requests of small tenants then take the room of requests that could be in time.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -79,15 +79,19 @@
     }
     for (const auto &leg : exchange.legs)
         budgetOf(leg.service).earn(extraTokensPerRequest());
+    followTenants(exchange.facts.table);
     auto refusal = refuseUnfinishable(exchange);
     if (!refusal)
-        refusal = refuseUnservable(exchange);
+        refusal = refuseUnservable(id, exchange);
     if (refusal) {
         finish(now, id, exchange, std::move(*refusal));
         return id;
     }
+    const auto before = sharesFairly() ? claimsWaiting(now) : ClaimsByService();
     for (std::size_t index = 0; index < exchange.legs.size(); ++index)
         dispatch(now, id, exchange, index);
+    if (sharesFairly())
+        shareRoom(now, id, exchange, before);
     if (!concludeIfDecided(now, id, exchange))
         scheduleReview(id, exchange);
     return id;
@@ -125,18 +129,16 @@
 /// Refuses a request that cannot succeed, at once and while nothing of it has run. If all servers of some
 /// services are silent, a request that needs them would hang until its deadline and load the other services
 /// in vain. One request per ProbeInterval is admitted to detect their recovery.
-std::optional<Outcome> ForwardCore::refuseUnservable(const Exchange &exchange)
+std::optional<Outcome> ForwardCore::refuseUnservable(ExchangeId id, Exchange &exchange)
 {
     const auto silence = silenceLimit(exchange.facts.route->name);
     std::size_t silent = 0;
-    // A gather that queues past its target occupies every shard for an answer of little value, and delays the
-    // gathers behind it. Answering fewer gathers in time is worth more.
-    const auto latest =
-        exchange.isGather() ? std::min(exchange.answerBy, exchange.deadline) : exchange.deadline;
+    const auto latest = exchange.latestStart();
     std::size_t reachable = 0;
     std::size_t pausing = 0;
     std::size_t inTime = 0;
-    const auto waiting = waitingAhead(exchange);
+    const auto waiting =
+        sharesFairly() ? std::unordered_map<std::string_view, std::size_t>() : waitingAhead(exchange);
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(exchange.arrivedAt, leg.service) == 0) {
             pausing += backends_.resumesAt(exchange.arrivedAt, leg.service) ? 1 : 0;
@@ -150,8 +152,7 @@
             || exchange.arrivedAt + expectedWait(exchange, leg.service, ahead->second) < latest;
         inTime += mayStart ? 1 : 0;
     }
-    const auto share = exchange.isGather() ? exchange.facts.route->gather->minimumCoverage : 1.0;
-    const auto needed = share * static_cast<double>(exchange.legs.size()) - 1e-9;
+    const auto needed = exchange.legsNeeded();
     if (static_cast<double>(reachable) < needed && static_cast<double>(reachable + pausing) >= needed)
         return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
                              "too many of the required services have only servers that asked for a pause");
@@ -163,7 +164,9 @@
     if (static_cast<double>(reachable - silent) < needed && !probeIsDue(exchange))
         return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
                              "too many of the required services have only unresponsive servers");
-    if (static_cast<double>(inTime) < needed)
+    const bool waitsTooLong =
+        sharesFairly() ? refuseFairly(id, exchange) : static_cast<double>(inTime) < needed;
+    if (waitsTooLong)
         return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
                              "the queued work would delay this request past its time limit");
     return std::nullopt;
@@ -450,6 +453,7 @@
 {
     outcome.attempts = exchange.sends;
     outcome.extraAttempts = exchange.extraSends;
+    outcome.sharing = std::move(exchange.sharing);
     actions_.emplace_back(AnswerCaller {id, std::move(outcome)});
     std::erase_if(waiting_, [id](const WaitingLeg &waiting) { return waiting.exchange == id; });
     abandonAttempts(now, id);
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -5,11 +5,13 @@
 #include "LibEdge/BackendConnection.h"
 #include "LibForward/BackendTable.h"
 #include "LibForward/CallerDelay.h"
+#include "LibForward/FairQueue.h"
 #include "LibForward/RouteTimes.h"
 #include "LibQuery/ExtraLoadBudget.h"
 #include "LibQuery/TimerQueue.h"
 #include "LibRoute/RouteTable.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <optional>
@@ -53,6 +55,21 @@
     std::optional<Adapter::ServerLoad> load;
 };
 
+/// What the sharing of scarce room among tenants did to a request.
+struct SharingRecord
+{
+    enum class Result : std::uint8_t {
+        NotNeeded,
+        Waited,
+        Refused, ///< It would have waited past its time limit in its fair turn.
+        RefusedForOther ///< It made room for a tenant below its share.
+    };
+
+    Result result = Result::NotNeeded;
+    bool aboveShare = false; ///< Its tenant's waiting work exceeded the tenant's share when it came.
+    std::string tenant; ///< Set if needed; empty for a request without one.
+};
+
 /// Final answer to a caller, with details for the log.
 struct Outcome
 {
@@ -69,6 +86,7 @@
     std::uint32_t extraAttempts = 0;
     std::optional<Base::Instant> dueAt; ///< Set if a gather stopped waiting for parts at this time.
     std::string lackingShards; ///< Missing shards, each with its reason, for the log.
+    SharingRecord sharing;
 };
 
 struct SendAttempt
@@ -151,6 +169,8 @@
     std::size_t exchangesInFlight() const { return exchanges_.size(); }
     std::size_t legsWaiting() const { return waiting_.size(); }
     const BackendTable &backends() const { return backends_; }
+    /// Services whose room is shared by tenant; 0 unless the configuration has tenants.
+    std::size_t sharedServices() const { return fairQueues_.size(); }
     /// Maximum number of connections of this gateway to one server of the service.
     std::uint32_t connectionShare(const Route::Configuration &configuration, std::string_view service) const;
 
@@ -194,8 +214,18 @@
         Base::Instant nextReview = Base::Instant::max();
         bool earlyPassed = false;
         bool answerByPassed = false;
+        SharingRecord sharing;
 
         bool isGather() const { return facts.route->gather.has_value(); }
+        /// Latest useful start. A gather that queues past its target occupies every shard for an answer of
+        /// little value, and delays the gathers behind it. Answering fewer gathers in time is worth more.
+        Base::Instant latestStart() const { return isGather() ? std::min(answerBy, deadline) : deadline; }
+        /// Legs that an answer needs.
+        double legsNeeded() const
+        {
+            const auto share = isGather() ? facts.route->gather->minimumCoverage : 1.0;
+            return share * static_cast<double>(legs.size()) - 1e-9;
+        }
         bool isRepeatable() const { return facts.route->repeatability == Route::Repeatability::Idempotent; }
     };
 
@@ -214,13 +244,15 @@
         std::size_t leg = 0;
     };
 
+    using ClaimsByService = std::map<std::string_view, std::vector<RoomClaim>>;
+
     std::optional<Attempt> takeAttempt(AttemptId id);
     Exchange *endAttempt(const Attempt &attempt);
     Base::Duration silenceLimit(const std::string &routeName) const;
     Base::Duration meanLatency(const std::string &routeName) const;
     bool probeIsDue(const Exchange &exchange);
     std::string_view pickTarget(const Route::RouteRule &route);
-    std::optional<Outcome> refuseUnservable(const Exchange &exchange);
+    std::optional<Outcome> refuseUnservable(ExchangeId id, Exchange &exchange);
     std::optional<Outcome> refuseUnfinishable(const Exchange &exchange);
     std::unordered_map<std::string_view, std::size_t> waitingAhead(const Exchange &exchange) const;
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service, std::size_t ahead) const;
@@ -229,6 +261,20 @@
     void send(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
               const BackendPointer &backend, bool extra);
     void dispatchWaiting(Base::Instant now);
+    void concludeDispatched(Base::Instant now, ExchangeId id, std::size_t legIndex);
+    bool sharesFairly() const { return meanAllowance_ > 0.0; }
+    bool refuseFairly(ExchangeId id, Exchange &exchange);
+    void followTenants(const std::shared_ptr<const Route::RouteTable> &table);
+    RoomClaim claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange);
+    ClaimsByService claimsWaiting(Base::Instant now);
+    FairQueue &fairQueueOf(std::string_view service);
+    Base::Duration fairWait(Base::Instant now, const Exchange &exchange, std::string_view service,
+                            const RoomClaim &claim, std::span<const RoomClaim> waiting);
+    bool waitsPastLimit(Base::Instant now, ExchangeId id, const Exchange &exchange,
+                        const ClaimsByService &waiting);
+    void shareRoom(Base::Instant now, ExchangeId id, Exchange &exchange, const ClaimsByService &before);
+    void makeRoom(Base::Instant now, ExchangeId id, const Exchange &exchange, const ClaimsByService &waiting);
+    void dispatchFairly(Base::Instant now);
     bool canMeetTarget(Base::Instant now, const Exchange &exchange) const;
     bool isQueued(ExchangeId id, std::size_t legIndex) const;
     bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
@@ -263,6 +309,10 @@
     std::map<ExchangeId, Exchange> exchanges_;
     std::map<AttemptId, Attempt> attempts_;
     std::vector<WaitingLeg> waiting_; ///< Legs in the state Waiting.
+    std::shared_ptr<const Route::RouteTable> latestTable_; ///< Whose tenants share the room.
+    /// Requests per second, of the tenants that have an allowance; 0 if there are no tenants at all.
+    double meanAllowance_ = 0.0;
+    std::map<std::string, FairQueue, std::less<>> fairQueues_; ///< By service; empty without tenants.
     std::unordered_map<std::string, RouteTimes> routeTimes_; ///< By route name.
     std::unordered_map<std::string, Query::ExtraLoadBudget> budgets_; ///< By service.
     std::unordered_map<std::string, std::vector<double>> splitCredits_; ///< By route name.
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -125,6 +125,8 @@
 {
     if (waiting_.empty())
         return;
+    if (sharesFairly())
+        return dispatchFairly(now);
     const auto urgency = [this, now](const WaitingLeg &waiting) {
         const auto &exchange = exchanges_.at(waiting.exchange);
         return std::tuple(exchange.facts.rank(), !canMeetTarget(now, exchange), exchange.deadline);
@@ -140,17 +142,18 @@
         if (owner == exchanges_.end())
             continue;
         dispatch(now, waiting.exchange, owner->second, waiting.leg);
-        // The leg may have closed, and with it the exchange.
-        if (owner->second.legs[waiting.leg].state == LegState::Closed) {
-            const auto id = waiting.exchange;
-            if (!concludeIfDecided(now, id, owner->second))
-                scheduleReview(id, owner->second);
-        } else {
-            scheduleReview(waiting.exchange, owner->second);
-        }
+        concludeDispatched(now, waiting.exchange, waiting.leg);
     }
 }
 
+/// Ends the exchange if its leg has closed on dispatch and decides it.
+void ForwardCore::concludeDispatched(Base::Instant now, ExchangeId id, std::size_t legIndex)
+{
+    auto &exchange = exchanges_.at(id);
+    if (exchange.legs[legIndex].state != LegState::Closed || !concludeIfDecided(now, id, exchange))
+        scheduleReview(id, exchange);
+}
+
 void ForwardCore::send(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
                        const BackendPointer &backend, bool extra)
 {
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -34,6 +34,22 @@
     return Base::Duration(static_cast<Base::Duration::rep>(milliseconds * 1000.0));
 }
 
+std::string_view sharingName(Forward::SharingRecord::Result result)
+{
+    using Result = Forward::SharingRecord::Result;
+    switch (result) {
+    case Result::NotNeeded:
+        return "not_needed";
+    case Result::Waited:
+        return "waited";
+    case Result::Refused:
+        return "refused";
+    case Result::RefusedForOther:
+        return "refused_for_other";
+    }
+    return "not_needed";
+}
+
 std::string_view outcomeName(const Forward::Outcome &outcome)
 {
     switch (outcome.kind) {
@@ -321,6 +337,25 @@
     metrics_.requestAnswered(pending.routeName, std::string(outcomeName(action.outcome)),
                              now - pending.arrivedAt);
     logAnswer(now, pending, action.outcome, response.status);
+    if (action.outcome.sharing.result != Forward::SharingRecord::Result::NotNeeded)
+        logSharing(now, pending, action.outcome.sharing, action.outcome.cause);
+}
+
+/// Tells who waited for room that tenants share, who was refused, and for whom.
+void Forwarder::logSharing(Base::Instant now, const PendingRequest &pending,
+                           const Forward::SharingRecord &record, std::string_view cause)
+{
+    const auto result = sharingName(record.result);
+    metrics_.roomShared(std::string(result), record.aboveShare);
+    const bool waited = record.result == Forward::SharingRecord::Result::Waited;
+    events_.write(now, waited ? Importance::Routine : Importance::Notable, "scarce_room",
+                  {{"request", pending.requestId},
+                   {"route", pending.routeName},
+                   {"tenant", record.tenant},
+                   {"result", result},
+                   {"tenant_class", record.aboveShare ? "above_share" : "below_share"},
+                   {"ms", Base::toMilliseconds(now - pending.arrivedAt)},
+                   {"cause", cause}});
 }
 
 Edge::ResponseMessage Forwarder::responseFor(const PendingRequest &pending, Forward::Outcome &outcome) const
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -76,6 +76,8 @@
     Edge::ResponseMessage responseFor(const PendingRequest &pending, Forward::Outcome &outcome) const;
     void logAnswer(Base::Instant now, const PendingRequest &pending, const Forward::Outcome &outcome,
                    int status);
+    void logSharing(Base::Instant now, const PendingRequest &pending, const Forward::SharingRecord &record,
+                    std::string_view cause);
     void armTimer();
     bool answersAttempt(Forward::AttemptId attempt, const Forward::Backend &backend,
                         const Edge::ResponseMessage &response) override;
--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -44,6 +44,16 @@
         .add();
 }
 
+void GatewayMetrics::roomShared(const std::string &result, bool aboveShare)
+{
+    registry_
+        .counter("daisyroute_scarce_room_total",
+                 "Requests that waited or were refused for lack of room, by whether their tenant's waiting "
+                 "work exceeded its share.",
+                 {{"result", result}, {"tenant_class", aboveShare ? "above_share" : "below_share"}})
+        .add();
+}
+
 void GatewayMetrics::setGauge(const char *name, const char *help, double value)
 {
     registry_.gauge(name, help).set(value);
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -15,6 +15,8 @@
     void attemptEnded(const std::string &result);
     /// A server has said of itself that it is about to leave.
     void serverNotice(const std::string &kind);
+    /// A request had to wait for room that tenants share, or was refused for it.
+    void roomShared(const std::string &result, bool aboveShare);
     void setGauge(const char *name, const char *help, double value);
 
     const Metrics::Registry &registry() const { return registry_; }
