--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -4,6 +4,7 @@
 #include "LibConfiguration/TableReader.h"
 #include "LibSettings/Lists.h"
 
+#include <charconv>
 #include <fmt/format.h>
 #include <fstream>
 #include <sstream>
@@ -41,6 +42,36 @@
     return list;
 }
 
+/// A number that the platform fills in as a text, which is empty where it has none.
+double numberText(TableReader &table, std::string_view key, const Configuration::Range<double> &range)
+{
+    const auto text = table.optionalText(key);
+    if (text.empty())
+        return *range.fallback;
+    double value = 0.0;
+    const auto result = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isNumber = result.ec == std::errc() && result.ptr == text.data() + text.size();
+    if (isNumber && value >= range.lowest && value <= range.highest)
+        return value;
+    table.reportKey(
+        key, fmt::format("a number from {} to {} as text, or an empty string", range.lowest, range.highest));
+    return *range.fallback;
+}
+
+/// "true", or an empty text or "false" where the platform has no such flag.
+bool flagText(TableReader &table, std::string_view key)
+{
+    const auto text = table.optionalText(key);
+    if (!text.empty() && text != "true" && text != "false")
+        table.reportKey(key, "\"true\", \"false\" or an empty string");
+    return text == "true";
+}
+
+Base::Duration duration(double seconds)
+{
+    return Base::Duration(static_cast<Base::Duration::rep>(seconds * 1e6));
+}
+
 NodeSettings readSettings(TableReader &table)
 {
     NodeSettings settings;
@@ -76,14 +107,15 @@
     settings.catchUpTime = Base::Duration(
         static_cast<Base::Duration::rep>(table.number("catch_up_s", {0.0, 3600.0, 4.0}) * 1e6));
     settings.lostVmsTolerated = table.integer("lost_vms_tolerated", {0, 100, 1});
-    settings.keyRemovalBound = Base::Duration(
-        static_cast<Base::Duration::rep>(table.number("key_removal_bound_ms", {0.0, 3600e3, 0.0}) * 1e3));
-    settings.allowanceWindow = Base::Duration(
-        static_cast<Base::Duration::rep>(table.number("allowance_window_s", {0.0, 3600.0, 0.0}) * 1e6));
-    settings.allowanceOverage = table.number("allowance_overage", {0.0, 10.0, 0.0});
-    settings.allowanceSlack = table.number("allowance_slack", {0.0, 1e9, 0.0});
-    settings.coldOverage = table.number("cold_overage", {0.0, 100.0, 1.0});
-    settings.coldSlack = table.number("cold_slack", {0.0, 1e9, 0.0});
+    const bool keyRemovalIsBounded = flagText(table, "key_removal_is_bounded");
+    settings.keyRemovalBound = duration(numberText(table, "key_removal_bound_ms", {0.0, 3600e3, 0.0}) / 1e3);
+    if (!keyRemovalIsBounded)
+        settings.keyRemovalBound = Base::Duration::zero();
+    settings.allowanceWindow = duration(numberText(table, "allowance_window_s", {0.0, 3600.0, 0.0}));
+    settings.allowanceOverage = numberText(table, "allowance_overage", {0.0, 10.0, 0.0});
+    settings.allowanceSlack = numberText(table, "allowance_slack", {0.0, 1e9, 0.0});
+    settings.coldOverage = numberText(table, "cold_overage", {0.0, 100.0, 1.0});
+    settings.coldSlack = numberText(table, "cold_slack", {0.0, 1e9, 0.0});
     settings.memoryMegabytes = table.number("memory_megabytes", {0.0, 1e9, 0.0});
     settings.maxDescriptors = table.integer("max_descriptors", {0, 10'000'000, 0});
     settings.learnServerLimits = table.boolean("learn_server_limits", false);
--- a/Tests/Services/TestNodeSettings.cpp
+++ b/Tests/Services/TestNodeSettings.cpp
@@ -19,3 +19,25 @@
     EXPECT_EQ(record.state, Wire::GatewayState::Serving);
     EXPECT_DOUBLE_EQ(record.processorShare, 0.12);
 }
+
+// The platform fills in an empty text where a deployment has no such bound.
+TEST(NodeSettings, BoundsThatThePlatformLeavesEmptyAreUnset)
+{
+    const std::string required = "node = \"vm-1\"\ndata_centre = \"dc-a\"\nip = \"10.0.0.1\"\n"
+                                 "first_peer_port = 7000\ncluster_key = \"k\"\n";
+    const auto unset = Services::parseNodeSettings(
+        required + "key_removal_is_bounded = \"\"\nkey_removal_bound_ms = \"\"\nallowance_slack = \"\"\n");
+    ASSERT_TRUE(unset) << unset.error().detail;
+    EXPECT_EQ(unset->keyRemovalBound, Base::Duration::zero());
+    EXPECT_EQ(unset->allowanceSlack, 0.0);
+    EXPECT_EQ(unset->coldOverage, 1.0);
+
+    const auto set = Services::parseNodeSettings(
+        required
+        + "key_removal_is_bounded = \"true\"\nkey_removal_bound_ms = \"5000\"\nallowance_slack = \"20\"\n");
+    ASSERT_TRUE(set) << set.error().detail;
+    EXPECT_EQ(set->keyRemovalBound, Base::seconds(5));
+    EXPECT_EQ(set->allowanceSlack, 20.0);
+    EXPECT_FALSE(Services::parseNodeSettings(required + "allowance_slack = \"many\"\n"));
+    EXPECT_FALSE(Services::parseNodeSettings(required + "key_removal_is_bounded = \"perhaps\"\n"));
+}
