Confirm configurations to gateways, so that removed keys run out

Cause: a gateway that is cut off or was frozen does not know that a newer configuration took a key away. Change: RaftNode::confirmedAt and RegistryCore::confirmedAt tell up to when a leader is certain. Other registries ask it each 220 ms, once for all gateways that watch them, and only while one of these asks for it (WatchRequest::confirmationAgeMs). Gateways get it in the answer of their open call and count from when they sent that; a gateway that relays passes its own on. An answer leaves at once where it ends the wait of a gateway without a fresh confirmation. A gateway that cannot serve keys leaves itself out of its look-ups. Ruled out: a flag from decoding configurations in registries; counting from the arrival of an answer, which a frozen process makes young.

--- a/Libraries/LibConsensus/RaftNode.h
+++ b/Libraries/LibConsensus/RaftNode.h
@@ -87,6 +87,9 @@
 
     /// True while this node leads and has had replies from a majority within the election timeout.
     virtual bool isLeader(Base::Instant now) const = 0;
+    /// The latest instant at which this node is certain to have been the only leader: a majority has answered
+    /// a request of its term that it sent then. Nothing on other nodes.
+    virtual std::optional<Base::Instant> confirmedAt(Base::Instant now) const = 0;
     virtual RaftStatus status(Base::Instant now) const = 0;
 };
 
--- a/Libraries/LibConsensus/StandardRaftNode.cpp
+++ b/Libraries/LibConsensus/StandardRaftNode.cpp
@@ -266,6 +266,11 @@
     return role_ == Role::Leader && now - leaseStart(now) < options_.electionTimeout;
 }
 
+std::optional<Base::Instant> StandardRaftNode::confirmedAt(Base::Instant now) const
+{
+    return role_ == Role::Leader ? std::optional(leaseStart(now)) : std::nullopt;
+}
+
 Base::Duration StandardRaftNode::silentFor(Base::Instant now, const Wire::RaftMember &member) const
 {
     if (identityOf(member) == self_)
--- a/Libraries/LibConsensus/StandardRaftNode.h
+++ b/Libraries/LibConsensus/StandardRaftNode.h
@@ -28,6 +28,7 @@
     Base::Result<Ready> takeReady(Base::Instant now) override;
     Base::Result<void> compact(std::uint64_t index, Base::Bytes payload) override;
     bool isLeader(Base::Instant now) const override;
+    std::optional<Base::Instant> confirmedAt(Base::Instant now) const override;
     RaftStatus status(Base::Instant now) const override;
 
 private:
--- a/Libraries/LibRegistry/RegistryCore.cpp
+++ b/Libraries/LibRegistry/RegistryCore.cpp
@@ -30,6 +30,12 @@
     return raft_.isLeader(now) && appliedTerm_ == raft_.status(now).term;
 }
 
+std::optional<Base::Instant> RegistryCore::confirmedAt(Base::Instant now) const
+{
+    const auto at = raft_.confirmedAt(now);
+    return at && appliedTerm_ == raft_.status(now).term ? at : std::nullopt;
+}
+
 Base::Result<bool> RegistryCore::handleReady(const Consensus::Ready &ready)
 {
     bool changed = false;
--- a/Libraries/LibRegistry/RegistryCore.h
+++ b/Libraries/LibRegistry/RegistryCore.h
@@ -4,6 +4,7 @@
 #include "LibRegistry/ConfigurationRegister.h"
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,10 @@
     /// the election timeout, and has applied an entry of its own term.
     bool isUpToDateLeader(Base::Instant now) const;
 
+    /// The latest instant for which this node is certain that no configuration above the one it holds had
+    /// been accepted. Nothing unless it leads and has applied an entry of its own term.
+    std::optional<Base::Instant> confirmedAt(Base::Instant now) const;
+
     /// Applies the snapshot and committed entries of the Raft node. Returns true if the configuration
     /// changed.
     Base::Result<bool> handleReady(const Consensus::Ready &ready);
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -115,9 +115,12 @@
     std::vector<GatewayReport> relayed; ///< Of gateways that reach the sender but no registry.
     std::uint32_t serverListAgeMs = UINT32_MAX; ///< Since the list held was read; an older one is not wanted.
     std::uint64_t evacuationRevision = 0;
+    /// Set by a gateway that needs confirmations of its configuration: the age of the last one, UINT32_MAX if
+    /// it has none.
+    std::optional<std::uint32_t> confirmationAgeMs;
 
     MSGPACK_DEFINE(gateway, configurationVersion, serverListDigest, directoryDigest, mayWait, relayed,
-                   serverListAgeMs, evacuationRevision)
+                   serverListAgeMs, evacuationRevision, confirmationAgeMs)
 };
 
 struct WatchReply
@@ -229,4 +232,22 @@
     MSGPACK_DEFINE(version, text)
 };
 
+/// registry → leader: asks whether the configuration held is still the newest.
+struct ConfirmConfigurationRequest
+{
+    std::uint64_t heldVersion = 0;
+
+    MSGPACK_DEFINE(heldVersion)
+};
+
+struct ConfirmConfigurationReply
+{
+    std::uint64_t version = 0; ///< Held by the leader.
+    /// No configuration above `version` had been accepted at an instant this long before the request arrived,
+    /// or later (0). The caller counts from when it sent the request.
+    std::uint32_t confirmedBeforeMs = 0;
+
+    MSGPACK_DEFINE(version, confirmedBeforeMs)
+};
+
 } // namespace Wire
--- a/Services/Common/WatchDesk.h
+++ b/Services/Common/WatchDesk.h
@@ -17,7 +17,8 @@
 public:
     using ResponderPointer = std::shared_ptr<Peer::Responder>;
     /// Builds the reply to one request; must be cheap when nothing changed.
-    using MakeReply = std::function<Wire::WatchReply(Base::Instant now, const Wire::WatchRequest &request)>;
+    using MakeReply = std::function<Wire::WatchReply(Base::Instant now, const Wire::WatchRequest &request,
+                                                     Base::Instant arrivedAt)>;
 
     explicit WatchDesk(MakeReply makeReply)
         : makeReply_(std::move(makeReply))
@@ -35,6 +36,7 @@
     {
         Wire::WatchRequest request;
         ResponderPointer responder;
+        Base::Instant arrivedAt;
         Base::Instant heldUntil;
     };
 
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -75,8 +75,9 @@
     , settingsWatch_(settingsPath)
     , incarnation_(Base::makeIncarnation())
     , startedAt_(clock_.now())
-    , watchers_(
-          [this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
+    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request, Base::Instant arrivedAt) {
+        return watchReply(now, request, arrivedAt);
+    })
 {
 }
 
@@ -110,7 +111,8 @@
     if (!endpoint)
         return tl::unexpected(endpoint.error());
     endpoint_ = std::move(*endpoint);
-    forwarder_ = std::make_unique<Forwarder>(loop_, adapter_, events_, metrics_, forwardOptions());
+    forwarder_ = std::make_unique<Forwarder>(loop_, adapter_, events_, metrics_, forwardOptions(),
+                                             settings_.keyRemovalBound);
     forwarder_->setGatewayCount(AssumedGateways);
 
     const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, const std::string &address,
@@ -156,7 +158,9 @@
     watcher_ = std::make_unique<RegistryWatcher>(
         loop_, *endpoint_, events_, RegistryWatcher::OwnGateway {settings_.nodeId, settings_.dataCentre},
         [this] { return watchRequest(); },
-        [this](const Wire::WatchReply &reply, bool fresh) { applyReply(reply, fresh); });
+        [this](const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt) {
+            applyReply(reply, fresh, sentAt);
+        });
     for (const auto &seed : settings_.seeds)
         watcher_->addRegistries({settings_.registryPeerAddress(seed)});
     loop_.onSignals({SIGTERM, SIGINT, SIGHUP}, [this](int signal) {
@@ -195,6 +199,9 @@
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
     request.directoryDigest = directory_.digest();
     request.relayed = relayedGateways_.firstHandReports(clock_.now());
+    if (forwarder_->authenticator().needsConfirmations())
+        request.confirmationAgeMs =
+            forwarder_->authenticator().currency().confirmedBeforeMs(clock_.now()).value_or(UINT32_MAX);
     return request;
 }
 
@@ -206,7 +213,8 @@
     watchers_.add(now, request, responder);
 }
 
-Wire::WatchReply GatewayProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request) const
+Wire::WatchReply GatewayProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request,
+                                            Base::Instant arrivedAt) const
 {
     Wire::WatchReply reply;
     // Only a gateway that watches a registry reports a leader; otherwise gateways without a registry would
@@ -219,6 +227,8 @@
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
     reply.leaderAddress = leaderAddress_;
+    if (request.confirmationAgeMs && forwarder_->authenticator().needsConfirmations())
+        reply.confirmedBeforeMs = forwarder_->authenticator().currency().confirmedBeforeMs(arrivedAt);
     return reply;
 }
 
@@ -228,7 +238,7 @@
     return parts ? fmt::format("{}:{}", parts->ip, settings_.gatewayPort) : std::string();
 }
 
-void GatewayProcess::applyReply(const Wire::WatchReply &reply, bool fresh)
+void GatewayProcess::applyReply(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt)
 {
     const auto before = state();
     if (fresh)
@@ -236,8 +246,7 @@
     if (!reply.leaderAddress.empty())
         leaderAddress_ = reply.leaderAddress;
     applyConfiguration(reply, fresh);
-    if (fresh && forwarder_->authenticator().isActive())
-        forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
+    applyConfirmation(reply, fresh, sentAt);
     if (reply.serverList)
         applyServerList(*reply.serverList);
     applyDirectory(reply);
@@ -287,6 +296,16 @@
                    {"leader_silent_ms", reply.leaderSilentMs}});
 }
 
+void GatewayProcess::applyConfirmation(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt)
+{
+    const auto &authenticator = forwarder_->authenticator();
+    if (authenticator.needsConfirmations() && reply.confirmedBeforeMs)
+        forwarder_->confirmConfiguration(reply.configurationVersion,
+                                         sentAt - Base::milliseconds(*reply.confirmedBeforeMs));
+    else if (authenticator.isActive() && !authenticator.needsConfirmations() && fresh)
+        forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
+}
+
 void GatewayProcess::applyServerList(const Wire::PackedServerList &packed)
 {
     const auto now = clock_.now();
@@ -332,9 +351,10 @@
     if (adapter_.classify(request.method, request.path()) != Adapter::Call::LookUpGateways)
         return caller.respond(emptyResponse(404));
     std::vector<std::string> addresses;
+    // Callers with keys are better served by any other gateway while this one cannot confirm them.
+    const bool avoidsItself = leavingSince_ || !forwarder_->authenticator().mayServeKeys(clock_.now());
     for (const auto &gateway : advertised_) {
-        const bool leaving = leavingSince_ && gateway.gatewayId == settings_.nodeId;
-        if (!leaving)
+        if (!avoidsItself || gateway.gatewayId != settings_.nodeId)
             addresses.push_back(gateway.callerAddress);
     }
     // Until the first directory arrives, this gateway knows only itself.
@@ -375,9 +395,11 @@
     settings_.shutdownGrace = (*settings)->shutdownGrace;
     settings_.lookupMaxAge = (*settings)->lookupMaxAge;
     settings_.serverDrain = (*settings)->serverDrain;
+    settings_.keyRemovalBound = (*settings)->keyRemovalBound;
     for (const auto &seed : settings_.seeds)
         watcher_->addRegistries({settings_.registryPeerAddress(seed)});
     forwarder_->setOptions(forwardOptions());
+    forwarder_->setKeyRemovalBound(settings_.keyRemovalBound);
     events_.write(clock_.now(), Importance::Notable, "settings_reloaded",
                   {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
 }
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -42,12 +42,14 @@
 
     Base::Result<void> start(const std::string &metricsPort);
     Wire::WatchRequest watchRequest() const;
-    void applyReply(const Wire::WatchReply &reply, bool fresh);
+    void applyReply(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt);
+    void applyConfirmation(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt);
     void applyConfiguration(const Wire::WatchReply &reply, bool fresh);
     void applyDirectory(const Wire::WatchReply &reply);
     void applyServerList(const Wire::PackedServerList &packed);
     void handleWatch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder);
-    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request) const;
+    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request,
+                                Base::Instant arrivedAt) const;
     std::string peerAddressOf(const Wire::GatewayRecord &gateway) const;
     void handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const;
     void tick();
--- a/Services/Gateway/RegistryWatcher.cpp
+++ b/Services/Gateway/RegistryWatcher.cpp
@@ -75,14 +75,17 @@
 void RegistryWatcher::watch()
 {
     const auto sequence = ++sequence_;
-    openCall_ = endpoint_.call(
-        target_, Wire::Method::WatchRegistry, Wire::encode(makeRequest_()), WatchTimeout,
-        [this, sequence](Base::Result<Base::Bytes> payload) {
-            loop_.post([this, sequence, payload = std::move(payload)] { finishWatch(sequence, payload); });
-        });
+    const auto sentAt = clock_.now();
+    openCall_ = endpoint_.call(target_, Wire::Method::WatchRegistry, Wire::encode(makeRequest_()),
+                               WatchTimeout, [this, sequence, sentAt](Base::Result<Base::Bytes> payload) {
+                                   loop_.post([this, sequence, sentAt, payload = std::move(payload)] {
+                                       finishWatch(sequence, sentAt, payload);
+                                   });
+                               });
 }
 
-void RegistryWatcher::finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload)
+void RegistryWatcher::finishWatch(std::uint64_t sequence, Base::Instant sentAt,
+                                  const Base::Result<Base::Bytes> &payload)
 {
     if (sequence != sequence_ || !isConnected())
         return;
@@ -91,7 +94,7 @@
         payload.and_then([](const Base::Bytes &bytes) { return Wire::decode<Wire::WatchReply>(bytes); });
     if (!reply)
         return disconnect(reply.error().detail);
-    if (!processReply(*reply))
+    if (!processReply(*reply, sentAt))
         return disconnect("registry hears no leader");
     watch();
 }
@@ -110,18 +113,21 @@
 {
     if (!probing_.insert(address).second)
         return;
+    const auto sentAt = clock_.now();
     auto request = makeRequest_();
     // Without any configuration, a registry that has none yet holds the call and answers once it has one, so
     // that a gateway that restarts together with the registries need not ask again.
     request.mayWait = request.configurationVersion == 0 && !isConnected();
     endpoint_.call(address, Wire::Method::WatchRegistry, Wire::encode(request), ProbeTimeout,
-                   [this, address](Base::Result<Base::Bytes> payload) {
-                       loop_.post(
-                           [this, address, payload = std::move(payload)] { finishProbe(address, payload); });
+                   [this, address, sentAt](Base::Result<Base::Bytes> payload) {
+                       loop_.post([this, address, sentAt, payload = std::move(payload)] {
+                           finishProbe(address, sentAt, payload);
+                       });
                    });
 }
 
-void RegistryWatcher::finishProbe(const std::string &address, const Base::Result<Base::Bytes> &payload)
+void RegistryWatcher::finishProbe(const std::string &address, Base::Instant sentAt,
+                                  const Base::Result<Base::Bytes> &payload)
 {
     probing_.erase(address);
     const auto reply =
@@ -130,7 +136,7 @@
     const auto registry = registries_.find(address);
     if (reply && registry != registries_.end())
         registry->second.dataCentre = reply->dataCentre;
-    if (!reply || !processReply(*reply)) {
+    if (!reply || !processReply(*reply, sentAt)) {
         markFailed(address);
         return;
     }
@@ -175,11 +181,11 @@
 }
 
 /// Passes the reply to the handler. Returns whether its sender has recently heard from a leader.
-bool RegistryWatcher::processReply(const Wire::WatchReply &reply)
+bool RegistryWatcher::processReply(const Wire::WatchReply &reply, Base::Instant sentAt)
 {
     const bool fresh = reply.leaderKnown && reply.leaderSilentMs <= MaxLeaderSilenceMs;
     addRegistries(reply.registryAddresses);
-    handleReply_(reply, fresh);
+    handleReply_(reply, fresh, sentAt);
     return fresh;
 }
 
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -23,8 +23,9 @@
 public:
     /// Returns the versions and digests that the gateway holds now.
     using MakeRequest = std::function<Wire::WatchRequest()>;
-    /// Receives each reply; `fresh` if the sender has recently heard from a leader.
-    using HandleReply = std::function<void(const Wire::WatchReply &reply, bool fresh)>;
+    /// Receives each reply; `fresh` if the sender has recently heard from a leader. The request was sent at
+    /// `sentAt` or later.
+    using HandleReply = std::function<void(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt)>;
 
     /// Identity of the gateway that owns this watcher.
     struct OwnGateway
@@ -55,17 +56,18 @@
     };
 
     void watch();
-    void finishWatch(std::uint64_t sequence, const Base::Result<Base::Bytes> &payload);
+    void finishWatch(std::uint64_t sequence, Base::Instant sentAt, const Base::Result<Base::Bytes> &payload);
     void search();
     void probe(const std::string &address);
     void probePreferredRegistry();
     void markFailed(const std::string &address);
     bool prefers(const std::string &address, const std::string &other) const;
     std::vector<std::string> preferredOrder() const;
-    void finishProbe(const std::string &address, const Base::Result<Base::Bytes> &payload);
+    void finishProbe(const std::string &address, Base::Instant sentAt,
+                     const Base::Result<Base::Bytes> &payload);
     void connect(const std::string &address);
     void disconnect(const std::string &detail);
-    bool processReply(const Wire::WatchReply &reply);
+    bool processReply(const Wire::WatchReply &reply, Base::Instant sentAt);
 
     Edge::Loop &loop_;
     Peer::Endpoint &endpoint_;
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -21,6 +21,13 @@
 /// Pause after a failed read of the server list.
 constexpr Base::Duration FailedReadPause = Base::milliseconds(500);
 
+/// Interval of the confirmations that all gateways of a registry share. Several fit into any useful bound, so
+/// that lost ones do no harm.
+constexpr Base::Duration ConfirmationInterval = Base::milliseconds(220);
+constexpr Base::Duration ConfirmationTimeout = Base::seconds(1);
+/// Gateways that need confirmations ask again within this time.
+constexpr Base::Duration ConfirmationWantedTime = Base::seconds(2);
+
 } // namespace
 
 void RegistryProcess::handlePeerCall(Wire::Method method, const Base::Bytes &payload,
@@ -43,6 +50,8 @@
         return post(payload, responder, &RegistryProcess::submitForPeer);
     case Wire::Method::ReadConfiguration:
         return post(payload, responder, &RegistryProcess::readForPeer);
+    case Wire::Method::ConfirmConfiguration:
+        return post(payload, responder, &RegistryProcess::handleConfirm);
     default:
         responder->fail({ErrorKind::InvalidRequest, "a registry does not serve this call"});
     }
@@ -95,9 +104,60 @@
     gateways_.report(now, request.gateway);
     gateways_.relay(now, request.relayed);
     updateDirectory(now);
+    if (request.confirmationAgeMs) {
+        confirmationWantedUntil_ = now + ConfirmationWantedTime;
+        renewConfirmation(now);
+    }
     watchers_.add(now, request, responder);
 }
 
+/// Records a confirmation of this node's own; returns whether it leads.
+bool RegistryProcess::confirmAsLeader(Base::Instant now)
+{
+    currency_.hold(cluster_->core().configuration().version());
+    const auto confirmedAt = cluster_->core().confirmedAt(now);
+    if (confirmedAt)
+        currency_.confirm(cluster_->core().configuration().version(), *confirmedAt);
+    return confirmedAt.has_value();
+}
+
+void RegistryProcess::renewConfirmation(Base::Instant now)
+{
+    if (!cluster_ || now >= confirmationWantedUntil_ || confirmAsLeader(now) || now < nextConfirmation_)
+        return;
+    const auto leader = leaderAddress(cluster_->raft().status(now));
+    if (leader.empty() || leader == settings_.registryPeerAddress())
+        return;
+    nextConfirmation_ = now + ConfirmationInterval;
+    const Wire::ConfirmConfigurationRequest request {cluster_->core().configuration().version()};
+    endpoint_->call(leader, Wire::Method::ConfirmConfiguration, Wire::encode(request), ConfirmationTimeout,
+                    [this, askedAt = now](const Base::Result<Base::Bytes> &payload) {
+                        const auto reply = payload.and_then([](const Base::Bytes &bytes) {
+                            return Wire::decode<Wire::ConfirmConfigurationReply>(bytes);
+                        });
+                        if (!reply)
+                            return; // Asked again after ConfirmationInterval.
+                        loop_.post([this, askedAt, reply = *reply] {
+                            currency_.confirm(reply.version,
+                                              askedAt - Base::milliseconds(reply.confirmedBeforeMs));
+                            watchers_.answer(clock_.now());
+                        });
+                    });
+}
+
+void RegistryProcess::handleConfirm(const Wire::ConfirmConfigurationRequest &,
+                                    const ResponderPointer &responder)
+{
+    const auto now = clock_.now();
+    if (!cluster_ || !confirmAsLeader(now))
+        return responder->fail({ErrorKind::NotLeader, {}});
+    const auto before = currency_.confirmedBeforeMs(now);
+    if (!before)
+        return responder->fail({ErrorKind::NotLeader, "no majority has answered yet"});
+    responder->reply(
+        Wire::encode(Wire::ConfirmConfigurationReply {cluster_->core().configuration().version(), *before}));
+}
+
 void RegistryProcess::updateDirectory(Base::Instant now)
 {
     if (now < nextDirectoryUpdate_)
@@ -111,7 +171,8 @@
                   {{"serving_before", before}, {"serving", directory_.gateways().size()}});
 }
 
-Wire::WatchReply RegistryProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request)
+Wire::WatchReply RegistryProcess::watchReply(Base::Instant now, const Wire::WatchRequest &request,
+                                             Base::Instant arrivedAt)
 {
     Wire::WatchReply reply;
     if (cluster_) {
@@ -126,6 +187,10 @@
         reply.configurationVersion = configuration.version();
         if (configuration.version() > request.configurationVersion)
             reply.configurationText = configuration.text();
+        if (request.confirmationAgeMs) {
+            currency_.hold(configuration.version());
+            reply.confirmedBeforeMs = currency_.confirmedBeforeMs(arrivedAt);
+        }
     }
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -44,8 +44,9 @@
           [this](Base::LogLevel level, std::string_view summary,
                  std::initializer_list<Base::LogField> fields) { writeClusterEvent(level, summary, fields); })
     , startedAt_(clock_.now())
-    , watchers_(
-          [this](Base::Instant now, const Wire::WatchRequest &request) { return watchReply(now, request); })
+    , watchers_([this](Base::Instant now, const Wire::WatchRequest &request, Base::Instant arrivedAt) {
+        return watchReply(now, request, arrivedAt);
+    })
 {
 }
 
@@ -129,6 +130,7 @@
     updateDirectory(now);
     readServerListIfDue(now);
     shareState(now);
+    renewConfirmation(now);
     watchers_.answer(now);
     events_.flush();
 }
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -11,6 +11,7 @@
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "LibTenant/ConfigurationCurrency.h"
 #include "LibWire/IntroduceMessages.h"
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
@@ -94,7 +95,11 @@
     void handleSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder);
     void submitForPeer(const Wire::SubmitConfigurationRequest &request, const ResponderPointer &responder);
     void readForPeer(const Wire::ReadConfigurationRequest &request, const ResponderPointer &responder);
-    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request);
+    Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request,
+                                Base::Instant arrivedAt);
+    void renewConfirmation(Base::Instant now);
+    void handleConfirm(const Wire::ConfirmConfigurationRequest &request, const ResponderPointer &responder);
+    bool confirmAsLeader(Base::Instant now);
     void shareState(Base::Instant now);
     void updateDirectory(Base::Instant now);
     void applyServerList(Base::Instant now, const Wire::PackedServerList &packed);
@@ -151,6 +156,10 @@
     /// Server lists held by other registries, by address.
     std::map<std::string, PeerServerList> peerServerLists_;
     Base::Instant nextShare_;
+    /// Of the configuration held; kept up only while gateways ask for it.
+    Tenant::ConfigurationCurrency currency_;
+    Base::Instant confirmationWantedUntil_;
+    Base::Instant nextConfirmation_;
     WatchDesk watchers_;
     std::unique_ptr<Edge::CallerServer> operatorServer_;
     std::unique_ptr<Edge::CallerServer> metricsServer_;
--- a/Tests/LibConsensus/TestRaftNode.cpp
+++ b/Tests/LibConsensus/TestRaftNode.cpp
@@ -63,6 +63,34 @@
     EXPECT_EQ(cluster.node(leader)->propose(cluster.now(), {}).error().kind, Base::ErrorKind::NotLeader);
 }
 
+// Keys that were removed rely on it: the instant must not move while no majority answers.
+TEST_F(RaftNodeTest, ConfirmsOnlyWhatAMajorityAnswered)
+{
+    const auto confirmedAt = [this](std::size_t index) {
+        return cluster.node(index)->confirmedAt(cluster.now());
+    };
+    ASSERT_TRUE(confirmedAt(leader).has_value());
+    EXPECT_GT(*confirmedAt(leader), cluster.now() - Base::milliseconds(300));
+    EXPECT_FALSE(confirmedAt(follower).has_value());
+    // Frozen, and asked before its first tick.
+    const auto before = confirmedAt(leader);
+    cluster.advance(Base::seconds(30));
+    EXPECT_EQ(confirmedAt(leader), before);
+}
+
+TEST_F(RaftNodeTest, LeaderThatIsCutOffConfirmsNothingAnyMore)
+{
+    const auto cutOffAt = cluster.now();
+    for (int step = 0; step < 100; ++step) {
+        cluster.run(Base::milliseconds(50), {leader});
+        EXPECT_LE(cluster.node(leader)->confirmedAt(cluster.now()).value_or(cutOffAt), cutOffAt);
+    }
+    const auto successor = cluster.leader();
+    ASSERT_LT(successor, cluster.size());
+    ASSERT_NE(successor, leader);
+    EXPECT_GT(cluster.node(successor)->confirmedAt(cluster.now()), cutOffAt);
+}
+
 // A partitioned node must report its isolation, and the leader must report its silence; its return must not
 // depose the leader.
 TEST_F(RaftNodeTest, ReportsIsolationAndRejoinsWithoutElection)
--- a/Tests/LibControl/FakeRaftNode.h
+++ b/Tests/LibControl/FakeRaftNode.h
@@ -34,6 +34,10 @@
     Base::Result<Consensus::Ready> takeReady(Base::Instant) override { return Consensus::Ready {}; }
     Base::Result<void> compact(std::uint64_t, Base::Bytes) override { return {}; }
     bool isLeader(Base::Instant) const override { return leads && hasQuorum; }
+    std::optional<Base::Instant> confirmedAt(Base::Instant) const override
+    {
+        return leads ? std::optional(majorityHeardAt) : std::nullopt;
+    }
 
     Consensus::RaftStatus status(Base::Instant) const override
     {
@@ -48,6 +52,7 @@
 
     bool leads = false;
     bool hasQuorum = true;
+    Base::Instant majorityHeardAt;
     std::uint64_t term = 0;
     std::uint64_t committedIndex = 0;
     std::string leaderId;
--- a/Tests/LibRegistry/TestRegistryCore.cpp
+++ b/Tests/LibRegistry/TestRegistryCore.cpp
@@ -123,6 +123,21 @@
     EXPECT_FALSE(core.isUpToDateLeader(Start));
 }
 
+// Before its own entry is applied, a new leader may not know a configuration that an earlier one accepted.
+TEST_F(RegistryCoreTest, ConfirmsOnlyAfterAnEntryOfItsTerm)
+{
+    raft.majorityHeardAt = Start;
+    EXPECT_FALSE(core.confirmedAt(Start).has_value());
+    ASSERT_TRUE(core.handleReady(commit({store(1, 1, 5, "five")})).has_value());
+    EXPECT_EQ(core.confirmedAt(Start + Base::seconds(9)), Start);
+    raft.term = 2;
+    EXPECT_FALSE(core.confirmedAt(Start).has_value());
+    ASSERT_TRUE(core.handleReady(commit({{2, 2, Wire::RaftEntryKind::Noop, {}}})).has_value());
+    EXPECT_EQ(core.confirmedAt(Start), Start);
+    raft.leads = false;
+    EXPECT_FALSE(core.confirmedAt(Start).has_value());
+}
+
 TEST_F(RegistryCoreTest, SnapshotHoldsTheConfiguration)
 {
     ASSERT_TRUE(core.handleReady(commit({store(1, 1, 5, "five")})).has_value());
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -76,10 +76,12 @@
     Wire::WatchRequest request;
     request.gateway = gateway("a");
     request.relayed = {{gateway("b"), 5}, {gateway("c"), 9}};
+    request.confirmationAgeMs = 300;
     decodeDamagedMessage(request);
     Wire::WatchReply reply;
     reply.configurationText = "text";
     reply.registryAddresses = {"10.0.0.1:1", "10.0.0.2:1"};
+    reply.confirmedBeforeMs = 80;
     decodeDamagedMessage(reply);
     Wire::RaftMessage raft;
     decodeDamagedMessage(raft);
@@ -87,6 +89,8 @@
     decodeDamagedMessage(Wire::LeaveRequest {"a", 7});
     decodeDamagedMessage(Wire::LeaveReply {Wire::LeaveVerdict::Needed});
     decodeDamagedMessage(Wire::IntroduceNodeRequest {});
+    decodeDamagedMessage(Wire::ConfirmConfigurationRequest {7});
+    decodeDamagedMessage(Wire::ConfirmConfigurationReply {7, 80});
 }
 
 TEST(DamagedMessages, DirectoriesAndServerLists)
