--- a/Libraries/LibAllowance/AllowanceDivider.h
+++ b/Libraries/LibAllowance/AllowanceDivider.h
@@ -47,12 +47,6 @@
     std::uint64_t unitsDenied() const { return unitsDenied_; }
 
 private:
-    struct Rule
-    {
-        AllowanceTerms terms;
-        Base::Instant since; ///< Begin of the leadership or first appearance in it.
-    };
-
     struct Bucket
     {
         double level = 0.0;
@@ -60,9 +54,19 @@
         Base::Instant nextPromise; ///< Named to the next request that is denied.
     };
 
-    static double levelAt(Base::Instant now, const Bucket &bucket, const AllowanceTerms &terms);
-    static Bucket freshBucket(Base::Instant now, const Rule &rule);
-    Wire::AllowanceGrant take(Base::Instant now, const Wire::AllowanceAsk &ask);
+    struct Rule
+    {
+        AllowanceTerms terms;
+        Base::Instant since; ///< Begin of the leadership, or appearance of the rule in it.
+        /// Of a key that this leader has given nothing, or whose bucket was full. A change of the terms must
+        /// not fill it at once: the key may have been emptied under the terms before.
+        Bucket fresh;
+    };
+
+    static double levelAt(Base::Instant now, const Bucket &bucket, const Rule &rule);
+    static void changeTerms(Base::Instant now, Bucket &bucket, const Rule &rule, const AllowanceTerms &terms);
+    const Rule *ruleFor(std::string_view key) const;
+    Wire::AllowanceGrant takeOne(Base::Instant now, const Wire::AllowanceAsk &ask);
 
     std::uint64_t term_ = 0;
     std::map<std::string, Rule, std::less<>> rules_;
--- a/Libraries/LibAllowance/AllowanceTerms.cpp
+++ b/Libraries/LibAllowance/AllowanceTerms.cpp
@@ -29,7 +29,7 @@
     return allowed * (1.0 + tolerance.overage) + tolerance.slack;
 }
 
-AllowanceTerms termsFor(const RateLimit &limit, const Tolerance &tolerance, Base::Duration shortestLeadership)
+AllowanceTerms termsFor(const RateLimit &limit, const Tolerance &tolerance)
 {
     const double window = Seconds(tolerance.window).count();
     const double allowed = limit.perSecond * window + limit.burst;
@@ -43,7 +43,7 @@
     terms.perSecond =
         std::clamp((allowed + extra - terms.capacity) / span, 0.0, MaxRateFactor * limit.perSecond);
     const double unused = allowed + extra - terms.capacity - terms.perSecond * span;
-    const double leaders = std::ceil(span / Seconds(shortestLeadership).count());
+    const double leaders = std::floor(span / Seconds(StartLevelDelay).count()) + 1.0;
     terms.startLevel = std::clamp(unused / leaders, 0.0, std::min(limit.burst, terms.capacity));
     return terms;
 }
--- a/Libraries/LibAllowance/AllowanceTerms.h
+++ b/Libraries/LibAllowance/AllowanceTerms.h
@@ -27,12 +27,13 @@
 /// tolerance allow in any window.
 ///
 /// A unit is spent within `validity` of its grant at the latest. So what is spent in a window was granted in
-/// that window or `validity` before it, which is at most `perSecond` × (window + validity) + `capacity`.
+/// that window or `validity` before it, which is at most `perSecond` × (window + validity) + `capacity`, and
+/// a `startLevel` for each leader that lasted `StartLevelDelay` within that time.
 struct AllowanceTerms
 {
     double perSecond = 0.0; ///< Units earned.
     double capacity = 0.0; ///< Largest level.
-    double startLevel = 0.0; ///< Level at a new leader, or of a new rule.
+    double startLevel = 0.0; ///< Given once by each leader, StartLevelDelay after it began or got the rule.
     Base::Duration validity {};
 
     bool operator==(const AllowanceTerms &) const = default;
@@ -41,8 +42,10 @@
 /// Most requests that `limit` and `tolerance` allow in any window.
 double mostInWindow(const RateLimit &limit, const Tolerance &tolerance);
 
-/// `limit.perSecond` must be positive. `shortestLeadership` is the least time between two changes of leader.
-AllowanceTerms termsFor(const RateLimit &limit, const Tolerance &tolerance,
-                        Base::Duration shortestLeadership);
+/// Without this delay, leaders that follow each other quickly could each give a start level.
+constexpr Base::Duration StartLevelDelay = Base::seconds(1);
+
+/// `limit.perSecond` must be positive.
+AllowanceTerms termsFor(const RateLimit &limit, const Tolerance &tolerance);
 
 } // namespace Allowance
--- a/Libraries/LibWire/AllowanceMessages.h
+++ b/Libraries/LibWire/AllowanceMessages.h
@@ -32,7 +32,7 @@
     std::uint32_t units = 0; ///< Now the gateway's own; nobody else gets them.
     std::uint32_t validMs =
         0; ///< How long they may be spent, counted from when the gateway sent the request.
-    std::uint32_t unitAfterMs = 0; ///< With fewer units than needed: time until there is one.
+    std::uint32_t unitAfterMs = 0; ///< With fewer units than needed: time until the gateway may ask again.
     /// With fewer units than needed: time until there is one behind the requests that were denied before.
     std::uint32_t retryAfterMs = 0;
     double spacingMs = 0.0; ///< Mean time between two units.
