Hold tenants' allowances over all gateways

Cause: a tenant's requests beyond its allowance must get 429 wherever they come in, and none below it. Change: a request of a tenant with an allowance needs a unit before the core gets it. Without a unit: 429 with the time of one; without a leader: 503, not run. A request that ends as not run gives its unit back. The leader of the registries decodes the limits when it is first asked after a change. Ruled out: waiting inside of the core, which would count as load there.

--- a/Libraries/LibAllowance/AllowanceDivider.cpp
+++ b/Libraries/LibAllowance/AllowanceDivider.cpp
@@ -50,7 +50,7 @@
         rule = {rule.terms, now, {0.0, now, {}}};
 }
 
-void AllowanceDivider::setTerms(Base::Instant now, const TermsByRule &terms)
+void AllowanceDivider::setTerms(Base::Instant now, const TermsByRule &terms, Base::Instant newSince)
 {
     // What was earned until now was earned under the old rules.
     for (auto bucket = buckets_.begin(); bucket != buckets_.end();) {
@@ -65,7 +65,7 @@
     }
     std::map<std::string, Rule, std::less<>> rules;
     for (const auto &[name, newTerms] : terms) {
-        Rule rule {newTerms, now, {0.0, now, {}}};
+        Rule rule {newTerms, newSince, {0.0, newSince, {}}};
         if (const auto before = rules_.find(name); before != rules_.end()) {
             rule.since = before->second.since;
             rule.fresh = before->second.fresh;
--- a/Libraries/LibAllowance/AllowanceDivider.h
+++ b/Libraries/LibAllowance/AllowanceDivider.h
@@ -31,9 +31,10 @@
     void begin(Base::Instant now, std::uint64_t term);
     std::uint64_t term() const { return term_; }
 
-    /// Replaces all rules. Buckets keep their level, up to the new capacity; rules that are new start at
-    /// their start level.
-    void setTerms(Base::Instant now, const TermsByRule &terms);
+    /// Replaces all rules. Buckets keep their level, up to the new capacity; rules that are new start empty
+    /// at `newSince`.
+    void setTerms(Base::Instant now, const TermsByRule &terms, Base::Instant newSince);
+    void setTerms(Base::Instant now, const TermsByRule &terms) { setTerms(now, terms, now); }
 
     /// Call only while this node leads for certain at `now`. InvalidRequest if a limit of the message is
     /// exceeded.
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -134,20 +134,25 @@
 void Forwarder::admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                       const Route::RouteRule &route, const Route::TenantRule *tenant)
 {
+    HeldUnit held;
+    if (!obtainUnit(request, caller, route, tenant, held))
+        return;
     const auto now = clock_.now();
     auto callerDelay = Forward::estimateCallerDelay(caller.roundTripTime(), caller.isFirstOnConnection());
-    callerDelay.network += answerLag_.allowance();
-    const auto id =
-        core_.begin(now, {table_, &route, parseDeadline(request.header(adapter_.headers().deadline)),
-                          callerDelay, tenant});
+    callerDelay.network += answerLag_.allowance() + held.waited;
+    auto deadline = parseDeadline(request.header(adapter_.headers().deadline));
+    if (deadline)
+        *deadline = std::max(*deadline - held.waited, Base::Duration::zero());
+    const auto id = core_.begin(now, {table_, &route, deadline, callerDelay, tenant});
     auto &pending = pending_[id];
+    pending.arrivedAt = now - held.waited;
+    pending.held = std::move(held);
     pending.caller = caller;
     pending.requestId = request.header(adapter_.headers().requestId);
     pending.routeName = route.name;
     if (tenant != nullptr)
         pending.tenantName = tenant->name;
     pending.version = table_->version();
-    pending.arrivedAt = now;
     pending.callerDelay = callerDelay.network;
     pending.head = forwardedHead(request, adapter_.headers(), table_->configuration(), tenant);
     pending.body = request.body;
@@ -344,6 +349,9 @@
         return; // The caller disconnected; this was logged already.
     const auto pending = std::move(found->second);
     pending_.erase(found);
+    if (action.outcome.kind == Forward::Outcome::Kind::Refused
+        && Base::errorAnswer(action.outcome.error).runState == Base::RunState::NotRun)
+        giveBackUnit(pending.held);
     const auto response = responseFor(pending, action.outcome);
     pending.caller.respond(response);
     const auto now = clock_.now();
@@ -423,6 +431,7 @@
 
 void Forwarder::endAll()
 {
+    endUnitWaiters();
     core_.endAll(clock_.now());
     performActions();
 }
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include "LibAdapter/PlatformAdapter.h"
+#include "LibAllowance/AllowanceStock.h"
 #include "LibBase/Clock.h"
 #include "LibBase/EventLog.h"
 #include "LibEdge/CallerServer.h"
 #include "LibForward/AnswerLag.h"
 #include "LibForward/ForwardCore.h"
 #include "LibTenant/Authenticator.h"
+#include "Services/Gateway/AllowanceClient.h"
 #include "Services/Gateway/BackendPool.h"
 #include "Services/Gateway/GatewayMetrics.h"
 
 #include <memory>
+#include <random>
 #include <string>
 #include <unordered_map>
 
@@ -41,6 +44,9 @@
         authenticator_.confirm(version, at);
     }
     const Tenant::Authenticator &authenticator() const { return authenticator_; }
+    /// Sets where requests of tenants with an allowance get their units; it must outlive this object. Without
+    /// it, allowances are not kept.
+    void setAllowances(AllowanceClient *allowances);
 
     /// Sets when endAll() will be called during a planned stop.
     void setStopTime(Base::Instant at) { core_.setStopTime(at); }
@@ -51,12 +57,36 @@
 
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
-    std::size_t requestsInFlight() const { return core_.exchangesInFlight(); }
+    std::size_t requestsInFlight() const { return core_.exchangesInFlight() + waitingForUnits_.size(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
 private:
+    /// Unit of a request that is being served; its key is empty if the request needs none.
+    struct HeldUnit
+    {
+        Allowance::Unit unit;
+        Base::Duration waited {}; ///< How long the request waited for it.
+    };
+
+    struct UnitDetails
+    {
+        std::string route;
+        std::string tenant;
+        Base::Duration waited {};
+    };
+
+    struct UnitWaiter
+    {
+        Edge::RequestMessage request;
+        Edge::CallerExchange caller;
+        UnitDetails details;
+        Base::Instant arrivedAt;
+        std::size_t size = 0;
+    };
+
     struct PendingRequest
     {
+        HeldUnit held;
         Edge::CallerExchange caller;
         std::string requestId;
         std::string routeName;
@@ -81,6 +111,16 @@
     Base::Duration timeUntilReady(Base::Instant now) const;
     Base::Duration retryAfter(Base::Instant now, Base::ErrorKind error) const;
     void watchCurrency(Base::Instant now);
+    // ForwarderAllowance.cpp
+    bool obtainUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                    const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held);
+    std::optional<UnitWaiter> takeUnitWaiter(Allowance::WaiterId waiter);
+    void unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking);
+    void giveBackUnit(const HeldUnit &held);
+    void refuseUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                    const UnitDetails &details, const Allowance::Taking &taking);
+    void endUnitWaiters();
+
     void performActions();
     void performAction(Forward::Action &action);
     void send(const Forward::SendAttempt &action);
@@ -112,6 +152,11 @@
     std::unordered_map<Forward::ExchangeId, PendingRequest> pending_;
     /// Request id that the response to an attempt must echo.
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_;
+    AllowanceClient *allowances_ = nullptr;
+    std::unordered_map<Allowance::WaiterId, UnitWaiter> waitingForUnits_;
+    std::size_t bytesWaitingForUnits_ = 0;
+    std::optional<HeldUnit> resumed_; ///< Of the request that comes back from waiting for it.
+    Base::RandomSource random_ {std::random_device {}()};
     Forward::AnswerLag answerLag_;
     Base::Instant serversReadAt_;
     Base::Instant timerDeadline_ = Base::Instant::max();
--- /dev/null
+++ b/Services/Gateway/ForwarderAllowance.cpp
@@ -0,0 +1,155 @@
+// Units of the tenants' allowances: a request that is handed to the core holds one.
+
+#include "LibAllowance/AllowanceKey.h"
+#include "Services/Gateway/Forwarder.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace Services {
+
+namespace {
+
+using Importance = Base::EventLog::Importance;
+using Kind = Allowance::Taking::Kind;
+
+/// A request waits for the leader for a fraction of its latency target, so that a refusal still leaves time
+/// for a new attempt.
+constexpr int TargetPerUnitWait = 5;
+constexpr Base::Duration MaxUnitWait = Base::milliseconds(300);
+/// Bytes of requests that wait for units. Load pattern: large bodies of a tenant while no leader answers.
+constexpr std::size_t MaxWaitingBytes = std::size_t {4} * 1024 * 1024;
+/// The next leader is found within about this time; callers come back spread over the same time.
+constexpr Base::Duration LeaderRetryAfter = Base::milliseconds(500);
+
+std::size_t sizeOf(const Edge::RequestMessage &request)
+{
+    auto size = sizeof(request) + request.target.size() + request.body.size();
+    for (const auto &[name, value] : request.headers)
+        size += sizeof(Http::Header) + name.size() + value.size();
+    return size;
+}
+
+} // namespace
+
+void Forwarder::setAllowances(AllowanceClient *allowances)
+{
+    allowances_ = allowances;
+    if (allowances_ != nullptr)
+        allowances_->setDecisionHandler([this](Allowance::WaiterId waiter, Allowance::Taking taking) {
+            unitDecided(waiter, std::move(taking));
+        });
+}
+
+/// Returns false if the request was refused or waits; a request that waits comes back through handle(), so
+/// that what has changed meanwhile holds for it.
+bool Forwarder::obtainUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                           const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held)
+{
+    if (tenant == nullptr || tenant->requestsPerSecond <= 0.0 || allowances_ == nullptr)
+        return true;
+    const auto key = Allowance::tenantKey(tenant->name);
+    if (resumed_ && resumed_->unit.key == key) {
+        held = *std::exchange(resumed_, std::nullopt);
+        return true;
+    }
+    const auto now = clock_.now();
+    const auto patience = std::min(route.latencyTarget / TargetPerUnitWait, MaxUnitWait);
+    const auto size = sizeOf(request);
+    const bool mayWait = bytesWaitingForUnits_ + size <= MaxWaitingBytes;
+    auto taking = allowances_->take(now, key, mayWait ? now + patience : now);
+    if (taking.kind == Kind::Granted) {
+        held.unit = std::move(taking.unit);
+        return true;
+    }
+    if (taking.kind != Kind::Waiting) {
+        refuseUnit(request, caller, {route.name, tenant->name, {}}, taking);
+        return false;
+    }
+    const auto waiter = taking.waiter;
+    waitingForUnits_.emplace(waiter, UnitWaiter {request, caller, {route.name, tenant->name, {}}, now, size});
+    bytesWaitingForUnits_ += size;
+    caller.onCallerLeft([this, waiter] {
+        allowances_->abandon(waiter);
+        takeUnitWaiter(waiter);
+    });
+    return false;
+}
+
+std::optional<Forwarder::UnitWaiter> Forwarder::takeUnitWaiter(Allowance::WaiterId waiter)
+{
+    auto node = waitingForUnits_.extract(waiter);
+    if (!node)
+        return std::nullopt;
+    bytesWaitingForUnits_ -= node.mapped().size;
+    return std::move(node.mapped());
+}
+
+void Forwarder::unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking)
+{
+    const auto found = takeUnitWaiter(waiter);
+    const auto now = clock_.now();
+    if (found && taking.kind != Kind::Granted) {
+        auto details = found->details;
+        details.waited = now - found->arrivedAt;
+        return refuseUnit(found->request, found->caller, details, taking);
+    }
+    if (found) {
+        found->caller.onCallerLeft({});
+        resumed_ = HeldUnit {std::move(taking.unit), now - found->arrivedAt};
+        handle(found->request, found->caller);
+    } else if (taking.kind == Kind::Granted) {
+        resumed_ = HeldUnit {std::move(taking.unit), {}};
+    }
+    // The caller has left, or the request is refused by what holds now.
+    if (resumed_)
+        giveBackUnit(*std::exchange(resumed_, std::nullopt));
+}
+
+void Forwarder::giveBackUnit(const HeldUnit &held)
+{
+    if (!held.unit.key.empty())
+        allowances_->giveBack(clock_.now(), held.unit.key, held.unit.validUntil);
+}
+
+void Forwarder::refuseUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                           const UnitDetails &details, const Allowance::Taking &taking)
+{
+    const auto now = clock_.now();
+    const bool overLimit = taking.kind == Kind::OverLimit;
+    const auto error = overLimit ? Base::ErrorKind::TenantOverLimit : Base::ErrorKind::ControlUnavailable;
+    const auto retryAfter = overLimit
+                                ? taking.retryAfter
+                                : LeaderRetryAfter + Base::Duration(random_.below(LeaderRetryAfter.count()));
+    const auto &names = adapter_.headers();
+    Edge::ResponseMessage response;
+    response.status = Base::errorAnswer(error).httpStatus;
+    const std::string requestId(request.header(names.requestId));
+    if (!requestId.empty())
+        response.headers.emplace_back(names.requestId, requestId);
+    response.headers.emplace_back("Retry-After",
+                                  fmt::format("{:.3f}", Base::toMilliseconds(retryAfter) / 1000.0));
+    caller.respond(response);
+    metrics_.requestAnswered(details.route, std::string(Base::errorName(error)), details.waited);
+    // A tenant far above its limit must not use up the lines about failures.
+    events_.write(
+        now, overLimit ? Importance::Routine : Importance::Notable, "request_answered",
+        {{"request", requestId},
+         {"route", details.route},
+         {"tenant", details.tenant},
+         {"outcome", Base::errorName(error)},
+         {"status", response.status},
+         {"ms", Base::toMilliseconds(details.waited)},
+         {"retry_after_ms", Base::toMilliseconds(retryAfter)},
+         {"configuration_version", table_ ? table_->version() : 0},
+         {"cause", overLimit ? "the tenant's allowance is used up" : "no leader divides the allowances"}});
+}
+
+/// Before endAll() ends the requests that the core knows.
+void Forwarder::endUnitWaiters()
+{
+    if (allowances_ != nullptr)
+        allowances_->abandonAll();
+}
+
+} // namespace Services
--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -54,6 +54,22 @@
         .add();
 }
 
+void GatewayMetrics::allowanceTaking(const std::string &result)
+{
+    registry_
+        .counter("daisyroute_allowance_takings_total",
+                 "Requests that need a unit of an allowance, by result.", {{"result", result}})
+        .add();
+}
+
+void GatewayMetrics::allowanceCall(const std::string &result)
+{
+    registry_
+        .counter("daisyroute_allowance_calls_total", "Calls to the registries' leader for units, by result.",
+                 {{"result", result}})
+        .add();
+}
+
 void GatewayMetrics::setGauge(const char *name, const char *help, double value)
 {
     registry_.gauge(name, help).set(value);
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -17,6 +17,10 @@
     void serverNotice(const std::string &kind);
     /// A request had to wait for room that tenants share, or was refused for it.
     void roomShared(const std::string &result, bool aboveShare);
+    /// What became of a request for a unit of an allowance.
+    void allowanceTaking(const std::string &result);
+    /// A call to the leader for units has ended.
+    void allowanceCall(const std::string &result);
     void setGauge(const char *name, const char *help, double value);
 
     const Metrics::Registry &registry() const { return registry_; }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -112,6 +112,12 @@
     endpoint_ = std::move(*endpoint);
     forwarder_ = std::make_unique<Forwarder>(loop_, adapter_, events_, metrics_, forwardOptions());
     forwarder_->setGatewayCount(AssumedGateways);
+    allowances_ =
+        std::make_unique<AllowanceClient>(loop_, *endpoint_, events_, metrics_, incarnation_, [this] {
+            return watcher_ && watcher_->isWatchingRegistry() ? watcher_->target() : std::string();
+        });
+    allowances_->setGatewayCount(AssumedGateways);
+    forwarder_->setAllowances(allowances_.get());
 
     const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, const std::string &address,
                               Edge::CallerHandler handler) -> Base::Result<void> {
@@ -235,6 +241,8 @@
         leaderHeardAt_ = clock_.now() - Base::milliseconds(reply.leaderSilentMs);
     if (!reply.leaderAddress.empty())
         leaderAddress_ = reply.leaderAddress;
+    if (fresh)
+        allowances_->setLeader(reply.leaderAddress);
     applyConfiguration(reply, fresh);
     if (fresh && forwarder_->authenticator().isActive())
         forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
@@ -320,8 +328,10 @@
     }
     watcher_->setGateways(std::move(others));
     advertised_ = Registry::selectGateways(directory_.gateways(), MaxAdvertisedGateways);
-    if (!advertised_.empty())
+    if (!advertised_.empty()) {
         forwarder_->setGatewayCount(std::max(advertised_.size(), MinGatewayCount));
+        allowances_->setGatewayCount(advertised_.size());
+    }
     events_.write(clock_.now(), Importance::Notable, "directory_changed",
                   {{"serving", directory_.gateways().size()}});
 }
@@ -352,6 +362,7 @@
 {
     const auto now = clock_.now();
     forwarder_->maintain(now);
+    allowances_->maintain(now);
     relayedGateways_.tick(now);
     watchers_.answer(now);
     reloadSettings(false);
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -11,6 +11,7 @@
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
 #include "Services/Common/WatchDesk.h"
+#include "Services/Gateway/AllowanceClient.h"
 #include "Services/Gateway/Forwarder.h"
 #include "Services/Gateway/GatewayMetrics.h"
 #include "Services/Gateway/RegistryWatcher.h"
@@ -84,6 +85,7 @@
     Registry::Directory directory_;
     /// Gateways of `directory_` that are advertised to callers.
     std::vector<Wire::GatewayRecord> advertised_;
+    std::unique_ptr<AllowanceClient> allowances_;
     std::unique_ptr<Forwarder> forwarder_;
     std::unique_ptr<Edge::CallerServer> callerServer_;
     std::unique_ptr<Edge::CallerServer> readinessServer_;
--- a/Services/Gateway/RegistryWatcher.h
+++ b/Services/Gateway/RegistryWatcher.h
@@ -44,6 +44,8 @@
     /// Reports a state change of this gateway at once; replaces the open call.
     void reportNow();
     bool isConnected() const { return !target_.empty(); }
+    /// Peer address of the registry or gateway that is watched; empty if there is none.
+    const std::string &target() const { return target_; }
     /// True if the target is a registry, not a gateway that relays.
     bool isWatchingRegistry() const { return registries_.contains(target_); }
 
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -43,6 +43,8 @@
         return post(payload, responder, &RegistryProcess::submitForPeer);
     case Wire::Method::ReadConfiguration:
         return post(payload, responder, &RegistryProcess::readForPeer);
+    case Wire::Method::TakeAllowance:
+        return post(payload, responder, &RegistryProcess::takeAllowance);
     default:
         responder->fail({ErrorKind::InvalidRequest, "a registry does not serve this call"});
     }
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -122,6 +122,7 @@
         cluster_->core().tick(now);
         maintainMembership(now);
         processReady();
+        watchAllowances(now);
     }
     if (leavingSince_)
         continueLeaving(now);
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibAdapter/PlatformAdapter.h"
+#include "LibAllowance/AllowanceDivider.h"
 #include "LibBase/Clock.h"
 #include "LibBase/EventLog.h"
 #include "LibControl/RaftWatch.h"
@@ -106,6 +107,11 @@
     /// Number of voters that keeps a majority after the loss of `lostVmsTolerated` VMs.
     std::size_t targetVoterCount() const { return 2 * std::size_t {settings_.lostVmsTolerated} + 1; }
 
+    // RegistryAllowances.cpp: bounded rates, shared by all gateways.
+    void takeAllowance(const Wire::TakeAllowanceRequest &request, const ResponderPointer &responder);
+    void watchAllowances(Base::Instant now);
+    void updateAllowanceTerms(Base::Instant now);
+
     // RegistryOperators.cpp: the operators' interface.
     void handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
     void replaceConfiguration(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
@@ -156,6 +162,13 @@
     /// Server lists held by other registries, by address.
     std::map<std::string, PeerServerList> peerServerLists_;
     Base::Instant nextShare_;
+    Allowance::AllowanceDivider allowances_;
+    std::uint64_t allowanceVersion_ = 0; ///< Of the configuration that the terms of `allowances_` are from.
+    std::uint64_t seenVersion_ = 0;
+    Base::Instant configurationSeenAt_; ///< When `seenVersion_` was first seen.
+    Base::Instant ledSince_; ///< Begin of the term of `allowances_`.
+    Base::Instant nextAllowanceSweep_;
+    Base::Instant nextAllowanceRefusalLine_;
     WatchDesk watchers_;
     std::unique_ptr<Edge::CallerServer> operatorServer_;
     std::unique_ptr<Edge::CallerServer> metricsServer_;
--- a/Tests/LibAllowance/TestAllowanceExplorer.cpp
+++ b/Tests/LibAllowance/TestAllowanceExplorer.cpp
@@ -222,7 +222,8 @@
     }
 }
 
-// The worst moment of a freeze: the answer with all units is on its way, and the bucket fills again meanwhile.
+// The worst moment of a freeze: the answer with all units is on its way, and the bucket fills again
+// meanwhile.
 TEST(AllowanceExplorer, WokenGatewayDoesNotAddItsOldUnits)
 {
     const RateLimit limit {20, 40};
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -4,6 +4,7 @@
 #include "LibBase/RandomSource.h"
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "LibWire/AllowanceMessages.h"
 #include "LibWire/Codec.h"
 #include "LibWire/IntroduceMessages.h"
 #include "LibWire/Packed.h"
@@ -87,6 +88,8 @@
     decodeDamagedMessage(Wire::LeaveRequest {"a", 7});
     decodeDamagedMessage(Wire::LeaveReply {Wire::LeaveVerdict::Needed});
     decodeDamagedMessage(Wire::IntroduceNodeRequest {});
+    decodeDamagedMessage(Wire::TakeAllowanceRequest {{{"Ta", 3, 4}, {"Sb", 1, 0}}});
+    decodeDamagedMessage(Wire::TakeAllowanceReply {{{7, 300, 40, 500, 12.5}}, "10.0.0.1:7000"});
 }
 
 TEST(DamagedMessages, DirectoriesAndServerLists)
--- a/Tests/Services/FakeAdapter.h
+++ b/Tests/Services/FakeAdapter.h
@@ -5,7 +5,7 @@
 namespace Services {
 
 /// A platform with short header names and nothing else.
-class FakeAdapter final : public Adapter::PlatformAdapter
+class FakeAdapter : public Adapter::PlatformAdapter
 {
 public:
     const Adapter::HeaderNames &headers() const override { return names_; }
