Measure allowances of many gateways and tenants

Cause: memory and messages at 680 gateways and 10,000 tenants were not known. Change: a test on logical time bounds both.

--- a/Tests/LibAllowance/AllowanceSimulation.h
+++ b/Tests/LibAllowance/AllowanceSimulation.h
@@ -3,6 +3,7 @@
 #include "LibAllowance/AllowanceDivider.h"
 #include "LibAllowance/AllowanceStock.h"
 
+#include <algorithm>
 #include <array>
 #include <functional>
 #include <map>
@@ -53,6 +54,12 @@
             dividers_[*leader_].setTerms(now_, terms_);
     }
 
+    void setCallInterval(Base::Duration interval)
+    {
+        for (auto &gateway : gateways_)
+            gateway.stock->setCallInterval(interval);
+    }
+
     /// Nobody leads from now on, as a lease has run out.
     void loseLeader() { leader_.reset(); }
     void electLeader(std::size_t registry)
@@ -125,7 +132,15 @@
     const std::vector<Base::Instant> &spentAt(const std::string &key) { return spentAt_[key]; }
     Counts &counts(const std::string &key) { return counts_[key]; }
     std::size_t calls() const { return calls_; }
-    std::size_t keysHeld() const { return gateways_.front().stock->keys(); }
+    std::size_t bytes() const { return bytes_; } ///< Of calls and their answers.
+    std::size_t mostKeysHeld() const
+    {
+        std::size_t most = 0;
+        for (const auto &gateway : gateways_)
+            most = std::max(most, gateway.stock->keys());
+        return most;
+    }
+    std::size_t buckets() const { return dividers_[*leader_].buckets(); }
 
 private:
     static constexpr Base::Duration Patience = Base::milliseconds(300);
@@ -193,6 +208,7 @@
         const auto reply = dividers_[*leader_].take(now_, call.request);
         if (!reply)
             return;
+        bytes_ += Wire::encode(call.request).size() + Wire::encode(*reply).size();
         send([this, index, generation, sequence = call.sequence, reply = *reply] {
             whenAwake(index, generation, [this, index, sequence, reply] {
                 gateways_[index].stock->callAnswered(now_, sequence, reply);
@@ -250,4 +266,5 @@
     std::map<std::string, std::vector<Base::Instant>> spentAt_;
     std::map<std::string, Counts> counts_;
     std::size_t calls_ = 0;
+    std::size_t bytes_ = 0;
 };
--- a/Tests/LibAllowance/TestAllowanceExplorer.cpp
+++ b/Tests/LibAllowance/TestAllowanceExplorer.cpp
@@ -248,3 +248,47 @@
     EXPECT_GT(simulation.spentAt(key).size(), 100U);
     EXPECT_EQ(findExcess(simulation.spentAt(key), limit, tolerance, {{Base::Instant(), 1.0}}), "");
 }
+
+// Memory and messages are bounded by the gateways and the tenants, not by the requests. The few large tenants
+// send half of all; each request goes to a random gateway, which is the worst case for stocks.
+TEST(AllowanceExplorer, ManyGatewaysAndTenants)
+{
+    const std::size_t gateways = 680;
+    const std::size_t tenants = 10'000;
+    const double requestsPerSecond = 10'000.0;
+    const int duration = 10;
+    const Tolerance tolerance {Base::seconds(5), 0.1, 20.0};
+    AllowanceSimulation simulation(5, gateways, {});
+    simulation.setCallInterval(Base::milliseconds(100));
+    Allowance::TermsByRule terms;
+    for (std::size_t tenant = 0; tenant < tenants; ++tenant) {
+        const double rate = tenant < 10 ? 1'000.0 : 2.0;
+        terms[Allowance::tenantKey(fmt::format("tenant-{}", tenant))] =
+            Allowance::termsFor({rate, rate}, tolerance);
+    }
+    simulation.setTerms(terms);
+    simulation.advance(Base::seconds(14));
+    const auto requestsPerStep = static_cast<int>(requestsPerSecond * 0.005);
+    for (int step = 0; step < duration * 200; ++step) {
+        for (int count = 0; count < requestsPerStep; ++count) {
+            const auto tenant = count % 2 == 0 ? simulation.below(10) : simulation.below(tenants);
+            simulation.request(simulation.below(gateways),
+                               Allowance::tenantKey(fmt::format("tenant-{}", tenant)));
+        }
+        simulation.advance(Base::milliseconds(5));
+    }
+    fmt::print(
+        "{} gateways, {} tenants, {} requests/s: {:.0f} calls/s, {:.0f} kB/s, {} buckets at the leader, "
+        "at most {} keys at a gateway\n",
+        gateways, tenants, requestsPerSecond, simulation.calls() / 1.0 / duration,
+        simulation.bytes() / 1000.0 / duration, simulation.buckets(), simulation.mostKeysHeld());
+    std::size_t refused = 0;
+    for (std::size_t tenant = 0; tenant < tenants; ++tenant) {
+        const auto &counts = simulation.counts(Allowance::tenantKey(fmt::format("tenant-{}", tenant)));
+        refused += counts.overLimit + counts.unavailable;
+    }
+    EXPECT_LE(static_cast<double>(refused), 0.01 * requestsPerSecond * duration);
+    EXPECT_LE(simulation.calls(), gateways * 10 * (duration + 1));
+    EXPECT_LE(simulation.buckets(), tenants);
+    EXPECT_LE(simulation.mostKeysHeld(), tenants);
+}
