--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -4,6 +4,7 @@
 #include "LibBase/RandomSource.h"
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "LibWire/AllowanceMessages.h"
 #include "LibWire/Codec.h"
 #include "LibWire/IntroduceMessages.h"
 #include "LibWire/Packed.h"
@@ -91,6 +92,8 @@
     decodeDamagedMessage(Wire::IntroduceNodeRequest {});
     decodeDamagedMessage(Wire::ConfirmConfigurationRequest {7});
     decodeDamagedMessage(Wire::ConfirmConfigurationReply {7, 80});
+    decodeDamagedMessage(Wire::TakeAllowanceRequest {{{"Ta", 3, 4}, {"Sb", 1, 0}}});
+    decodeDamagedMessage(Wire::TakeAllowanceReply {{{7, 300, 40, 500, 12.5}}, "10.0.0.1:7000"});
 }
 
 TEST(DamagedMessages, DirectoriesAndServerLists)
