Learn how many concurrent attempts each server takes well

Cause: servers of one service differ in speed, and some slow down long before their slots are full; the gateway filled the slots, and forgot a server's steady speed in seconds. Change: Forward::ConcurrencyLimit, additive increase and multiplicative decrease over windows of replies, against the server's own best. Kept in Backend::history, which exists only with learn_server_limits (default off); slowness then fades to the server's long-term speed. LimitChange is logged as server_limit_changed, with a counter and a gauge.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -2,6 +2,7 @@
 
 #include "LibAdapter/PlatformAdapter.h"
 #include "LibBase/Time.h"
+#include "LibForward/ServerHistory.h"
 #include "LibWire/RegistryMessages.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
@@ -49,6 +50,7 @@
     Adapter::ServerLoad load; ///< Last load that the server reported.
     Base::Instant loadAt;
     bool loadKnown = false;
+    boost::intrusive_ptr<ServerHistory> history; ///< Null unless limits are learned.
 
     /// Whether the list names it as a server to use.
     bool isListedReady() const { return listed && !displaced && record.state == Wire::ServerState::Ready; }
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace Forward {
@@ -45,6 +46,14 @@
 /// Half-life of a server's slowness without new samples. A server that gets no work produces no samples that
 /// could show its recovery from a pause or slow phase.
 constexpr double SlownessHalfLifeMs = 2000.0;
+/// The same for its long-term speed: much longer than a slow phase, and short enough that a server that has
+/// become faster meanwhile is tried again.
+constexpr double HistoryHalfLifeMs = 20'000.0;
+constexpr double HistoryWeight = 0.02;
+constexpr double MinHistoricSlowness = 0.5;
+constexpr double MaxHistoricSlowness = 2.0;
+/// A learned limit is logged when it has changed by this factor.
+constexpr std::uint32_t ReportedLimitFactor = 2;
 /// Bounds of the exponential backoff after consecutive failures.
 constexpr Base::Duration MinAvoidance = Base::milliseconds(250);
 constexpr Base::Duration MaxAvoidance = Base::seconds(2);
@@ -61,6 +70,11 @@
            && backend.load.waiting >= LongQueuePerSlot * std::max(1U, backend.record.slots);
 }
 
+std::uint32_t slotLimit(const Backend &backend, std::uint32_t connectionShare)
+{
+    return std::min(connectionShare, std::max(MinOpenAttempts, backend.record.slots));
+}
+
 /// Maximum number of attempts that this gateway keeps open at one server. When callers return together after
 /// an outage, there is more work than the servers can run at once. Beyond the slots it would wait in the FIFO
 /// queues of the servers; queued in the gateway, it is dispatched by urgency. All gateways together can
@@ -70,7 +84,8 @@
 {
     if (backend.resuming || reportsLongQueue(now, backend))
         return 1;
-    return std::min(connectionShare, std::max(MinOpenAttempts, backend.record.slots));
+    const auto ceiling = slotLimit(backend, connectionShare);
+    return backend.history ? backend.history->concurrency.limit(ceiling) : ceiling;
 }
 
 bool hasRoom(Base::Instant now, const Backend &backend, std::uint32_t connectionShare)
@@ -89,10 +104,20 @@
     return backend.errorRate * std::exp2(-age / ErrorHalfLifeMs);
 }
 
+/// The speed that a server returns to without new samples: its own, where it is learned.
+double steadySlowness(Base::Instant now, const Backend &backend)
+{
+    if (!backend.history)
+        return 1.0;
+    const auto age = std::max(0.0, Base::toMilliseconds(now - backend.history->slownessAt));
+    return 1.0 + (backend.history->slowness - 1.0) * std::exp2(-age / HistoryHalfLifeMs);
+}
+
 double decayedSlowness(Base::Instant now, const Backend &backend)
 {
     const auto age = std::max(0.0, Base::toMilliseconds(now - backend.slownessAt));
-    return 1.0 + (backend.slowness - 1.0) * std::exp2(-age / SlownessHalfLifeMs);
+    const auto steady = steadySlowness(now, backend);
+    return steady + (backend.slowness - steady) * std::exp2(-age / SlownessHalfLifeMs);
 }
 
 void addErrorSample(Base::Instant now, Backend &backend, double sample)
@@ -379,6 +404,50 @@
     backend.resuming = true;
 }
 
+bool BackendTable::learn(Base::Instant now, Backend &backend, Base::Duration latency,
+                         Base::Duration usualLatency, Base::Duration meanLatency,
+                         std::uint32_t connectionShare)
+{
+    // A server that warms up is slow whatever it gets.
+    if (now < backend.warmAt)
+        return false;
+    const auto ceiling = slotLimit(backend, connectionShare);
+    if (!backend.history) {
+        backend.history.reset(new ServerHistory);
+        backend.history->reportedLimit = ceiling;
+    }
+    auto &history = *backend.history;
+    const auto ms = Base::toMilliseconds(latency);
+    const auto ratio = std::clamp(ms / std::max(0.1, Base::toMilliseconds(meanLatency)), MinHistoricSlowness,
+                                  MaxHistoricSlowness);
+    const auto steady = steadySlowness(now, backend);
+    history.slowness = steady + HistoryWeight * (ratio - steady);
+    history.slownessAt = now;
+    history.concurrency.record(now, ms / std::max(0.1, Base::toMilliseconds(usualLatency)),
+                               static_cast<std::uint32_t>(backend.openSince.size()) + 1, ceiling);
+    const auto limit = history.concurrency.limit(ceiling);
+    if (limit * ReportedLimitFactor > history.reportedLimit
+        && limit < history.reportedLimit * ReportedLimitFactor)
+        return false;
+    history.reportedLimit = limit;
+    return true;
+}
+
+void BackendTable::forgetHistories()
+{
+    for (const auto &[identity, backend] : backends_)
+        backend->history.reset();
+}
+
+std::size_t BackendTable::limitedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(), [](const auto &entry) {
+        const auto &backend = *entry.second;
+        const auto ceiling = slotLimit(backend, std::numeric_limits<std::uint32_t>::max());
+        return backend.history && backend.history->concurrency.limit(ceiling) < ceiling;
+    }));
+}
+
 void BackendTable::recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load)
 {
     backend.load = load;
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -40,11 +40,11 @@
 
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
-    /// (or two), or none if they report a long queue, qualify; those in `excluded` do not. Servers that stall
-    /// (pause), fail part of their requests, are warming up or report a queue are ranked lower, and those
-    /// that have announced that they leave are used only if no other server qualifies. A server in another
-    /// data centre must be faster by a fraction of the latency target, because traffic between data centres
-    /// costs money.
+    /// (or two), or were found to take well, or none if they report a long queue, qualify; those in
+    /// `excluded` do not. Servers that stall (pause), fail part of their requests, are warming up or report a
+    /// queue are ranked lower, and those that have announced that they leave are used only if no other server
+    /// qualifies. A server in another data centre must be faster by a fraction of the latency target, because
+    /// traffic between data centres costs money.
     BackendPointer choose(Base::Instant now, std::string_view service,
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                           Base::Duration meanLatency, Base::Duration latencyTarget);
@@ -89,6 +89,15 @@
     /// MaxPause counts. Afterwards it gets one attempt at a time until it has served one. A later pause may
     /// only end later.
     static void markPaused(Base::Instant now, Backend &backend, Base::Duration duration);
+    /// Takes a successful reply into the server's history. `usualLatency` is that of the route with little
+    /// work. Returns whether the learned limit has changed so much since the last such call that it is worth
+    /// a log line.
+    static bool learn(Base::Instant now, Backend &backend, Base::Duration latency,
+                      Base::Duration usualLatency, Base::Duration meanLatency, std::uint32_t connectionShare);
+    /// Drops what has been learned of all servers.
+    void forgetHistories();
+    /// Number of servers that have been found to take less than their slots.
+    std::size_t limitedCount() const;
     static void recordLoad(Base::Instant now, Backend &backend, const Adapter::ServerLoad &load);
 
     /// Estimated latency of a new attempt at the server's present speed and load.
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -5,6 +5,7 @@
 #include "LibForward/TopRecords.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace Forward {
 
@@ -43,6 +44,8 @@
 void ForwardCore::setOptions(const ForwardOptions &options)
 {
     options_ = options;
+    if (!options_.learnServerLimits)
+        backends_.forgetHistories();
     for (auto &[service, budget] : budgets_)
         budget.setMaxTokens(maxExtraTokens());
 }
@@ -255,6 +258,8 @@
         if (times != routeTimes_.end()) {
             times->second.add(now - attempt.sentAt);
             BackendTable::recordSuccess(now, *attempt.backend, now - attempt.sentAt, times->second.mean());
+            if (options_.learnServerLimits)
+                learnFrom(now, attempt, times->second);
         }
     } else if (serverFault || reply.notExecuted) {
         BackendTable::recordError(now, *attempt.backend);
@@ -287,6 +292,18 @@
     dispatchWaiting(now);
 }
 
+/// Takes a successful reply into what is known of its server.
+void ForwardCore::learnFrom(Base::Instant now, const Attempt &attempt, const RouteTimes &times)
+{
+    auto &backend = *attempt.backend;
+    const auto share = latestTable_ ? connectionShare(latestTable_->configuration(), backend.record.service)
+                                    : std::numeric_limits<std::uint32_t>::max();
+    const auto from = backend.history ? backend.history->reportedLimit : 0U;
+    if (BackendTable::learn(now, backend, now - attempt.sentAt, times.reference(), times.mean(), share))
+        actions_.emplace_back(LimitChange {attempt.backend, from, backend.history->reportedLimit,
+                                           backend.history->concurrency.best()});
+}
+
 /// Takes over what the server says of itself. A response with status 421 comes from another server, and one
 /// that is not whole may have other damage.
 void ForwardCore::takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply)
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -115,7 +115,15 @@
     Base::Instant until; ///< Leaving: the end of its use. Pause: the end of the pause.
     std::string requestId; ///< The caller's request that it answered with the notice.
 };
-using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, ServerNotice>;
+/// The learned limit of concurrent attempts at a server has changed by half or more; for the log.
+struct LimitChange
+{
+    BackendPointer backend;
+    std::uint32_t from = 0;
+    std::uint32_t to = 0;
+    double latencyRatio = 0.0; ///< Its latency with little work over that of its routes.
+};
+using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, ServerNotice, LimitChange>;
 
 /// Deployment settings and limits given by the platform.
 struct ForwardOptions
@@ -128,6 +136,8 @@
     double extraLoadSlack = 0.0;
     /// How long a server that has announced its end may get work if no other server of its service can.
     Base::Duration leavingUseTime = Base::milliseconds(1500);
+    /// Whether to find out how many attempts at once each server takes well, and how fast it usually is.
+    bool learnServerLimits = false;
 };
 
 /// Decides which servers a caller's request is sent to, when it is retried or hedged, and how it is answered.
@@ -280,6 +290,7 @@
     bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
     bool mayRetry(Base::Instant now, const Exchange &exchange, const Leg &leg) const;
     void retryOrClose(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
+    void learnFrom(Base::Instant now, const Attempt &attempt, const RouteTimes &times);
     void takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply);
     void takeSuccess(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex,
                      AttemptReply &reply);
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -239,6 +239,8 @@
             answerCaller(*answerAction);
         } else if (const auto *notice = std::get_if<Forward::ServerNotice>(&action)) {
             logNotice(*notice);
+        } else if (const auto *change = std::get_if<Forward::LimitChange>(&action)) {
+            logLimitChange(*change);
         }
     } catch (const std::exception &exception) {
         events_.write(clock_.now(), Importance::Notable, "action_failed", {{"reason", exception.what()}});
@@ -337,6 +339,19 @@
                    {"source", notice.requestId}});
 }
 
+void Forwarder::logLimitChange(const Forward::LimitChange &change)
+{
+    const auto &record = change.backend->record;
+    metrics_.serverLimitChanged(change.to < change.from ? "lowered" : "raised");
+    events_.write(clock_.now(), Importance::Notable, "server_limit_changed",
+                  {{"server", record.id},
+                   {"service", record.service},
+                   {"slots", record.slots},
+                   {"from", change.from},
+                   {"to", change.to},
+                   {"best_latency_ratio", change.latencyRatio}});
+}
+
 void Forwarder::answerCaller(Forward::AnswerCaller &action)
 {
     const auto found = pending_.find(action.exchange);
@@ -476,6 +491,9 @@
                       static_cast<double>(pool_.bufferedBytes()));
     metrics_.setGauge("daisyroute_backend_servers", "Backend servers listed.",
                       static_cast<double>(core_.backends().size()));
+    metrics_.setGauge("daisyroute_backend_servers_limited",
+                      "Backend servers that were found to take fewer attempts than their slots.",
+                      static_cast<double>(core_.backends().limitedCount()));
     metrics_.setGauge("daisyroute_server_list_age_seconds", "Age of the server list.",
                       Base::toMilliseconds(now - serversReadAt_) / 1000.0);
     metrics_.setGauge("daisyroute_configuration_version", "Version in force.",
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -85,6 +85,7 @@
     void performAction(Forward::Action &action);
     void send(const Forward::SendAttempt &action);
     void logNotice(const Forward::ServerNotice &notice);
+    void logLimitChange(const Forward::LimitChange &change);
     void answerCaller(Forward::AnswerCaller &action);
     Edge::ResponseMessage responseFor(const PendingRequest &pending, Forward::Outcome &outcome) const;
     void logAnswer(Base::Instant now, const PendingRequest &pending, const Forward::Outcome &outcome,
--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -54,6 +54,15 @@
         .add();
 }
 
+void GatewayMetrics::serverLimitChanged(const std::string &direction)
+{
+    registry_
+        .counter("daisyroute_server_limit_changes_total",
+                 "Large changes of the learned limit of concurrent attempts at a backend server.",
+                 {{"direction", direction}})
+        .add();
+}
+
 void GatewayMetrics::setGauge(const char *name, const char *help, double value)
 {
     registry_.gauge(name, help).set(value);
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -17,6 +17,8 @@
     void serverNotice(const std::string &kind);
     /// A request had to wait for room that tenants share, or was refused for it.
     void roomShared(const std::string &result, bool aboveShare);
+    /// The learned limit of a server has changed by half or more.
+    void serverLimitChanged(const std::string &direction);
     void setGauge(const char *name, const char *help, double value);
 
     const Metrics::Registry &registry() const { return registry_; }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -88,8 +88,12 @@
 
 Forward::ForwardOptions GatewayProcess::forwardOptions() const
 {
-    return {settings_.dataCentre, incarnation_, settings_.extraLoadRatio, settings_.extraLoadSlack,
-            settings_.serverDrain / LeavingUseDivisor};
+    return {settings_.dataCentre,
+            incarnation_,
+            settings_.extraLoadRatio,
+            settings_.extraLoadSlack,
+            settings_.serverDrain / LeavingUseDivisor,
+            settings_.learnServerLimits};
 }
 
 Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
