--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -67,6 +67,12 @@
     registry_
         .counter("daisyroute_allowance_calls_total", "Calls to the registries' leader for units, by result.",
                  {{"result", result}})
+void GatewayMetrics::serverLimitChanged(const std::string &direction)
+{
+    registry_
+        .counter("daisyroute_server_limit_changes_total",
+                 "Large changes of the learned limit of concurrent attempts at a backend server.",
+                 {{"direction", direction}})
         .add();
 }
 
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -21,6 +21,8 @@
     void allowanceTaking(const std::string &result);
     /// A call to the leader for units has ended.
     void allowanceCall(const std::string &result);
+    /// The learned limit of a server has changed by half or more.
+    void serverLimitChanged(const std::string &direction);
     void setGauge(const char *name, const char *help, double value);
 
     const Metrics::Registry &registry() const { return registry_; }
