Let the review's stand-in fill in sections of templates

Cause: the settings template has sections since, which the harness of review/ left as text; all processes ended at the start and the cases could not run (exit 2). Change: render() takes {{#a}}…{{/a}} and {{^a}}…{{/a}} as DEPLOY.md describes them for single values. The cases are as they were.

--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -52,17 +52,29 @@
             self.file.flush()
 
 
+def look_up(fields, name):
+    """Returns the value of a dotted name, or None."""
+    current = fields
+    for key in name.split("."):
+        if isinstance(current, list):
+            current = current[int(key)] if int(key) < len(current) else None
+        else:
+            current = current.get(key) if isinstance(current, dict) else None
+    return current
+
+
 def render(template, fields):
-    """Fills in the placeholders that the project's template uses: {{a}}, {{a.b}}, {{a.0}} and |json."""
+    """Fills in the placeholders that the project's template uses: {{a}}, {{a.b}}, {{a.0}}, |json, and sections
+    {{#a}}...{{/a}} and {{^a}}...{{/a}} that depend on whether there is a value."""
+
+    def section(match):
+        current = look_up(fields, match.group(2))
+        is_there = current is not None and current is not False
+        return match.group(3) if is_there == (match.group(1) == "#") else ""
 
     def value(match):
         name, _, form = match.group(1).partition("|")
-        current = fields
-        for key in name.split("."):
-            if isinstance(current, list):
-                current = current[int(key)] if int(key) < len(current) else None
-            else:
-                current = current.get(key) if isinstance(current, dict) else None
+        current = look_up(fields, name)
         if form == "json":
             return json.dumps(current)
         if current is None:
@@ -71,6 +83,7 @@
             return ",".join(str(item) for item in current)
         return json.dumps(current) if isinstance(current, dict) else str(current)
 
+    template = re.sub(r"\{\{([#^])([^}]+)\}\}(.*?)\{\{/\2\}\}", section, template)
     return re.sub(r"\{\{([^}#^/]+)\}\}", value, template)
 
 
