Evacuate data centres by an operator's order

Cause: POST and DELETE /v1/evacuation/DATA_CENTRE were answered 404; nothing kept work from the servers of a data centre. It carries the revision that its registry had applied: the leader refuses one that is based on an earlier revision than its last order, so that a copy that was held up cannot undo a later order. Open calls bring revision and set to gateways, also through those that relay. Their servers have no availability there; waiting work is placed anew, idle connections are closed. For four seconds after the end they count as cold. The path is decoded in platform/ only; the new messages and the path are in the damaged set. A registry of an earlier release cannot read a log with an order.

--- a/Libraries/LibAdapter/PlatformAdapter.h
+++ b/Libraries/LibAdapter/PlatformAdapter.h
@@ -90,6 +90,13 @@
     virtual std::string encodeGateways(std::span<const std::string> callerAddresses,
                                        Base::Duration maxAge) const = 0;
 
+    /// Data centre that a path of BeginEvacuation or EndEvacuation names; empty if it names none that can be:
+    /// none at all, a long one, or one with other characters than names have.
+    virtual std::string evacuatedDataCentre(std::string_view path) const = 0;
+
+    /// How much longer a server stays cold, from the header `serverWarmUp`; empty for other values.
+    virtual std::optional<Base::Duration> decodeWarmUp(std::string_view value) const = 0;
+
     /// Data centre of the caller of a look-up, from the query string; empty if not given.
     virtual std::string callerDataCentre(std::string_view query) const = 0;
 };
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -29,6 +29,9 @@
     bool displaced = false; ///< By the latest list, its address belongs to a newer server.
     /// Set while another server has answered at its address; it gets nothing before then.
     std::optional<Base::Instant> misdirectedUntil;
+    bool evacuated = false; ///< Operators have ordered that its data centre gets nothing.
+    /// Set at the end of an evacuation, when it may have become cold unnoticed. Until then it counts as cold.
+    Base::Instant presumedColdUntil;
     std::uint32_t misdirections = 0; ///< Such answers in a row.
     std::uint32_t absentReads = 0; ///< Consecutive list reads without it.
     /// Set once the server has announced in a response that it leaves: the end of its use as a last resort.
@@ -54,12 +57,12 @@
     bool isListedReady() const { return listed && !displaced && record.state == Wire::ServerState::Ready; }
 
     /// Whether connections to it are kept for later requests.
-    bool keepsConnections() const { return isListedReady() && !lastUse && !misdirectedUntil; }
+    bool keepsConnections() const { return isListedReady() && !evacuated && !lastUse && !misdirectedUntil; }
 
     /// Apart from a pause that it has asked for.
     Availability availabilityAfterPause(Base::Instant now) const
     {
-        if (!isListedReady() || (misdirectedUntil && now < *misdirectedUntil))
+        if (!isListedReady() || evacuated || (misdirectedUntil && now < *misdirectedUntil))
             return Availability::None;
         if (!lastUse)
             return Availability::Usual;
@@ -71,6 +74,9 @@
         return now < pausedUntil ? Availability::None : availabilityAfterPause(now);
     }
 
+    /// Whether it serves slowly, as after a start.
+    bool isCold(Base::Instant now) const { return now < warmAt || now < presumedColdUntil; }
+
     bool acceptsWork(Base::Instant now) const { return availability(now) != Availability::None; }
 };
 
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -124,6 +124,7 @@
         backend->listed = true;
         if (isNew)
             backend->firstListedAt = now;
+        backend->evacuated = evacuated_.contains(record.dataCentre);
         backend->absentReads = 0;
         backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
     }
@@ -146,6 +147,22 @@
     findDisplaced();
 }
 
+void BackendTable::setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres)
+{
+    evacuated_ = std::move(dataCentres);
+    for (const auto &[identity, backend] : backends_) {
+        const bool evacuated = evacuated_.contains(backend->record.dataCentre);
+        if (std::exchange(backend->evacuated, evacuated) && !evacuated)
+            backend->presumedColdUntil = now + PresumedColdTime;
+    }
+}
+
+std::size_t BackendTable::evacuatedCount() const
+{
+    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(),
+                                                  [](const auto &entry) { return entry.second->evacuated; }));
+}
+
 /// Follows from the present list alone, so that it ends with the entry that causes it.
 void BackendTable::findDisplaced()
 {
@@ -239,7 +256,7 @@
     auto estimate = mean * (1.0 + std::max(0.0, work + 1.0 - slots) / slots);
     if (loadIsFresh)
         estimate *= std::max(1.0, backend.load.slowdown);
-    if (now < backend.warmAt)
+    if (backend.isCold(now))
         estimate *= ColdFactor;
     return estimate;
 }
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -22,6 +22,8 @@
     static constexpr Base::Duration MinSilence = Base::milliseconds(600);
     /// Longest pause that a server may ask for; a longer one is more likely an error than a wish.
     static constexpr Base::Duration MaxPause = Base::seconds(600);
+    /// The platform's list is up to three seconds late, and is read each second.
+    static constexpr Base::Duration PresumedColdTime = Base::seconds(4);
 
     /// `dataCentre` is where this gateway runs; servers there have a shorter round trip.
     BackendTable(std::uint64_t seed, std::string dataCentre)
@@ -38,6 +40,13 @@
     /// that could have taken over an address.
     void setServices(std::set<std::string, std::less<>> services);
 
+    /// Sets the data centres whose servers get nothing. Those of one that is taken from the set count as cold
+    /// for a while: they may have started anew or grown cold, and the list shows it later.
+    void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
+
+    /// Number of listed servers whose data centre is evacuated.
+    std::size_t evacuatedCount() const;
+
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
     /// (or two), or none if they report a long queue, qualify; those in `excluded` do not. Servers that stall
@@ -109,6 +118,7 @@
     std::map<Identity, BackendPointer> backends_;
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     std::set<std::string, std::less<>> services_;
+    std::set<std::string, std::less<>> evacuated_; ///< Data centres.
     Base::RandomSource random_;
     std::string dataCentre_;
     bool loaded_ = false;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -53,6 +53,12 @@
     dispatchWaiting(now);
 }
 
+void ForwardCore::setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres)
+{
+    backends_.setEvacuated(now, std::move(dataCentres));
+    dispatchWaiting(now);
+}
+
 void ForwardCore::setGatewayCount(std::size_t count)
 {
     gatewayCount_ = std::max<std::size_t>(1, count);
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -145,6 +145,8 @@
     {
         backends_.setServices(std::move(services));
     }
+    /// Sets the data centres whose servers get nothing; what waits is placed anew.
+    void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// Sets the number of gateways that share connections and budgets; 0 counts as 1.
     void setGatewayCount(std::size_t count);
 
--- a/Libraries/LibRegistry/ConfigurationRegister.cpp
+++ b/Libraries/LibRegistry/ConfigurationRegister.cpp
@@ -16,18 +16,4 @@
     return true;
 }
 
-Base::Bytes ConfigurationRegister::snapshot() const
-{
-    return Wire::encode(content_);
-}
-
-Base::Result<void> ConfigurationRegister::restore(Base::ByteView snapshot)
-{
-    auto content = Wire::decode<StoreConfiguration>(snapshot);
-    if (!content)
-        return Base::fail(Base::ErrorKind::CorruptData, "configuration snapshot cannot be decoded");
-    content_ = std::move(*content);
-    return {};
-}
-
 } // namespace Registry
--- a/Libraries/LibRegistry/ConfigurationRegister.h
+++ b/Libraries/LibRegistry/ConfigurationRegister.h
@@ -28,9 +28,9 @@
     /// are ignored; a command that cannot be decoded gives CorruptData.
     Base::Result<bool> apply(const Wire::RaftEntry &entry);
 
-    Base::Bytes snapshot() const;
-    Base::Result<void> restore(Base::ByteView snapshot);
+    void restore(StoreConfiguration content) { content_ = std::move(content); }
 
+    const StoreConfiguration &content() const { return content_; }
     /// 0 until a configuration is stored.
     std::uint64_t version() const { return content_.version; }
     /// The configuration, compressed with Base::compress.
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -143,6 +143,23 @@
                    evacuationRevision, evacuatedDataCentres)
 };
 
+/// registry → leader: an operator's order to send nothing more to the servers of a data centre, or its end.
+struct ChangeEvacuationRequest
+{
+    std::string dataCentre;
+    bool evacuated = false;
+    std::uint64_t heldRevision = 0; ///< Of the last order that the caller has applied.
+
+    MSGPACK_DEFINE(dataCentre, evacuated, heldRevision)
+};
+
+struct ChangeEvacuationReply
+{
+    std::uint64_t revision = 0;
+
+    MSGPACK_DEFINE(revision)
+};
+
 /// registry → registry: a node that is not a member asks to be added.
 struct JoinRequest
 {
--- a/Services/Common/WatchDesk.cpp
+++ b/Services/Common/WatchDesk.cpp
@@ -12,6 +12,7 @@
 bool hasNews(const Wire::WatchReply &reply, const Wire::WatchRequest &held)
 {
     return !reply.configurationText.empty() || (reply.serverList && !reply.serverList->servers.empty())
+           || reply.evacuationRevision > held.evacuationRevision
            || (reply.directory.digest != 0 && reply.directory.digest != held.directoryDigest);
 }
 
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -101,6 +101,12 @@
     performActions();
 }
 
+void Forwarder::setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres)
+{
+    core_.setEvacuated(now, std::move(dataCentres));
+    performActions();
+}
+
 void Forwarder::handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
 {
     if (refusingNewRequests_)
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -11,6 +11,7 @@
 #include "Services/Gateway/GatewayMetrics.h"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -30,6 +31,7 @@
     void setRoutes(std::shared_ptr<const Route::RouteTable> table);
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
     void setServers(Base::Instant now, const Wire::ServerList &list);
+    void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// Updates the age of a server list that was read again with the same content.
     void setServersReadAt(Base::Instant readAt) { serversReadAt_ = readAt; }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
@@ -52,6 +54,7 @@
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight(); }
+    std::size_t evacuatedServers() const { return core_.backends().evacuatedCount(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
 private:
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -194,6 +194,7 @@
     request.serverListDigest = serverList_.digest();
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
     request.directoryDigest = directory_.digest();
+    request.evacuationRevision = evacuationRevision_;
     request.relayed = relayedGateways_.firstHandReports(clock_.now());
     return request;
 }
@@ -216,6 +217,9 @@
     reply.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     if (reply.configurationVersion > request.configurationVersion)
         reply.configurationText = configurationText_;
+    reply.evacuationRevision = evacuationRevision_;
+    if (evacuationRevision_ > request.evacuationRevision)
+        reply.evacuatedDataCentres = evacuatedDataCentres_;
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
     reply.leaderAddress = leaderAddress_;
@@ -235,6 +239,7 @@
         leaderHeardAt_ = clock_.now() - Base::milliseconds(reply.leaderSilentMs);
     if (!reply.leaderAddress.empty())
         leaderAddress_ = reply.leaderAddress;
+    applyEvacuations(reply);
     applyConfiguration(reply, fresh);
     if (fresh && forwarder_->authenticator().isActive())
         forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
@@ -287,6 +292,21 @@
                    {"leader_silent_ms", reply.leaderSilentMs}});
 }
 
+/// Registries apply only what is durable, so the highest revision holds, whoever tells it.
+void GatewayProcess::applyEvacuations(const Wire::WatchReply &reply)
+{
+    if (reply.evacuationRevision <= evacuationRevision_)
+        return;
+    const auto now = clock_.now();
+    evacuationRevision_ = reply.evacuationRevision;
+    evacuatedDataCentres_ = reply.evacuatedDataCentres;
+    forwarder_->setEvacuated(now, {evacuatedDataCentres_.begin(), evacuatedDataCentres_.end()});
+    events_.write(now, Importance::Notable, "evacuation_in_force",
+                  {{"revision", evacuationRevision_},
+                   {"data_centres", fmt::format("{}", fmt::join(evacuatedDataCentres_, ","))},
+                   {"servers", forwarder_->evacuatedServers()}});
+}
+
 void GatewayProcess::applyServerList(const Wire::PackedServerList &packed)
 {
     const auto now = clock_.now();
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -44,6 +44,7 @@
     Wire::WatchRequest watchRequest() const;
     void applyReply(const Wire::WatchReply &reply, bool fresh);
     void applyConfiguration(const Wire::WatchReply &reply, bool fresh);
+    void applyEvacuations(const Wire::WatchReply &reply);
     void applyDirectory(const Wire::WatchReply &reply);
     void applyServerList(const Wire::PackedServerList &packed);
     void handleWatch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder);
@@ -75,6 +76,8 @@
     std::string refusedConfiguration_; ///< Error detail of the last configuration that could not be decoded.
     bool suitsGathers_ = false; ///< Depends on the current configuration and this VM's capacity.
     std::string configurationText_; ///< Current configuration, for gateways that cannot reach a registry.
+    std::uint64_t evacuationRevision_ = 0; ///< Of the evacuations in force here.
+    std::vector<std::string> evacuatedDataCentres_;
     Registry::ServerListHolder serverList_;
     /// Gateways that report here because they cannot reach a registry.
     Registry::GatewayTable relayedGateways_;
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -86,7 +86,7 @@
     if (bytesSinceSnapshot_ < MaxLogBytes)
         return {};
     bytesSinceSnapshot_ = 0;
-    return raft_->compact(core_->appliedIndex(), core_->configuration().snapshot());
+    return raft_->compact(core_->appliedIndex(), core_->snapshot());
 }
 
 } // namespace Services
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -5,6 +5,7 @@
 #include "Services/Registry/RegistryProcess.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace Services {
@@ -101,11 +102,7 @@
             return closeCluster(changed.error());
         sendRaft(ready->messages);
         if (*changed) {
-            const auto &configuration = cluster_->core().configuration();
-            events_.write(clock_.now(), Importance::Notable, "configuration_stored",
-                          {{"version", configuration.version()},
-                           {"bytes", configuration.text().size()},
-                           {"log_index", cluster_->core().appliedIndex()}});
+            logStoredState();
             watchers_.answer(clock_.now());
         }
         if (const auto compacted = cluster_->compactIfDue(payloadBytes(*ready)); !compacted)
@@ -113,6 +110,23 @@
     }
 }
 
+void RegistryProcess::logStoredState()
+{
+    const auto now = clock_.now();
+    const auto &configuration = cluster_->core().configuration();
+    if (std::exchange(loggedVersion_, configuration.version()) != configuration.version())
+        events_.write(now, Importance::Notable, "configuration_stored",
+                      {{"version", configuration.version()},
+                       {"bytes", configuration.text().size()},
+                       {"log_index", cluster_->core().appliedIndex()}});
+    const auto &evacuations = cluster_->core().evacuations();
+    if (std::exchange(loggedEvacuationRevision_, evacuations.revision()) == evacuations.revision())
+        return;
+    events_.write(now, Importance::Notable, "evacuation_stored",
+                  {{"revision", evacuations.revision()},
+                   {"data_centres", fmt::format("{}", fmt::join(evacuations.dataCentres(), ","))}});
+}
+
 void RegistryProcess::sendRaft(const std::vector<Wire::RaftMessage> &messages)
 {
     if (messages.empty())
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -1,4 +1,4 @@
-// The operators' interface: reading and replacing the configuration.
+// The operators' interface: reading and replacing the configuration, evacuating data centres.
 
 #include "LibBase/Compression.h"
 #include "LibRegistry/Formation.h"
@@ -50,6 +50,10 @@
         return replaceConfiguration(request, exchange);
     case Adapter::Call::ReadConfiguration:
         return readConfiguration(exchange);
+    case Adapter::Call::BeginEvacuation:
+        return orderEvacuation(request, exchange, true);
+    case Adapter::Call::EndEvacuation:
+        return orderEvacuation(request, exchange, false);
     default:
         exchange.respond(errorResponse({ErrorKind::NotFound, {}}));
     }
@@ -72,13 +76,19 @@
                     {"detail", detail}});
 }
 
+/// Whether this node leads a cluster that is too small to keep what it accepts.
+bool RegistryProcess::isFormingLeader(Base::Instant now)
+{
+    return isLeader(now) && formation_.state() != Registry::FormationWatch::State::Undersized
+           && Registry::isForming(cluster_->raft().status(now), cluster_->core().configuration().version(),
+                                  votersToForm());
+}
+
 void RegistryProcess::submit(std::uint64_t version, const std::string &text,
                              const Registry::RegistryCore::SubmitCallback &done)
 {
     const auto now = clock_.now();
-    if (isLeader(now) && formation_.state() != Registry::FormationWatch::State::Undersized
-        && Registry::isForming(cluster_->raft().status(now), cluster_->core().configuration().version(),
-                               votersToForm()))
+    if (isFormingLeader(now))
         return done(Base::fail(ErrorKind::ControlUnavailable, "cluster has fewer voters than required"));
     cluster_->core().submit(now, version, text, done);
     processReady();
@@ -160,4 +170,50 @@
         });
 }
 
+/// A call that gets no clear answer may be repeated: the same order again changes nothing.
+void RegistryProcess::orderEvacuation(const Edge::RequestMessage &request,
+                                      const Edge::CallerExchange &exchange, bool evacuated)
+{
+    const auto dataCentre = adapter_.evacuatedDataCentre(request.path());
+    const auto answer = [this, exchange, dataCentre, evacuated](const Base::Result<std::uint64_t> &revision) {
+        const auto response = revision ? jsonResponse(200, "{}") : errorResponse(revision.error());
+        const auto detail = revision ? fmt::format("data_centre={} revision={}", dataCentre, *revision)
+                                     : fmt::format("data_centre={} {}", dataCentre, revision.error().detail);
+        logOperatorAnswer(evacuated ? "evacuate" : "end_evacuation",
+                          cluster_ ? cluster_->core().configuration().version() : 0, response.status, detail);
+        exchange.respond(response);
+    };
+    if (dataCentre.empty())
+        return answer(Base::fail(ErrorKind::InvalidRequest, "the path names no data centre"));
+    if (!cluster_)
+        return answer(Base::fail(ErrorKind::StorageFailed, "data directory is not usable"));
+    const auto now = clock_.now();
+    const Wire::ChangeEvacuationRequest order {dataCentre, evacuated,
+                                               cluster_->core().evacuations().revision()};
+    if (isLeader(now))
+        return orderEvacuation(order, answer);
+    const auto leader = leaderAddress(cluster_->raft().status(now));
+    if (leader.empty() || leader == settings_.registryPeerAddress())
+        return answer(Base::fail(ErrorKind::ControlUnavailable, "no leader is known"));
+    endpoint_->call(leader, Wire::Method::ChangeEvacuation, Wire::encode(order), ForwardTimeout,
+                    [this, answer](const Base::Result<Base::Bytes> &payload) {
+                        auto reply = payload.and_then([](const Base::Bytes &bytes) {
+                            return Wire::decode<Wire::ChangeEvacuationReply>(bytes);
+                        });
+                        loop_.post([answer, reply = std::move(reply)] {
+                            answer(reply.map([](const auto &accepted) { return accepted.revision; }));
+                        });
+                    });
+}
+
+void RegistryProcess::orderEvacuation(const Wire::ChangeEvacuationRequest &order,
+                                      const Registry::RegistryCore::EvacuationCallback &done)
+{
+    const auto now = clock_.now();
+    if (isFormingLeader(now))
+        return done(Base::fail(ErrorKind::ControlUnavailable, "cluster has fewer voters than required"));
+    cluster_->core().orderEvacuation(now, order.dataCentre, order.evacuated, order.heldRevision, done);
+    processReady();
+}
+
 } // namespace Services
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -43,6 +43,8 @@
         return post(payload, responder, &RegistryProcess::submitForPeer);
     case Wire::Method::ReadConfiguration:
         return post(payload, responder, &RegistryProcess::readForPeer);
+    case Wire::Method::ChangeEvacuation:
+        return post(payload, responder, &RegistryProcess::orderForPeer);
     default:
         responder->fail({ErrorKind::InvalidRequest, "a registry does not serve this call"});
     }
@@ -126,6 +128,10 @@
         reply.configurationVersion = configuration.version();
         if (configuration.version() > request.configurationVersion)
             reply.configurationText = configuration.text();
+        const auto &evacuations = cluster_->core().evacuations();
+        reply.evacuationRevision = evacuations.revision();
+        if (evacuations.revision() > request.evacuationRevision)
+            reply.evacuatedDataCentres = evacuations.dataCentres();
     }
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
@@ -250,6 +256,19 @@
     });
 }
 
+void RegistryProcess::orderForPeer(const Wire::ChangeEvacuationRequest &request,
+                                   const ResponderPointer &responder)
+{
+    if (!cluster_)
+        return responder->fail({ErrorKind::StorageFailed, {}});
+    orderEvacuation(request, [responder](const Base::Result<std::uint64_t> &revision) {
+        if (revision)
+            responder->reply(Wire::encode(Wire::ChangeEvacuationReply {*revision}));
+        else
+            responder->fail(revision.error());
+    });
+}
+
 void RegistryProcess::readForPeer(const Wire::ReadConfigurationRequest &request,
                                   const ResponderPointer &responder)
 {
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -61,6 +61,7 @@
     void openCluster(Base::Instant now);
     void closeCluster(const Base::Error &reason);
     void processReady();
+    void logStoredState();
     void sendRaft(const std::vector<Wire::RaftMessage> &messages);
     void maintainMembership(Base::Instant now);
     void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
@@ -97,6 +98,7 @@
     void handleSharedState(const Wire::ShareStateRequest &request, const ResponderPointer &responder);
     void submitForPeer(const Wire::SubmitConfigurationRequest &request, const ResponderPointer &responder);
     void readForPeer(const Wire::ReadConfigurationRequest &request, const ResponderPointer &responder);
+    void orderForPeer(const Wire::ChangeEvacuationRequest &request, const ResponderPointer &responder);
     Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request);
     void shareState(Base::Instant now);
     void updateDirectory(Base::Instant now);
@@ -110,6 +112,11 @@
     void handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
     void replaceConfiguration(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
     void readConfiguration(const Edge::CallerExchange &exchange);
+    void orderEvacuation(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange,
+                         bool evacuated);
+    void orderEvacuation(const Wire::ChangeEvacuationRequest &order,
+                         const Registry::RegistryCore::EvacuationCallback &done);
+    bool isFormingLeader(Base::Instant now);
     void submit(std::uint64_t version, const std::string &text,
                 const Registry::RegistryCore::SubmitCallback &done);
     void logOperatorAnswer(std::string_view operation, std::uint64_t version, int status,
@@ -136,6 +143,8 @@
     Base::Instant nextIntroduction_;
     Registry::FormationWatch formation_;
     bool warnedOfFewVoters_ = false;
+    std::uint64_t loggedVersion_ = 0;
+    std::uint64_t loggedEvacuationRevision_ = 0;
     std::optional<Base::Instant> leavingSince_; ///< Set by SIGTERM.
     Base::Instant nextLeaveRequest_;
     bool finishedLeaving_ = false;
--- a/Tests/LibRegistry/TestRegistryCore.cpp
+++ b/Tests/LibRegistry/TestRegistryCore.cpp
@@ -127,7 +127,7 @@
 {
     ASSERT_TRUE(core.handleReady(commit({store(1, 1, 5, "five")})).has_value());
     Consensus::Ready ready;
-    ready.restore = Wire::RaftSnapshot {7, 3, {}, core.configuration().snapshot()};
+    ready.restore = Wire::RaftSnapshot {7, 3, {}, core.snapshot()};
     Tests::FakeRaftNode otherRaft {"c2"};
     RegistryCore other {otherRaft};
     ASSERT_TRUE(other.handleReady(ready).has_value());
--- a/Tests/Platform/TestDamagedMessages.cpp
+++ b/Tests/Platform/TestDamagedMessages.cpp
@@ -80,6 +80,8 @@
     Wire::WatchReply reply;
     reply.configurationText = "text";
     reply.registryAddresses = {"10.0.0.1:1", "10.0.0.2:1"};
+    reply.evacuationRevision = 9;
+    reply.evacuatedDataCentres = {"dc-a", "dc-b"};
     decodeDamagedMessage(reply);
     Wire::RaftMessage raft;
     decodeDamagedMessage(raft);
@@ -87,6 +89,8 @@
     decodeDamagedMessage(Wire::LeaveRequest {"a", 7});
     decodeDamagedMessage(Wire::LeaveReply {Wire::LeaveVerdict::Needed});
     decodeDamagedMessage(Wire::IntroduceNodeRequest {});
+    decodeDamagedMessage(Wire::ChangeEvacuationRequest {"dc-a", true, 7});
+    decodeDamagedMessage(Wire::ChangeEvacuationReply {7});
 }
 
 TEST(DamagedMessages, DirectoriesAndServerLists)
@@ -128,6 +132,11 @@
         R"("state":"ready","warmupLeftMs":0,"id":"i-7f3a91c2","born":5}],"nextPageToken":"p-50"})";
     decodeDamaged(page, [&](const std::string &text) { (void)protocol.decodeServerPage(text); });
     decodeDamaged("3.25", [&](const std::string &text) { (void)protocol.decodePause(text); });
+    decodeDamaged("/v1/evacuation/dc%2Da", [&](const std::string &path) {
+        (void)protocol.classify("POST", path); // As above.
+        EXPECT_LE(protocol.evacuatedDataCentre(path).size(), 64U);
+    });
+    decodeDamaged("1500", [&](const std::string &text) { (void)protocol.decodeWarmUp(text); });
     decodeDamaged("1", [&](const std::string &text) { (void)protocol.announcesLeaving(text); });
     decodeDamaged("3,0,8", [&](const std::string &text) { (void)protocol.decodeServerLoad(text); });
 }
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -309,6 +309,32 @@
     EXPECT_FALSE(Protocol.decodeServerPage(R"({"instances":[],"nextPageToken":5})").has_value());
 }
 
+TEST(PlatformProtocol, DecodesEvacuationOrders)
+{
+    EXPECT_EQ(Protocol.classify("POST", "/v1/evacuation/dc-a"), Adapter::Call::BeginEvacuation);
+    EXPECT_EQ(Protocol.classify("DELETE", "/v1/evacuation/dc-a"), Adapter::Call::EndEvacuation);
+    EXPECT_EQ(Protocol.classify("GET", "/v1/evacuation/dc-a"), Adapter::Call::Unknown);
+    EXPECT_EQ(Protocol.classify("POST", "/v1/evacuation"), Adapter::Call::Unknown);
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/evacuation/ooe-linz"), "ooe-linz");
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/evacuation/dc%2Da%5F1"), "dc-a_1");
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/evacuation/" + std::string(64, 'a')), std::string(64, 'a'));
+    for (const auto *rest : {"", "a/b", "a%2Fb", "a%00", "a%0A", "a%", "a%4", "a%4x", "a%+1", "a b", "a%20b",
+                             "a,b", "\xc3\xa4", "%-1"})
+        EXPECT_EQ(Protocol.evacuatedDataCentre(std::string("/v1/evacuation/") + rest), "") << rest;
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/evacuation/" + std::string(65, 'a')), "");
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/evacuation/" + std::string(100'000, 'a')), "");
+    EXPECT_EQ(Protocol.evacuatedDataCentre("/v1/config"), "");
+}
+
+TEST(PlatformProtocol, DecodesWarmUp)
+{
+    EXPECT_EQ(Protocol.decodeWarmUp("1500"), Base::milliseconds(1500));
+    EXPECT_EQ(Protocol.decodeWarmUp("0"), Base::Duration::zero());
+    EXPECT_EQ(Protocol.decodeWarmUp("1e300"), Base::seconds(3600));
+    for (const auto *value : {"", "x", "-1", "nan", "inf-", "1500 ms", " 1"})
+        EXPECT_FALSE(Protocol.decodeWarmUp(value).has_value()) << value;
+}
+
 TEST(PlatformProtocol, DecodesServerLoad)
 {
     const auto load = Protocol.decodeServerLoad("3,1,8");
