Send to cold servers only what spends a unit of their rate

Cause: a server that is warming up was only ranked lower; one that tolerates a bounded rate breaks down when a data centre comes back. Change: a server is cold by the list, by the figure in its own responses (not in a 421) or by guess after an evacuation. Where its service has a limit, BackendTable::choose takes a unit from an injected source (Forward::ColdUnits) or goes on to the next best server; hedges and repeats as well. Attempts that the server never saw give the unit back. Admission counts a cold server at its limit. unitsArrived() places what waits. Without a source or a limit nobody is asked, with a test. Ruled out: a limit for each gateway alone (it cannot hold over all gateways); probes that warm servers.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -32,6 +32,9 @@
     bool evacuated = false; ///< Operators have ordered that its data centre gets nothing.
     /// Set at the end of an evacuation, when it may have become cold unnoticed. Until then it counts as cold.
     Base::Instant presumedColdUntil;
+    Base::Instant reportedColdUntil; ///< By its last response that told it.
+    /// Of the unit that the last choice of this server has spent, until the attempt takes it over.
+    std::optional<Base::Instant> unitValidUntil;
     std::uint32_t misdirections = 0; ///< Such answers in a row.
     std::uint32_t absentReads = 0; ///< Consecutive list reads without it.
     /// Set once the server has announced in a response that it leaves: the end of its use as a last resort.
@@ -75,7 +78,10 @@
     }
 
     /// Whether it serves slowly, as after a start.
-    bool isCold(Base::Instant now) const { return now < warmAt || now < presumedColdUntil; }
+    bool isCold(Base::Instant now) const
+    {
+        return now < warmAt || now < presumedColdUntil || now < reportedColdUntil;
+    }
 
     bool acceptsWork(Base::Instant now) const { return availability(now) != Availability::None; }
 };
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <set>
 
 namespace Forward {
@@ -214,11 +215,60 @@
     });
 }
 
+void BackendTable::setColdLimits(std::map<std::string, double, std::less<>> limits, ColdUnits *units)
+{
+    coldLimits_ = std::move(limits);
+    coldUnits_ = units;
+}
+
+std::optional<double> BackendTable::coldLimit(Base::Instant now, const Backend &backend) const
+{
+    if (coldUnits_ == nullptr || coldLimits_.empty() || !backend.isCold(now))
+        return std::nullopt;
+    const auto limit = coldLimits_.find(backend.record.service);
+    return limit == coldLimits_.end() ? std::nullopt : std::optional(limit->second);
+}
+
+void BackendTable::giveBackUnit(Base::Instant now, const Backend &backend,
+                                std::optional<Base::Instant> validUntil)
+{
+    if (validUntil && coldUnits_ != nullptr)
+        coldUnits_->giveBack(now, backend, *validUntil);
+}
+
+std::size_t BackendTable::coldCount(Base::Instant now) const
+{
+    return static_cast<std::size_t>(std::count_if(
+        backends_.begin(), backends_.end(), [now](const auto &entry) { return entry.second->isCold(now); }));
+}
+
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
                                     std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                                     Base::Duration meanLatency, Base::Duration latencyTarget)
 {
-    BackendPointer best;
+    auto chosen = best(now, service, excluded, connectionShare, meanLatency, latencyTarget);
+    // Load pattern: a data centre comes back with all of its servers cold, and each would break down under
+    // its usual share of the requests.
+    std::vector<BackendPointer> passedOver;
+    while (chosen && coldLimit(now, *chosen)) {
+        chosen->unitValidUntil = coldUnits_->take(now, *chosen);
+        if (chosen->unitValidUntil)
+            return chosen;
+        if (passedOver.empty())
+            passedOver.assign(excluded.begin(), excluded.end());
+        passedOver.push_back(chosen);
+        chosen = best(now, service, passedOver, connectionShare, meanLatency, latencyTarget);
+    }
+    if (chosen)
+        chosen->unitValidUntil.reset();
+    return chosen;
+}
+
+BackendPointer BackendTable::best(Base::Instant now, std::string_view service,
+                                  std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
+                                  Base::Duration meanLatency, Base::Duration latencyTarget)
+{
+    BackendPointer found;
     double bestEstimate = 0.0;
     auto bestAvailability = Availability::None;
     for (const auto &backend : serversOf(service)) {
@@ -234,12 +284,12 @@
         const auto estimate =
             placementCostMs(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit()) + distance;
         if (availability > bestAvailability || estimate < bestEstimate) {
-            best = backend;
+            found = backend;
             bestEstimate = estimate;
             bestAvailability = availability;
         }
     }
-    return best;
+    return found;
 }
 
 double BackendTable::latencyEstimateMs(Base::Instant now, const Backend &backend, Base::Duration meanLatency)
@@ -276,8 +326,9 @@
     double rate = 0.0;
     for (const auto &backend : serversOf(service)) {
         if (backend->acceptsWork(now) && now >= backend->avoidUntil && !isStalled(now, *backend, meanLatency))
-            rate += attemptLimit(now, *backend, connectionShare)
-                    / std::max(0.1, latencyEstimateMs(now, *backend, meanLatency));
+            rate += std::min(attemptLimit(now, *backend, connectionShare)
+                                 / std::max(0.1, latencyEstimateMs(now, *backend, meanLatency)),
+                             coldLimit(now, *backend).value_or(std::numeric_limits<double>::max()) / 1000.0);
     }
     return rate;
 }
@@ -382,6 +433,13 @@
     backend.misdirectedUntil = now + MinMisdirection * (1 << doublings);
 }
 
+void BackendTable::recordWarmUp(Base::Instant now, Backend &backend, Base::Duration timeLeft)
+{
+    backend.reportedColdUntil = now + timeLeft;
+    // Its own figure is newer than the list and than a guess.
+    backend.presumedColdUntil = std::min(backend.presumedColdUntil, now + timeLeft);
+}
+
 bool BackendTable::markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime)
 {
     if (backend.lastUse)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/RandomSource.h"
 #include "LibForward/Backend.h"
+#include "LibForward/ColdUnits.h"
 
 #include <map>
 #include <optional>
@@ -40,6 +41,15 @@
     /// that could have taken over an address.
     void setServices(std::set<std::string, std::less<>> services);
 
+    /// Bounds the attempts at cold servers of some services: `limits` has the rate per second that one such
+    /// server tolerates, by service. Each attempt at it spends a unit of `units`, which must outlive the
+    /// table; null sets no bound.
+    void setColdLimits(std::map<std::string, double, std::less<>> limits, ColdUnits *units);
+    /// Gives the unit of an attempt back that did not count at the server.
+    void giveBackUnit(Base::Instant now, const Backend &backend, std::optional<Base::Instant> validUntil);
+    /// Number of servers that are cold at `now`.
+    std::size_t coldCount(Base::Instant now) const;
+
     /// Sets the data centres whose servers get nothing. Those of one that is taken from the set count as cold
     /// for a while: they may have started anew or grown cold, and the list shows it later.
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
@@ -53,7 +63,8 @@
     /// (pause), fail part of their requests, are warming up or report a queue are ranked lower, and those
     /// that have announced that they leave are used only if no other server qualifies. A server in another
     /// data centre must be faster by a fraction of the latency target, because traffic between data centres
-    /// costs money.
+    /// costs money. A cold server whose rate is bounded is chosen only if it spends a unit, which the attempt
+    /// takes over from Backend::unitValidUntil.
     BackendPointer choose(Base::Instant now, std::string_view service,
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                           Base::Duration meanLatency, Base::Duration latencyTarget);
@@ -91,6 +102,8 @@
     /// after reassigning its address, so it gets nothing for a while even though it is listed, and longer
     /// each time.
     static void markMisdirected(Base::Instant now, Backend &backend);
+    /// The server stated in a response that it stays cold for `timeLeft`; zero if it is warm.
+    static void recordWarmUp(Base::Instant now, Backend &backend, Base::Duration timeLeft);
     /// The server announced in a response that it leaves. It may be used as a last resort for `useTime`, and
     /// gets nothing afterwards. Returns false if it had announced that before.
     static bool markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime);
@@ -110,6 +123,11 @@
 
     using Identity = std::pair<std::string, std::int64_t>; ///< Id and start time.
 
+    BackendPointer best(Base::Instant now, std::string_view service, std::span<const BackendPointer> excluded,
+                        std::uint32_t connectionShare, Base::Duration meanLatency,
+                        Base::Duration latencyTarget);
+    /// Requests per second that the server tolerates from all gateways together; empty if it has no bound.
+    std::optional<double> coldLimit(Base::Instant now, const Backend &backend) const;
     std::span<const BackendPointer> serversOf(std::string_view service) const;
     void findDisplaced();
     bool displaces(const Backend &newer, const Backend &older) const;
@@ -119,6 +137,8 @@
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     std::set<std::string, std::less<>> services_;
     std::set<std::string, std::less<>> evacuated_; ///< Data centres.
+    std::map<std::string, double, std::less<>> coldLimits_; ///< By service.
+    ColdUnits *coldUnits_ = nullptr;
     Base::RandomSource random_;
     std::string dataCentre_;
     bool loaded_ = false;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -251,10 +251,12 @@
         BackendTable::recordLoad(now, *attempt.backend, *reply.load);
     const bool succeeded =
         reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
-    if (reply.response.status == 421)
+    if (reply.response.status == 421) {
         BackendTable::markMisdirected(now, *attempt.backend);
-    else if (reply.isWhole)
+        backends_.giveBackUnit(now, *attempt.backend, attempt.unitValidUntil);
+    } else if (reply.isWhole) {
         takeNotice(now, attempt, reply);
+    }
     const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
     if (succeeded) {
         const auto times = routeTimes_.find(attempt.routeName);
@@ -298,6 +300,8 @@
 void ForwardCore::takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply)
 {
     auto &backend = *attempt.backend;
+    if (reply.warmUp)
+        BackendTable::recordWarmUp(now, backend, *reply.warmUp);
     if (reply.announcesLeaving && BackendTable::markLeaving(now, backend, options_.leavingUseTime))
         actions_.emplace_back(
             ServerNotice {ServerNotice::Kind::Leaving, attempt.backend, *backend.lastUse, reply.requestId});
@@ -343,6 +347,8 @@
         BackendTable::recordError(now, *attempt.backend);
     else
         BackendTable::recordUnreachable(now, *attempt.backend);
+    if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection)
+        backends_.giveBackUnit(now, *attempt.backend, attempt.unitValidUntil);
     auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -53,6 +53,7 @@
     std::optional<Base::Duration> pause; ///< How long the server wants no request from this gateway.
     std::string requestId; ///< For the log.
     std::optional<Adapter::ServerLoad> load;
+    std::optional<Base::Duration> warmUp; ///< How much longer the server states to stay cold.
 };
 
 /// What the sharing of scarce room among tenants did to a request.
@@ -145,6 +146,13 @@
     {
         backends_.setServices(std::move(services));
     }
+    /// As BackendTable::setColdLimits().
+    void setColdLimits(std::map<std::string, double, std::less<>> limits, ColdUnits *units)
+    {
+        backends_.setColdLimits(std::move(limits), units);
+    }
+    /// Places what waits, because units of cold servers have arrived.
+    void unitsArrived(Base::Instant now) { dispatchWaiting(now); }
     /// Sets the data centres whose servers get nothing; what waits is placed anew.
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// Sets the number of gateways that share connections and budgets; 0 counts as 1.
@@ -238,6 +246,7 @@
         BackendPointer backend;
         Base::Instant sentAt;
         std::string routeName;
+        std::optional<Base::Instant> unitValidUntil; ///< Of the unit that it spent at a cold server.
     };
 
     struct WaitingLeg
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -160,7 +160,8 @@
     auto &leg = exchange.legs[legIndex];
     const auto &route = *exchange.facts.route;
     const auto attemptId = ++lastId_;
-    attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name});
+    attempts_.emplace(attemptId, Attempt {id, legIndex, backend, now, route.name,
+                                          std::exchange(backend->unitValidUntil, std::nullopt)});
     const auto untilHedge = hedgeDelay(now, route, *backend);
     BackendTable::recordSent(*backend, now);
     leg.state = LegState::Open;
@@ -221,6 +222,8 @@
     // answered.
     const bool isDoubtful =
         backend && (now < backend->avoidUntil || backend->availability(now) != Availability::Usual);
+    if (backend && leg.open > 0 && isDoubtful)
+        backends_.giveBackUnit(now, *backend, std::exchange(backend->unitValidUntil, std::nullopt));
     if (!backend || (leg.open > 0 && isDoubtful))
         return false;
     budget.take();
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -92,6 +92,31 @@
         services.emplace(name);
     core_.setServices(std::move(services));
     authenticator_.setTable(table_);
+    applyColdLimits();
+}
+
+void Forwarder::setColdUnits(Forward::ColdUnits *units)
+{
+    coldUnits_ = units;
+    applyColdLimits();
+}
+
+void Forwarder::applyColdLimits()
+{
+    std::map<std::string, double, std::less<>> limits;
+    if (table_) {
+        for (const auto &[name, service] : table_->configuration().services) {
+            if (service.coldRequestsPerSecond > 0.0)
+                limits.emplace(name, service.coldRequestsPerSecond);
+        }
+    }
+    core_.setColdLimits(std::move(limits), coldUnits_);
+}
+
+void Forwarder::unitsArrived()
+{
+    core_.unitsArrived(clock_.now());
+    performActions();
 }
 
 void Forwarder::setServers(Base::Instant now, const Wire::ServerList &list)
@@ -307,6 +332,7 @@
     // Callers request bodies without a content encoding, so an encoded body was not produced by the server.
     reply.isWhole = !succeeded || (response.header("Content-Encoding").empty() && !reply.proof.empty());
     reply.load = adapter_.decodeServerLoad(response.header(names.serverLoad));
+    reply.warmUp = adapter_.decodeWarmUp(response.header(names.serverWarmUp));
     reply.response = std::move(response);
     metrics_.attemptEnded(reply.notExecuted ? "not_executed"
                                             : fmt::format("status_{}", reply.response.status));
@@ -482,6 +508,10 @@
                       static_cast<double>(pool_.bufferedBytes()));
     metrics_.setGauge("daisyroute_backend_servers", "Backend servers listed.",
                       static_cast<double>(core_.backends().size()));
+    metrics_.setGauge("daisyroute_cold_servers", "Backend servers that are warming up.",
+                      static_cast<double>(core_.backends().coldCount(now)));
+    metrics_.setGauge("daisyroute_evacuated_servers", "Backend servers in evacuated data centres.",
+                      static_cast<double>(core_.backends().evacuatedCount()));
     metrics_.setGauge("daisyroute_server_list_age_seconds", "Age of the server list.",
                       Base::toMilliseconds(now - serversReadAt_) / 1000.0);
     metrics_.setGauge("daisyroute_configuration_version", "Version in force.",
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -31,6 +31,11 @@
     void setRoutes(std::shared_ptr<const Route::RouteTable> table);
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
     void setServers(Base::Instant now, const Wire::ServerList &list);
+    /// Sets where units for attempts at cold servers come from; `units` must outlive the forwarder. Null sets
+    /// no bound.
+    void setColdUnits(Forward::ColdUnits *units);
+    /// Sends what waits for units.
+    void unitsArrived();
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// Updates the age of a server list that was read again with the same content.
     void setServersReadAt(Base::Instant readAt) { serversReadAt_ = readAt; }
@@ -54,6 +59,7 @@
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight(); }
+    std::size_t coldServers(Base::Instant now) const { return core_.backends().coldCount(now); }
     std::size_t evacuatedServers() const { return core_.backends().evacuatedCount(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
@@ -81,6 +87,7 @@
                                                 const Route::RouteRule &route) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
+    void applyColdLimits();
     Base::Duration timeUntilReady(Base::Instant now) const;
     Base::Duration retryAfter(Base::Instant now, Base::ErrorKind error) const;
     void watchCurrency(Base::Instant now);
@@ -112,6 +119,7 @@
     std::shared_ptr<const Route::RouteTable> table_;
     Tenant::Authenticator authenticator_;
     bool servesKeys_ = true; ///< As last logged.
+    Forward::ColdUnits *coldUnits_ = nullptr;
     std::unordered_map<Forward::ExchangeId, PendingRequest> pending_;
     /// Request id that the response to an attempt must echo.
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_;
--- /dev/null
+++ b/Tests/LibForward/TestColdServers.cpp
@@ -0,0 +1,199 @@
+#include "LibForward/ForwardFixture.h"
+
+#include <set>
+
+using Forward::BackendTable;
+using Tests::ForwardFixture;
+using Tests::milliseconds;
+
+namespace {
+
+/// Has as many units as the test puts in, and counts what happens to them.
+class FakeUnits final : public Forward::ColdUnits
+{
+public:
+    std::optional<Base::Instant> take(Base::Instant now, const Forward::Backend &server) override
+    {
+        asked.insert(server.record.id);
+        if (stock == 0)
+            return std::nullopt;
+        --stock;
+        return now + milliseconds(50);
+    }
+
+    void giveBack(Base::Instant, const Forward::Backend &, Base::Instant) override
+    {
+        ++stock;
+        ++givenBack;
+    }
+
+    std::size_t stock = 0;
+    std::size_t givenBack = 0;
+    std::set<std::string> asked;
+};
+
+class ColdServers : public ForwardFixture
+{
+protected:
+    /// Lists the servers anew; those with these ids are cold for ten seconds.
+    void listCold(const std::set<std::string> &cold)
+    {
+        auto servers = list();
+        for (auto &server : servers.servers)
+            server.warmUpLeftMs = cold.contains(server.id) ? 10'000 : 0;
+        core->setServers(now, servers);
+        collect();
+    }
+
+    void limit() { core->setColdLimits({{"s0", 5.0}}, &units); }
+
+    FakeUnits units;
+};
+
+} // namespace
+
+TEST_F(ColdServers, ColdServerGetsNothingWithoutAUnit)
+{
+    limit();
+    listCold({"s0-a"});
+    for (int count = 0; count < 20; ++count) {
+        begin("/s/x");
+        ASSERT_EQ(sends.back().backend->record.id, "s0-b");
+        reply(sends.back().attempt, success());
+    }
+    EXPECT_EQ(units.givenBack, 0U);
+}
+
+TEST_F(ColdServers, EachAttemptSpendsAUnit)
+{
+    limit();
+    listCold({"s0-a", "s0-b"});
+    units.stock = 2;
+    begin("/s/x");
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 2U);
+    EXPECT_EQ(units.stock, 0U);
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 2U);
+    EXPECT_EQ(core->legsWaiting(), 1U);
+    units.stock = 1;
+    core->unitsArrived(now);
+    collect();
+    EXPECT_EQ(sends.size(), 3U);
+    EXPECT_EQ(core->legsWaiting(), 0U);
+}
+
+// A hedge counts at the server like any other attempt.
+TEST_F(ColdServers, HedgeNeedsAUnit)
+{
+    limit();
+    listCold({"s0-a", "s0-b"});
+    units.stock = 1;
+    begin("/s/x");
+    advance(milliseconds(400));
+    EXPECT_EQ(sends.size(), 1U);
+    units.stock = 1;
+    advance(milliseconds(400));
+    EXPECT_EQ(sends.size(), 2U);
+}
+
+// Another server has answered at the address, or nothing has left this process: the cold server has seen
+// nothing.
+TEST_F(ColdServers, AttemptThatTheServerNeverSawGivesItsUnitBack)
+{
+    limit();
+    listCold({"s0-a", "s0-b"});
+    units.stock = 1;
+    begin("/s/x");
+    reply(sends.back().attempt, notExecuted(421));
+    EXPECT_EQ(units.givenBack, 1U);
+    begin("/s/x");
+    fail(sends.back().attempt, Edge::ExchangeFailure::NoConnection);
+    EXPECT_GE(units.givenBack, 2U);
+}
+
+// A server that turns a request away has seen it, and counts it.
+TEST_F(ColdServers, RejectedAttemptKeepsItsUnit)
+{
+    limit();
+    listCold({"s0-a", "s0-b"});
+    units.stock = 1;
+    begin("/s/x");
+    reply(sends.back().attempt, notExecuted(503));
+    EXPECT_EQ(units.givenBack, 0U);
+}
+
+// Servers become cold again in the middle of a day; the list shows it seconds later, or not any more.
+TEST_F(ColdServers, OwnFigureMakesAServerCold)
+{
+    limit();
+    listCold({"s0-b"});
+    begin("/s/x");
+    ASSERT_EQ(sends.back().backend->record.id, "s0-a");
+    auto cold = success();
+    cold.warmUp = milliseconds(3000);
+    reply(sends.back().attempt, cold);
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 1U);
+    listCold({"s0-b"});
+    EXPECT_EQ(sends.size(), 1U);
+    advance(milliseconds(3001));
+    begin("/s/x");
+    EXPECT_EQ(sends.back().backend->record.id, "s0-a");
+    EXPECT_GT(sends.size(), 1U);
+}
+
+// A 421 comes from another server, whose figure says nothing of the one that was meant.
+TEST_F(ColdServers, FigureOfAnotherServerDoesNotCount)
+{
+    begin("/s/x");
+    const auto server = sends.back().backend;
+    auto misdirected = notExecuted(421);
+    misdirected.warmUp = milliseconds(3000);
+    reply(sends.back().attempt, misdirected);
+    EXPECT_FALSE(server->isCold(now));
+}
+
+TEST_F(ColdServers, FigureOfZeroEndsTheGuessAfterAnEvacuation)
+{
+    begin("/s/x");
+    const auto server = sends.back().backend;
+    core->setEvacuated(now, {"dc-a"});
+    core->setEvacuated(now, {});
+    EXPECT_TRUE(server->isCold(now));
+    auto warm = success();
+    warm.warmUp = Base::Duration::zero();
+    reply(sends.back().attempt, warm);
+    EXPECT_FALSE(server->isCold(now));
+}
+
+// Where no service has a limit, or no source is set, nobody is asked and cold servers are used as before.
+TEST_F(ColdServers, CostNothingWithoutALimit)
+{
+    listCold({"s0-a", "s0-b"});
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 1U);
+    core->setColdLimits({}, &units);
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 2U);
+    core->setColdLimits({{"s0", 5.0}}, nullptr);
+    begin("/s/x");
+    EXPECT_EQ(sends.size(), 3U);
+    EXPECT_TRUE(units.asked.empty());
+}
+
+// A refusal for lack of time must not count on what cold servers do not take.
+TEST_F(ColdServers, CapacityOfColdServersIsTheirLimit)
+{
+    FakeUnits none;
+    BackendTable table(1, "dc-a");
+    auto servers = list();
+    for (auto &server : servers.servers)
+        server.warmUpLeftMs = 10'000;
+    table.update(now, servers);
+    const auto unlimited = table.attemptsPerMillisecond(now, "s0", 4, milliseconds(10));
+    table.setColdLimits({{"s0", 5.0}}, &none);
+    EXPECT_DOUBLE_EQ(table.attemptsPerMillisecond(now, "s0", 4, milliseconds(10)), 2 * 0.005);
+    EXPECT_GT(unlimited, 0.01);
+    EXPECT_EQ(table.coldCount(now), servers.servers.size());
+}
