--- a/Libraries/LibRegistry/EvacuationRegister.h
+++ b/Libraries/LibRegistry/EvacuationRegister.h
@@ -47,6 +47,7 @@
 
     /// Log index of the last order; 0 before the first.
     std::uint64_t revision() const { return revision_; }
+    std::size_t count() const { return dataCentres_.size(); }
     std::vector<std::string> dataCentres() const { return {dataCentres_.begin(), dataCentres_.end()}; }
 
 private:
--- a/Services/Cli/StatusReport.cpp
+++ b/Services/Cli/StatusReport.cpp
@@ -44,21 +44,37 @@
                        entry.value("lease_live", false) ? "live" : "not live");
 }
 
+/// Which program gave the status.
+std::string kindOf(const json &status)
+{
+    return status.contains("kind") ? textOf(status, "kind") : "control";
+}
+
+std::string describeEvacuated(const json &status)
+{
+    std::string names;
+    for (const auto &name : listOf(status, "evacuated_data_centres"))
+        names += (names.empty() ? "" : ",") + (name.is_string() ? name.get<std::string>() : name.dump());
+    return names.empty() ? "none" : names;
+}
+
 } // namespace
 
 void StatusReport::addSilent(const std::string &address, const std::string &reason)
 {
     processes_.emplace_back(address, nullptr);
-    problems_.push_back(fmt::format("Control process at {} gives no status: {}", address, reason));
+    problems_.push_back(fmt::format("Process at {} gives no status: {}", address, reason));
 }
 
 void StatusReport::add(const std::string &address, const json &status)
 {
     processes_.emplace_back(address, status);
     findMemberProblems(address, status);
+    hasGateways_ = hasGateways_ || kindOf(status) == "gateway";
     if (status.value("leads", false)) {
         leader_ = status;
-        findLeaderProblems(status);
+        if (kindOf(status) == "control")
+            findLeaderProblems(status);
     }
 }
 
@@ -91,7 +107,11 @@
 std::vector<std::string> StatusReport::problems() const
 {
     auto all = problems_;
-    if (!leader_.is_object())
+    const bool onlyGateways =
+        hasGateways_ && std::all_of(processes_.begin(), processes_.end(), [](const auto &process) {
+            return kindOf(process.second) == "gateway";
+        });
+    if (!leader_.is_object() && !onlyGateways)
         all.emplace_back("No control process leads.");
     return all;
 }
@@ -114,18 +134,33 @@
                          listOf(leader_, "shares").size(), unassignedShares(leader_));
 }
 
+std::string StatusReport::describeProcess(const std::string &address, const json &status)
+{
+    const auto kind = kindOf(status);
+    auto text = fmt::format("{} {} at {}: ", kind, textOf(status, "node"), address);
+    if (kind == "gateway")
+        return text
+               + fmt::format("configuration {}, evacuated {}, {} servers evacuated, {} cold\n",
+                             textOf(status, "configuration_version"), describeEvacuated(status),
+                             textOf(status, "evacuated_servers"), textOf(status, "cold_servers"));
+    text += fmt::format("{}, term {}, applied index {}", textOf(status, "role"), textOf(status, "term"),
+                        textOf(status, "applied_index"));
+    if (kind == "registry")
+        text += fmt::format(", configuration {}, evacuated {}", textOf(status, "configuration_version"),
+                            describeEvacuated(status));
+    return text + '\n';
+}
+
 std::string StatusReport::toText() const
 {
     std::string text;
     for (const auto &[address, status] : processes_) {
         if (status.is_null())
-            text += fmt::format("control at {} gives no status\n", address);
+            text += fmt::format("process at {} gives no status\n", address);
         else
-            text += fmt::format("control {} at {}: {}, term {}, applied index {}\n", textOf(status, "node"),
-                                address, textOf(status, "role"), textOf(status, "term"),
-                                textOf(status, "applied_index"));
+            text += describeProcess(address, status);
     }
-    if (leader_.is_object())
+    if (leader_.is_object() && kindOf(leader_) == "control")
         text += describeSystem();
     for (const auto &problem : problems())
         text += fmt::format("problem: {}\n", problem);
--- a/Services/Cli/StatusReport.h
+++ b/Services/Cli/StatusReport.h
@@ -6,7 +6,7 @@
 
 namespace Services {
 
-/// What the control processes say about the system, one view per process.
+/// What the control processes, registries and gateways say about the system, one view per process.
 class StatusReport
 {
 public:
@@ -25,11 +25,13 @@
 private:
     std::vector<std::string> problems() const;
     void findMemberProblems(const std::string &address, const nlohmann::json &status);
+    static std::string describeProcess(const std::string &address, const nlohmann::json &status);
     void findLeaderProblems(const nlohmann::json &status);
     std::string describeSystem() const;
 
     std::vector<std::pair<std::string, nlohmann::json>> processes_;
     std::vector<std::string> problems_;
+    bool hasGateways_ = false;
     nlohmann::json leader_; ///< Status of the leader; null when none was found.
 };
 
--- a/Services/Common/MetricsEndpoint.cpp
+++ b/Services/Common/MetricsEndpoint.cpp
@@ -1,17 +1,35 @@
 #include "Services/Common/MetricsEndpoint.h"
 
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
 namespace Services {
 
+namespace {
+
+/// The same as on control processes, so that one command asks them all.
+constexpr std::string_view StatusPath = "/v1/status";
+
+} // namespace
+
 Base::Result<std::unique_ptr<Edge::CallerServer>> serveMetrics(Edge::Loop &loop,
                                                                const Metrics::Registry &metrics,
-                                                               const std::string &ip, const std::string &port)
+                                                               const std::string &ip, const std::string &port,
+                                                               MakeStatus makeStatus)
 {
     if (port.empty())
         return std::unique_ptr<Edge::CallerServer>();
     return Edge::CallerServer::create(
         loop, ip + ":" + port,
-        [&metrics](const Edge::RequestMessage &, const Edge::CallerExchange &exchange) {
+        [&metrics, makeStatus = std::move(makeStatus)](const Edge::RequestMessage &request,
+                                                       const Edge::CallerExchange &exchange) {
             Edge::ResponseMessage response;
+            if (request.path() == StatusPath) {
+                response.headers.emplace_back("Content-Type", "application/json");
+                response.body = makeStatus().dump();
+                return exchange.respond(response);
+            }
             response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
             response.body = metrics.prometheusText();
             exchange.respond(response);
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace Services {
@@ -121,7 +122,8 @@
         server = std::move(*created);
         return {};
     };
-    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort);
+    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort,
+                                      [this] { return describeStatus(); });
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -402,6 +404,17 @@
                   {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
 }
 
+nlohmann::json GatewayProcess::describeStatus() const
+{
+    return {{"kind", "gateway"},
+            {"node", settings_.nodeId},
+            {"healthy", isReady()},
+            {"configuration_version", forwarder_->routes() ? forwarder_->routes()->version() : 0},
+            {"evacuated_data_centres", evacuatedDataCentres_},
+            {"evacuated_servers", forwarder_->evacuatedServers()},
+            {"cold_servers", forwarder_->coldServers(clock_.now())}};
+}
+
 void GatewayProcess::beginLeaving()
 {
     if (leavingSince_)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -16,6 +16,7 @@
 #include "Services/Gateway/RegistryWatcher.h"
 
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
     void handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const;
     void tick();
     void reloadSettings(bool force);
+    nlohmann::json describeStatus() const;
     void beginLeaving();
     void continueLeaving(Base::Instant now);
     Wire::GatewayState state() const;
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -156,6 +156,8 @@
     metrics_.gauge("daisyroute_registry_term", "Raft term.").set(static_cast<double>(status.term));
     metrics_.gauge("daisyroute_configuration_version", "Version held.")
         .set(static_cast<double>(cluster_->core().configuration().version()));
+    metrics_.gauge("daisyroute_evacuated_data_centres", "Data centres whose servers get nothing.")
+        .set(static_cast<double>(cluster_->core().evacuations().count()));
     if (!leads) {
         formation_.reset();
         return joinIfNeeded(now, status);
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -5,6 +5,7 @@
 
 #include <csignal>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace Services {
@@ -79,7 +80,8 @@
     Edge::EdgeLimits limits;
     limits.maxBodyBytes = MaxConfigurationBytes;
     operatorServer_->setLimits(limits);
-    auto metricsServer = serveMetrics(loop_, metrics_, settings_.listenIp, metricsPort);
+    auto metricsServer =
+        serveMetrics(loop_, metrics_, settings_.listenIp, metricsPort, [this] { return describeStatus(); });
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -150,6 +152,28 @@
                   {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
 }
 
+nlohmann::json RegistryProcess::describeStatus()
+{
+    const auto now = clock_.now();
+    nlohmann::json status {{"kind", "registry"},
+                           {"node", settings_.nodeId},
+                           {"healthy", false},
+                           {"evacuated_data_centres", nlohmann::json::array()}};
+    if (!cluster_)
+        return status;
+    const auto raft = cluster_->raft().status(now);
+    status["healthy"] = Control::RaftWatch::isHealthy(raft);
+    status["leads"] = isLeader(now);
+    status["role"] = isLeader(now) ? "leader" : "follower";
+    status["term"] = raft.term;
+    status["applied_index"] = cluster_->core().appliedIndex();
+    status["isolated"] = raft.isolated;
+    status["isolated_ms"] = raft.isolatedFor / Base::milliseconds(1);
+    status["configuration_version"] = cluster_->core().configuration().version();
+    status["evacuated_data_centres"] = cluster_->core().evacuations().dataCentres();
+    return status;
+}
+
 void RegistryProcess::stop()
 {
     if (cluster_)
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -23,6 +23,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -56,6 +57,7 @@
     void tick();
     void stop();
     void reloadSettings(bool force);
+    nlohmann::json describeStatus();
 
     // RegistryCluster.cpp: the replicated log and its members.
     void openCluster(Base::Instant now);
