--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -56,6 +56,12 @@
     dispatchWaiting(now);
 }
 
+void ForwardCore::setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres)
+{
+    backends_.setEvacuated(now, std::move(dataCentres));
+    dispatchWaiting(now);
+}
+
 void ForwardCore::setGatewayCount(std::size_t count)
 {
     gatewayCount_ = std::max<std::size_t>(1, count);
@@ -248,10 +254,12 @@
         BackendTable::recordLoad(now, *attempt.backend, *reply.load);
     const bool succeeded =
         reply.response.status / 100 == 2 && reply.isWhole && !reply.proof.empty() && !reply.notExecuted;
-    if (reply.response.status == 421)
+    if (reply.response.status == 421) {
         BackendTable::markMisdirected(now, *attempt.backend);
-    else if (reply.isWhole)
+        backends_.giveBackUnit(now, *attempt.backend, attempt.unitValidUntil);
+    } else if (reply.isWhole) {
         takeNotice(now, attempt, reply);
+    }
     const bool serverFault = reply.response.status >= 500 || !reply.isWhole;
     if (succeeded) {
         const auto times = routeTimes_.find(attempt.routeName);
@@ -309,6 +317,8 @@
 void ForwardCore::takeNotice(Base::Instant now, const Attempt &attempt, const AttemptReply &reply)
 {
     auto &backend = *attempt.backend;
+    if (reply.warmUp)
+        BackendTable::recordWarmUp(now, backend, *reply.warmUp);
     if (reply.announcesLeaving && BackendTable::markLeaving(now, backend, options_.leavingUseTime))
         actions_.emplace_back(
             ServerNotice {ServerNotice::Kind::Leaving, attempt.backend, *backend.lastUse, reply.requestId});
@@ -354,6 +364,8 @@
         BackendTable::recordError(now, *attempt.backend);
     else
         BackendTable::recordUnreachable(now, *attempt.backend);
+    if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection)
+        backends_.giveBackUnit(now, *attempt.backend, attempt.unitValidUntil);
     auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
--- a/Services/Common/WatchDesk.cpp
+++ b/Services/Common/WatchDesk.cpp
@@ -25,6 +25,7 @@
 bool hasNews(const Wire::WatchReply &reply, const Wire::WatchRequest &held)
 {
     return !reply.configurationText.empty() || (reply.serverList && !reply.serverList->servers.empty())
+           || reply.evacuationRevision > held.evacuationRevision
            || (reply.directory.digest != 0 && reply.directory.digest != held.directoryDigest)
            || bringsUrgentConfirmation(reply, held);
 }
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -14,6 +14,7 @@
 
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -33,6 +34,12 @@
     void setRoutes(std::shared_ptr<const Route::RouteTable> table);
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
     void setServers(Base::Instant now, const Wire::ServerList &list);
+    /// Sets where units for attempts at cold servers come from; `units` must outlive the forwarder. Null sets
+    /// no bound.
+    void setColdUnits(Forward::ColdUnits *units);
+    /// Sends what waits for units.
+    void unitsArrived();
+    void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// Updates the age of a server list that was read again with the same content.
     void setServersReadAt(Base::Instant readAt) { serversReadAt_ = readAt; }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
@@ -58,6 +65,8 @@
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight() + waitingForUnits_.size(); }
+    std::size_t coldServers(Base::Instant now) const { return core_.backends().coldCount(now); }
+    std::size_t evacuatedServers() const { return core_.backends().evacuatedCount(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
 private:
@@ -108,6 +117,7 @@
                                                 const Route::RouteRule &route) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
+    void applyColdLimits();
     Base::Duration timeUntilReady(Base::Instant now) const;
     Base::Duration retryAfter(Base::Instant now, Base::ErrorKind error) const;
     void watchCurrency(Base::Instant now);
@@ -150,6 +160,7 @@
     std::shared_ptr<const Route::RouteTable> table_;
     Tenant::Authenticator authenticator_;
     bool servesKeys_ = true; ///< As last logged.
+    Forward::ColdUnits *coldUnits_ = nullptr;
     std::unordered_map<Forward::ExchangeId, PendingRequest> pending_;
     /// Request id that the response to an attempt must echo.
     std::unordered_map<Forward::AttemptId, std::string> attemptRequestIds_;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
+#include <nlohmann/json.hpp>
 #include <unistd.h>
 
 namespace Services {
@@ -133,7 +134,8 @@
         server = std::move(*created);
         return {};
     };
-    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort);
+    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort,
+                                      [this] { return describeStatus(); });
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -208,6 +210,7 @@
     request.serverListDigest = serverList_.digest();
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
     request.directoryDigest = directory_.digest();
+    request.evacuationRevision = evacuationRevision_;
     request.relayed = relayedGateways_.firstHandReports(clock_.now());
     if (forwarder_->authenticator().needsConfirmations())
         request.confirmationAgeMs =
@@ -234,6 +237,9 @@
     reply.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     if (reply.configurationVersion > request.configurationVersion)
         reply.configurationText = configurationText_;
+    reply.evacuationRevision = evacuationRevision_;
+    if (evacuationRevision_ > request.evacuationRevision)
+        reply.evacuatedDataCentres = evacuatedDataCentres_;
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
     reply.leaderAddress = leaderAddress_;
@@ -257,6 +263,7 @@
         leaderAddress_ = reply.leaderAddress;
     if (fresh)
         allowances_->setLeader(reply.leaderAddress);
+    applyEvacuations(reply);
     applyConfiguration(reply, fresh);
     applyConfirmation(reply, fresh, sentAt);
     if (reply.serverList)
@@ -318,6 +325,21 @@
         forwarder_->confirmConfiguration(reply.configurationVersion, leaderHeardAt_);
 }
 
+/// Registries apply only what is durable, so the highest revision holds, whoever tells it.
+void GatewayProcess::applyEvacuations(const Wire::WatchReply &reply)
+{
+    if (reply.evacuationRevision <= evacuationRevision_)
+        return;
+    const auto now = clock_.now();
+    evacuationRevision_ = reply.evacuationRevision;
+    evacuatedDataCentres_ = reply.evacuatedDataCentres;
+    forwarder_->setEvacuated(now, {evacuatedDataCentres_.begin(), evacuatedDataCentres_.end()});
+    events_.write(now, Importance::Notable, "evacuation_in_force",
+                  {{"revision", evacuationRevision_},
+                   {"data_centres", fmt::format("{}", fmt::join(evacuatedDataCentres_, ","))},
+                   {"servers", forwarder_->evacuatedServers()}});
+}
+
 void GatewayProcess::applyServerList(const Wire::PackedServerList &packed)
 {
     const auto now = clock_.now();
@@ -419,6 +441,17 @@
                   {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
 }
 
+nlohmann::json GatewayProcess::describeStatus() const
+{
+    return {{"kind", "gateway"},
+            {"node", settings_.nodeId},
+            {"healthy", isReady()},
+            {"configuration_version", forwarder_->routes() ? forwarder_->routes()->version() : 0},
+            {"evacuated_data_centres", evacuatedDataCentres_},
+            {"evacuated_servers", forwarder_->evacuatedServers()},
+            {"cold_servers", forwarder_->coldServers(clock_.now())}};
+}
+
 void GatewayProcess::beginLeaving()
 {
     if (leavingSince_)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -17,6 +17,7 @@
 #include "Services/Gateway/RegistryWatcher.h"
 
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
     void applyReply(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt);
     void applyConfirmation(const Wire::WatchReply &reply, bool fresh, Base::Instant sentAt);
     void applyConfiguration(const Wire::WatchReply &reply, bool fresh);
+    void applyEvacuations(const Wire::WatchReply &reply);
     void applyDirectory(const Wire::WatchReply &reply);
     void applyServerList(const Wire::PackedServerList &packed);
     void handleWatch(const Wire::WatchRequest &request, const std::shared_ptr<Peer::Responder> &responder);
@@ -55,6 +57,7 @@
     void handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const;
     void tick();
     void reloadSettings(bool force);
+    nlohmann::json describeStatus() const;
     void beginLeaving();
     void continueLeaving(Base::Instant now);
     Wire::GatewayState state() const;
@@ -78,6 +81,8 @@
     std::string refusedConfiguration_; ///< Error detail of the last configuration that could not be decoded.
     bool suitsGathers_ = false; ///< Depends on the current configuration and this VM's capacity.
     std::string configurationText_; ///< Current configuration, for gateways that cannot reach a registry.
+    std::uint64_t evacuationRevision_ = 0; ///< Of the evacuations in force here.
+    std::vector<std::string> evacuatedDataCentres_;
     Registry::ServerListHolder serverList_;
     /// Gateways that report here because they cannot reach a registry.
     Registry::GatewayTable relayedGateways_;
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -5,6 +5,7 @@
 #include "Services/Registry/RegistryProcess.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 #include <utility>
 
 namespace Services {
@@ -101,11 +102,7 @@
             return closeCluster(changed.error());
         sendRaft(ready->messages);
         if (*changed) {
-            const auto &configuration = cluster_->core().configuration();
-            events_.write(clock_.now(), Importance::Notable, "configuration_stored",
-                          {{"version", configuration.version()},
-                           {"bytes", configuration.text().size()},
-                           {"log_index", cluster_->core().appliedIndex()}});
+            logStoredState();
             watchers_.answer(clock_.now());
         }
         if (const auto compacted = cluster_->compactIfDue(payloadBytes(*ready)); !compacted)
@@ -113,6 +110,23 @@
     }
 }
 
+void RegistryProcess::logStoredState()
+{
+    const auto now = clock_.now();
+    const auto &configuration = cluster_->core().configuration();
+    if (std::exchange(loggedVersion_, configuration.version()) != configuration.version())
+        events_.write(now, Importance::Notable, "configuration_stored",
+                      {{"version", configuration.version()},
+                       {"bytes", configuration.text().size()},
+                       {"log_index", cluster_->core().appliedIndex()}});
+    const auto &evacuations = cluster_->core().evacuations();
+    if (std::exchange(loggedEvacuationRevision_, evacuations.revision()) == evacuations.revision())
+        return;
+    events_.write(now, Importance::Notable, "evacuation_stored",
+                  {{"revision", evacuations.revision()},
+                   {"data_centres", fmt::format("{}", fmt::join(evacuations.dataCentres(), ","))}});
+}
+
 void RegistryProcess::sendRaft(const std::vector<Wire::RaftMessage> &messages)
 {
     if (messages.empty())
@@ -142,6 +156,8 @@
     metrics_.gauge("daisyroute_registry_term", "Raft term.").set(static_cast<double>(status.term));
     metrics_.gauge("daisyroute_configuration_version", "Version held.")
         .set(static_cast<double>(cluster_->core().configuration().version()));
+    metrics_.gauge("daisyroute_evacuated_data_centres", "Data centres whose servers get nothing.")
+        .set(static_cast<double>(cluster_->core().evacuations().count()));
     if (!leads) {
         formation_.reset();
         return joinIfNeeded(now, status);
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -54,6 +54,8 @@
         return post(payload, responder, &RegistryProcess::handleConfirm);
     case Wire::Method::TakeAllowance:
         return post(payload, responder, &RegistryProcess::takeAllowance);
+    case Wire::Method::ChangeEvacuation:
+        return post(payload, responder, &RegistryProcess::orderForPeer);
     default:
         responder->fail({ErrorKind::InvalidRequest, "a registry does not serve this call"});
     }
@@ -193,6 +195,10 @@
             currency_.hold(configuration.version());
             reply.confirmedBeforeMs = currency_.confirmedBeforeMs(arrivedAt);
         }
+        const auto &evacuations = cluster_->core().evacuations();
+        reply.evacuationRevision = evacuations.revision();
+        if (evacuations.revision() > request.evacuationRevision)
+            reply.evacuatedDataCentres = evacuations.dataCentres();
     }
     reply.serverList = serverList_.copyFor(now, request.serverListDigest, request.serverListAgeMs);
     reply.directory = directory_.copyFor(request.directoryDigest);
@@ -317,6 +323,19 @@
     });
 }
 
+void RegistryProcess::orderForPeer(const Wire::ChangeEvacuationRequest &request,
+                                   const ResponderPointer &responder)
+{
+    if (!cluster_)
+        return responder->fail({ErrorKind::StorageFailed, {}});
+    orderEvacuation(request, [responder](const Base::Result<std::uint64_t> &revision) {
+        if (revision)
+            responder->reply(Wire::encode(Wire::ChangeEvacuationReply {*revision}));
+        else
+            responder->fail(revision.error());
+    });
+}
+
 void RegistryProcess::readForPeer(const Wire::ReadConfigurationRequest &request,
                                   const ResponderPointer &responder)
 {
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -25,6 +25,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <set>
 #include <string>
@@ -58,11 +59,13 @@
     void tick();
     void stop();
     void reloadSettings(bool force);
+    nlohmann::json describeStatus();
 
     // RegistryCluster.cpp: the replicated log and its members.
     void openCluster(Base::Instant now);
     void closeCluster(const Base::Error &reason);
     void processReady();
+    void logStoredState();
     void sendRaft(const std::vector<Wire::RaftMessage> &messages);
     void maintainMembership(Base::Instant now);
     void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
@@ -104,6 +107,7 @@
     void renewConfirmation(Base::Instant now);
     void handleConfirm(const Wire::ConfirmConfigurationRequest &request, const ResponderPointer &responder);
     bool confirmAsLeader(Base::Instant now);
+    void orderForPeer(const Wire::ChangeEvacuationRequest &request, const ResponderPointer &responder);
     void shareState(Base::Instant now);
     void updateDirectory(Base::Instant now);
     void applyServerList(Base::Instant now, const Wire::PackedServerList &packed);
@@ -121,6 +125,11 @@
     void handleOperator(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
     void replaceConfiguration(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange);
     void readConfiguration(const Edge::CallerExchange &exchange);
+    void orderEvacuation(const Edge::RequestMessage &request, const Edge::CallerExchange &exchange,
+                         bool evacuated);
+    void orderEvacuation(const Wire::ChangeEvacuationRequest &order,
+                         const Registry::RegistryCore::EvacuationCallback &done);
+    bool isFormingLeader(Base::Instant now);
     void submit(std::uint64_t version, const std::string &text,
                 const Registry::RegistryCore::SubmitCallback &done);
     void logOperatorAnswer(std::string_view operation, std::uint64_t version, int status,
@@ -147,6 +156,8 @@
     Base::Instant nextIntroduction_;
     Registry::FormationWatch formation_;
     bool warnedOfFewVoters_ = false;
+    std::uint64_t loggedVersion_ = 0;
+    std::uint64_t loggedEvacuationRevision_ = 0;
     std::optional<Base::Instant> leavingSince_; ///< Set by SIGTERM.
     Base::Instant nextLeaveRequest_;
     bool finishedLeaving_ = false;
