Take the units of cold servers from the stock of allowances

Cause: evacuations and allowances were built apart; cold servers had no bound of their rate yet. Change: ColdServerUnits joins Forward::ColdUnits to the stock, and work that waited for such a unit is dispatched when units arrive.

--- a/Services/Gateway/AllowanceClient.cpp
+++ b/Services/Gateway/AllowanceClient.cpp
@@ -146,6 +146,8 @@
     leader_ = address;
     metrics_.allowanceCall("answered");
     stock_.callAnswered(clock_.now(), sequence, *reply);
+    if (handleArrival_)
+        handleArrival_();
 }
 
 void AllowanceClient::failCall(std::uint64_t sequence, const std::string &address, std::string_view detail)
--- /dev/null
+++ b/Services/Gateway/ColdServerUnits.cpp
@@ -0,0 +1,26 @@
+#include "Services/Gateway/ColdServerUnits.h"
+
+#include "LibAllowance/AllowanceKey.h"
+
+namespace Services {
+
+namespace {
+
+std::string keyOf(const Forward::Backend &server)
+{
+    return Allowance::coldServerKey(server.record.service, server.record.id, server.record.bornAt);
+}
+
+} // namespace
+
+std::optional<Base::Instant> ColdServerUnits::take(Base::Instant now, const Forward::Backend &server)
+{
+    return source_.take(now, keyOf(server));
+}
+
+void ColdServerUnits::giveBack(Base::Instant now, const Forward::Backend &server, Base::Instant validUntil)
+{
+    source_.giveBack(now, keyOf(server), validUntil);
+}
+
+} // namespace Services
--- /dev/null
+++ b/Services/Gateway/ColdServerUnits.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibAllowance/UnitSource.h"
+#include "LibForward/ColdUnits.h"
+
+namespace Services {
+
+/// Takes the units of cold servers from the same stock as those of tenants.
+class ColdServerUnits final : public Forward::ColdUnits
+{
+public:
+    explicit ColdServerUnits(Allowance::UnitSource &source)
+        : source_(source)
+    {
+    }
+
+    std::optional<Base::Instant> take(Base::Instant now, const Forward::Backend &server) override;
+    void giveBack(Base::Instant now, const Forward::Backend &server, Base::Instant validUntil) override;
+
+private:
+    Allowance::UnitSource &source_;
+};
+
+} // namespace Services
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -125,6 +125,9 @@
         });
     allowances_->setGatewayCount(AssumedGateways);
     forwarder_->setAllowances(allowances_.get());
+    coldServerUnits_ = std::make_unique<ColdServerUnits>(*allowances_);
+    forwarder_->setColdUnits(coldServerUnits_.get());
+    allowances_->setArrivalHandler([this] { forwarder_->unitsArrived(); });
 
     const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, const std::string &address,
                               Edge::CallerHandler handler) -> Base::Result<void> {
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -12,6 +12,7 @@
 #include "Services/Common/SettingsWatch.h"
 #include "Services/Common/WatchDesk.h"
 #include "Services/Gateway/AllowanceClient.h"
+#include "Services/Gateway/ColdServerUnits.h"
 #include "Services/Gateway/Forwarder.h"
 #include "Services/Gateway/GatewayMetrics.h"
 #include "Services/Gateway/RegistryWatcher.h"
@@ -93,6 +94,7 @@
     /// Gateways of `directory_` that are advertised to callers.
     std::vector<Wire::GatewayRecord> advertised_;
     std::unique_ptr<AllowanceClient> allowances_;
+    std::unique_ptr<ColdServerUnits> coldServerUnits_;
     std::unique_ptr<Forwarder> forwarder_;
     std::unique_ptr<Edge::CallerServer> callerServer_;
     std::unique_ptr<Edge::CallerServer> readinessServer_;
