--- a/Tests/LibForward/TestColdServers.cpp
+++ b/Tests/LibForward/TestColdServers.cpp
@@ -186,14 +186,14 @@
 TEST_F(ColdServers, CapacityOfColdServersIsTheirLimit)
 {
     FakeUnits none;
-    BackendTable table(1, "dc-a");
+    BackendTable backends(1, "dc-a");
     auto servers = list();
     for (auto &server : servers.servers)
         server.warmUpLeftMs = 10'000;
-    table.update(now, servers);
-    const auto unlimited = table.attemptsPerMillisecond(now, "s0", 4, milliseconds(10));
-    table.setColdLimits({{"s0", 5.0}}, &none);
-    EXPECT_DOUBLE_EQ(table.attemptsPerMillisecond(now, "s0", 4, milliseconds(10)), 2 * 0.005);
+    backends.update(now, servers);
+    const auto unlimited = backends.attemptsPerMillisecond(now, "s0", 4, milliseconds(10));
+    backends.setColdLimits({{"s0", 5.0}}, &none);
+    EXPECT_DOUBLE_EQ(backends.attemptsPerMillisecond(now, "s0", 4, milliseconds(10)), 2 * 0.005);
     EXPECT_GT(unlimited, 0.01);
-    EXPECT_EQ(table.coldCount(now), servers.servers.size());
+    EXPECT_EQ(backends.coldCount(now), servers.servers.size());
 }
