Fetch units for work that waits for cold servers

Cause: an immediate take that finds nothing during a denial was forgotten, so work that waits for cold servers alone had nobody who asks again. Change: the stock asks when the denial ends and reports the arrival, on which the gateway places what waits.

--- a/Libraries/LibAllowance/AllowanceStock.cpp
+++ b/Libraries/LibAllowance/AllowanceStock.cpp
@@ -145,8 +145,10 @@
     const auto validUntil = takeFromStock(now, *entry);
     if (validUntil) {
         wantIfLow(now, *entry);
-    } else if (now >= entry->blockedUntil) {
+    } else {
+        // Nobody may ask again, so what waits for a denied unit is fetched when the denial ends.
         entry->missed = std::min(entry->missed + 1, MaxMissed);
+        entry->awaited = true;
         want(*entry);
     }
     return validUntil;
@@ -214,7 +216,7 @@
     Call call;
     std::vector<Entry *> later;
     for (auto *entry : std::exchange(wanting_, {})) {
-        if (call.request.asks.size() >= MaxAsksPerCall) {
+        if (call.request.asks.size() >= MaxAsksPerCall || now < entry->blockedUntil) {
             later.push_back(entry);
             continue;
         }
@@ -265,6 +267,8 @@
     else
         unitsEnded_ += units;
     serveWaiters(now, entry);
+    if (entry.stock > 0 && std::exchange(entry.awaited, false))
+        hasArrival_ = true;
     if (units < ask.needed) {
         entry.blockedUntil = now + Base::milliseconds(std::min(grant.unitAfterMs, MaxRetryMs));
         entry.nextRetry =
@@ -302,8 +306,12 @@
     std::optional<Base::Instant> next;
     if (!patience_.empty())
         next = patience_.begin()->first;
-    if (!open_ && !wanting_.empty())
-        next = next ? std::min(*next, nextCallAt_) : nextCallAt_;
+    if (open_)
+        return next;
+    for (const auto *entry : wanting_) {
+        const auto callAt = std::max(nextCallAt_, entry->blockedUntil);
+        next = next ? std::min(*next, callAt) : callAt;
+    }
     return next;
 }
 
--- a/Libraries/LibAllowance/AllowanceStock.h
+++ b/Libraries/LibAllowance/AllowanceStock.h
@@ -12,6 +12,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace Allowance {
@@ -93,6 +94,9 @@
     /// Decisions about waiting requests since the last call.
     std::vector<Decision> takeDecisions();
 
+    /// Tells whether units have come since the last call for keys whose immediate takes had found none.
+    bool takeArrival() { return std::exchange(hasArrival_, false); }
+
     std::size_t keys() const { return entries_.size(); }
     std::size_t waiters() const { return waiters_.size(); }
     std::uint64_t unitsEnded() const { return unitsEnded_; }
@@ -117,6 +121,7 @@
         Base::Duration spacing {}; ///< Mean time between two units.
         std::deque<WaiterId> waiters;
         std::uint32_t missed = 0; ///< Immediate takes that found nothing since the last call.
+        bool awaited = false; ///< An immediate take has found nothing since the last grant.
         bool listed = false; ///< In `wanting_`.
     };
 
@@ -149,6 +154,7 @@
     std::map<WaiterId, Waiter> waiters_;
     std::set<std::pair<Base::Instant, WaiterId>> patience_;
     std::vector<Decision> decisions_;
+    bool hasArrival_ = false;
     std::optional<Call> open_; ///< The call in flight.
     Base::Instant askedAt_; ///< Of the call in flight.
     Base::Instant nextCallAt_;
--- a/Services/Gateway/AllowanceClient.cpp
+++ b/Services/Gateway/AllowanceClient.cpp
@@ -103,6 +103,8 @@
     if (const auto call = stock_.nextCall(now))
         startCall(*call);
     deliverDecisions();
+    if (stock_.takeArrival() && handleArrival_)
+        handleArrival_();
     armTimer();
 }
 
--- a/Services/Gateway/AllowanceClient.h
+++ b/Services/Gateway/AllowanceClient.h
@@ -30,6 +30,8 @@
     AllowanceClient &operator=(const AllowanceClient &) = delete;
 
     void setDecisionHandler(DecisionHandler handler) { handleDecision_ = std::move(handler); }
+    /// Sets what is called when units have come that take() without waiting had not found.
+    void setArrivalHandler(std::function<void()> handler) { handleArrival_ = std::move(handler); }
     /// Sets the peer address of the leader; an empty one leaves it as it is.
     void setLeader(std::string_view address);
     /// Sets the number of gateways that ask the same leader.
@@ -68,6 +70,7 @@
     GatewayMetrics &metrics_;
     FindRegistry findRegistry_;
     DecisionHandler handleDecision_;
+    std::function<void()> handleArrival_;
     Base::SystemClock clock_;
     Allowance::AllowanceStock stock_;
     std::string leader_; ///< Empty until it is known, and after a call to it has failed.
--- a/Tests/LibAllowance/TestAllowanceExplorer.cpp
+++ b/Tests/LibAllowance/TestAllowanceExplorer.cpp
@@ -292,3 +292,30 @@
     EXPECT_LE(simulation.buckets(), tenants);
     EXPECT_LE(simulation.mostKeysHeld(), tenants);
 }
+
+// A server that is cold breaks down above its rate and warms up only by what it gets.
+TEST(AllowanceExplorer, ColdServerGetsItsRateAndNoMore)
+{
+    const RateLimit limit {10.0, 0.0};
+    const Tolerance tolerance {Base::seconds(1), 0.5, 5.0};
+    for (const std::size_t gateways : {1U, 5U, 24U}) {
+        for (const double demand : {5.0, 10.0, 100.0}) {
+            AllowanceSimulation simulation(9, gateways, {});
+            const auto key = Allowance::coldServerKey("s", "i", 1);
+            simulation.setTerms({{Allowance::coldServiceRule("s"), Allowance::termsFor(limit, tolerance)}});
+            simulation.advance(Base::seconds(14));
+            for (int step = 0; step < 60 * 200; ++step) {
+                if (simulation.unit() < demand * 0.005)
+                    simulation.requestAtOnce(simulation.below(gateways), key);
+                simulation.advance(Base::milliseconds(5));
+            }
+            const auto spent = simulation.spentAt(key).size();
+            fmt::print("cold server of 10/s, demand {}/s at {} gateways: {:.1f}/s, {} calls\n", demand,
+                       gateways, static_cast<double>(spent) / 60.0, simulation.calls());
+            EXPECT_EQ(findExcess(simulation.spentAt(key), limit, tolerance, {{Base::Instant(), 1.0}}), "");
+            if (demand >= 100.0) {
+                EXPECT_GE(static_cast<double>(spent), 0.9 * 10.0 * 60.0);
+            }
+        }
+    }
+}
--- a/Tests/LibAllowance/TestAllowanceStock.cpp
+++ b/Tests/LibAllowance/TestAllowanceStock.cpp
@@ -225,8 +225,23 @@
 {
     EXPECT_FALSE(stock_.take(Start, "Ss\ni@1").has_value());
     answer(Start, Start + milliseconds(2), 1);
+    EXPECT_TRUE(stock_.takeArrival());
+    EXPECT_FALSE(stock_.takeArrival());
     const auto validUntil = stock_.take(Start + milliseconds(3), "Ss\ni@1");
     ASSERT_TRUE(validUntil.has_value());
     EXPECT_EQ(*validUntil, Start + seconds(1));
     EXPECT_FALSE(stock_.take(Start + milliseconds(3), "Ss\ni@1").has_value());
 }
+
+// Work that waits for a cold server has nobody who asks again for it.
+TEST_F(StockTest, ImmediateTakeAsksAgainWhenADenialEnds)
+{
+    EXPECT_FALSE(stock_.take(Start, "Ss\ni@1").has_value());
+    answer(Start, Start, 0);
+    EXPECT_FALSE(stock_.takeArrival());
+    EXPECT_FALSE(stock_.take(Start + milliseconds(50), "Ss\ni@1").has_value());
+    EXPECT_FALSE(stock_.nextCall(Start + milliseconds(50)).has_value());
+    EXPECT_EQ(stock_.nextTimer(), Start + milliseconds(200));
+    answer(Start + milliseconds(200), Start + milliseconds(202), 1);
+    EXPECT_TRUE(stock_.takeArrival());
+}
