--- a/Services/Gateway/GatewayMetrics.cpp
+++ b/Services/Gateway/GatewayMetrics.cpp
@@ -67,6 +67,9 @@
     registry_
         .counter("daisyroute_allowance_calls_total", "Calls to the registries' leader for units, by result.",
                  {{"result", result}})
+        .add();
+}
+
 void GatewayMetrics::serverLimitChanged(const std::string &direction)
 {
     registry_
