--- a/Services/Gateway/AllowanceClient.cpp
+++ b/Services/Gateway/AllowanceClient.cpp
@@ -103,6 +103,8 @@
     if (const auto call = stock_.nextCall(now))
         startCall(*call);
     deliverDecisions();
+    if (stock_.takeArrival() && handleArrival_)
+        handleArrival_();
     armTimer();
 }
 
@@ -146,8 +148,6 @@
     leader_ = address;
     metrics_.allowanceCall("answered");
     stock_.callAnswered(clock_.now(), sequence, *reply);
-    if (handleArrival_)
-        handleArrival_();
 }
 
 void AllowanceClient::failCall(std::uint64_t sequence, const std::string &address, std::string_view detail)
--- a/Services/Gateway/AllowanceClient.h
+++ b/Services/Gateway/AllowanceClient.h
@@ -30,7 +30,7 @@
     AllowanceClient &operator=(const AllowanceClient &) = delete;
 
     void setDecisionHandler(DecisionHandler handler) { handleDecision_ = std::move(handler); }
-    /// Called when the leader has answered, so that takers that never wait can try again.
+    /// Sets what is called when units have come that take() without waiting had not found.
     void setArrivalHandler(std::function<void()> handler) { handleArrival_ = std::move(handler); }
     /// Sets the peer address of the leader; an empty one leaves it as it is.
     void setLeader(std::string_view address);
