--- a/Services/Cli/CommandTable.cpp
+++ b/Services/Cli/CommandTable.cpp
@@ -18,6 +18,8 @@
                            "", true};
 const Setting ControlHttp {"control-http-addresses", &Settings::AddressList,
                            "HTTP addresses of the control processes.", "", true};
+const Setting Memory {"memory-megabytes", &Settings::Number,
+                      "Memory that this process may use; 0 for no limit.", "0"};
 const Setting Timeout {"timeout-ms", &Settings::Milliseconds, "Longest wait for one answer.", "10000"};
 const Setting Json {"json", &Settings::Switch, "Prints JSON instead of lines for people."};
 
@@ -37,6 +39,7 @@
              {"join", &Settings::Switch, "Starts as a learner that an existing cluster adds."},
              {"repair", &Settings::Switch,
               "Sets the files of a damaged data directory aside first; only with --join."},
+             Memory,
              KeyFile,
              LogLevel}};
 }
@@ -55,6 +58,7 @@
          {"control-addresses", &Settings::AddressList, "Peer addresses of the control processes.", "", true},
          {"vm-list-file", &Settings::Text, "Platform's list of live and leaving VMs."},
          {"caller-threads", &Settings::Threads, "Caller connections served at once.", "128"},
+         Memory,
          KeyFile,
          LogLevel}};
 }
