Show which status lines of servers pass for answers

Cause: a server in trouble sent the status 000 on another system, and its caller got that. Change: tests of twelve status lines at the gateways' connections, and of eleven at the own interface's client. The platform's gathers and single routes share the former. Ruled out: tests at the forwarding core; it only sees what the connection reports. Figures, on this code: BrokenServers.StatusLineThatIsNoneIsNoAnswer fails: "000 Zero" and "099 Low" pass for interim answers (reply_lost instead of reply_malformed; a server that stays connected is waited for until the deadline), "600 High" and "999 High" are passed on as answers. 1000, 20, letters, -20, HTTP/0.9, HTTP/2.0, HTTP/2 and no version are reply_malformed already. Client.RefusesStatusLinesThatAreNone fails: "600 High", "HTTP/0.9", "HTTP/2.0", "HTTP/2" and a "100 Continue" with a length pass for answers. BrokenServers.InterimAnswersWithoutEndAreNoAnswer and BrokenServers.StatusLineWithoutReasonIsAnAnswer pass.

--- a/Tests/LibEdge/TestBrokenServers.cpp
+++ b/Tests/LibEdge/TestBrokenServers.cpp
@@ -239,3 +239,46 @@
         }
     }
 }
+
+// A server in trouble sent the status 000, and its caller got that as an answer. What is no status, and what
+// is no version that this process speaks, is no answer of that server.
+TEST(BrokenServers, StatusLineThatIsNoneIsNoAnswer)
+{
+    constexpr std::array<std::string_view, 12> Lines {
+        "HTTP/1.1 000 Zero",  "HTTP/1.1 099 Low",  "HTTP/1.1 600 High", "HTTP/1.1 999 High",
+        "HTTP/1.1 1000 Long", "HTTP/1.1 20 Short", "HTTP/1.1 abc OK",   "HTTP/1.1 -20 OK",
+        "HTTP/0.9 200 OK",    "HTTP/2.0 200 OK",   "HTTP/2 200 OK",     "200 OK",
+    };
+    for (const auto line : Lines) {
+        Exchange exchange([line](const RawSocket &socket) {
+            socket.receiveUntil("\r\n\r\n");
+            socket.send(std::string(line) + "\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+            socket.finishSending();
+            socket.receive();
+        });
+        const auto &seen = exchange.send();
+        EXPECT_FALSE(seen.reply.has_value()) << line;
+        EXPECT_EQ(seen.failure, ExchangeFailure::ReplyMalformed) << line;
+        EXPECT_FALSE(exchange.connection().isOpen()) << line;
+    }
+}
+
+// Interim answers may precede one, but not without end, and an upgrade that nobody asked for is none.
+TEST(BrokenServers, InterimAnswersWithoutEndAreNoAnswer)
+{
+    Exchange exchange(endless("", "HTTP/1.1 100 Continue\r\n\r\n"));
+    EXPECT_EQ(exchange.send().failure, ExchangeFailure::ReplyMalformed);
+}
+
+TEST(BrokenServers, StatusLineWithoutReasonIsAnAnswer)
+{
+    constexpr std::array<std::string_view, 3> Lines {"HTTP/1.1 200 ", "HTTP/1.0 200 ", "HTTP/1.1 599 Odd"};
+    for (const auto line : Lines) {
+        Exchange exchange([line](const RawSocket &socket) {
+            socket.receiveUntil("\r\n\r\n");
+            socket.send(std::string(line) + "\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+            socket.receive();
+        });
+        EXPECT_TRUE(exchange.send().reply.has_value()) << line;
+    }
+}
--- a/Tests/LibHttp/TestClient.cpp
+++ b/Tests/LibHttp/TestClient.cpp
@@ -43,6 +43,29 @@
 
 } // namespace
 
+// A server in trouble sent the status 000. What is no status, and what is no version that this process
+// speaks, is no answer.
+TEST(Client, RefusesStatusLinesThatAreNone)
+{
+    for (const auto *line : {"HTTP/1.1 000 Zero", "HTTP/1.1 099 Low", "HTTP/1.1 600 High",
+                             "HTTP/1.1 1000 Long", "HTTP/1.1 20 Short", "HTTP/1.1 abc OK", "HTTP/0.9 200 OK",
+                             "HTTP/2.0 200 OK", "HTTP/2 200 OK", "200 OK", "HTTP/1.1 100 Continue"}) {
+        const auto result = exchangeWith(std::string(line) + "\r\nContent-Length: 2\r\n\r\nok");
+        EXPECT_FALSE(result) << line;
+        if (!result) {
+            EXPECT_EQ(result.error().error.kind, Base::ErrorKind::BackendReplyLost) << line;
+        }
+    }
+}
+
+// The reason may be empty (RFC 9112, section 4).
+TEST(Client, TakesStatusLineWithoutReason)
+{
+    const auto result = exchangeWith("HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok");
+    ASSERT_TRUE(result);
+    EXPECT_EQ(result->status, 200);
+}
+
 // Guards against "may have run" for a request to a server that nobody could reach.
 TEST(Client, ReportsUnreachableWhenNothingListens)
 {
