Count answers without a status as no answer of their server

Cause: a status below 200 passed for an interim answer, also 000 and 099, so the request waited for a real one; 600 to 999 were passed on to the caller. The own interface's client took any three digits and any version. Change: a status outside 100 to 599 makes a response malformed on the gateways' connections, for single routes and gathers alike, so the request may be repeated where its route allows it. The own interface counts what has no final status, or another version than 1.0 and 1.1, as a lost reply. Ruled out: passing 600 to 999 on as 502, as the caller may not learn then that another server can be tried.

--- a/Libraries/LibEdge/MessageParser.cpp
+++ b/Libraries/LibEdge/MessageParser.cpp
@@ -9,6 +9,10 @@
 /// Largest header of a backend server's response that is kept in memory.
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
 
+/// Statuses that are any (RFC 9110, section 15).
+constexpr int MinStatus = 100;
+constexpr int MaxStatus = 599;
+
 /// Feeds a parser until the message is complete or more input is needed.
 template<typename Parser>
 Parsed feedParser(Parser &parser, std::string_view input)
@@ -118,8 +122,10 @@
     return std::move(message_);
 }
 
-void ResponseParser::on_response_impl(int code, Text reason, int, Error &)
+void ResponseParser::on_response_impl(int code, Text reason, int, Error &error)
 {
+    if (code < MinStatus || code > MaxStatus)
+        error = boost::beast::http::error::bad_status;
     message_.status = code;
     message_.reason = toText(reason);
 }
--- a/Libraries/LibHttp/CivetWebClient.cpp
+++ b/Libraries/LibHttp/CivetWebClient.cpp
@@ -14,6 +14,10 @@
 
 constexpr std::size_t ErrorTextBytes = 256;
 
+/// Statuses of answers; interim ones are not read.
+constexpr int MinFinalStatus = 200;
+constexpr int MaxStatus = 599;
+
 /// Statuses that carry no body and need no Content-Length.
 constexpr int StatusNoContent = 204;
 constexpr int StatusNotModified = 304;
@@ -72,6 +76,12 @@
     if (info == nullptr)
         return lost("the response could not be parsed");
 
+    const std::string_view version = info->http_version == nullptr ? "" : info->http_version;
+    if (version != "1.1" && version != "1.0")
+        return lost("the response is of another version of the protocol");
+    if (info->status_code < MinFinalStatus || info->status_code > MaxStatus)
+        return lost("the response has no final status");
+
     Response response;
     response.status = info->status_code;
     for (int index = 0; index < info->num_headers; ++index)
