Bound what callers without control may hold

Cause: each connection was within its limits, and nothing bounded all of them together. Input, bodies, header fields, queued requests and answers that nobody takes grew with the crowd, at every address; threads of the own interface waited 30 s for a body. Change: one account of memory for the connections and unfinished responses of a process (Edge::MemoryAccount), charged before a buffer grows. Without room the largest and slowest unfinished requests and untaken answers give way; ordinary requests and those that a handler has do not. At most 256 header fields; no reading ahead of an answer that is not taken; progress instead of total time for bodies and answers; connections by address as parts of max_descriptors, where the least useful one gives way; bodies that nobody uses are dropped as they arrive; a large body is shared by all attempts instead of copied for each. The own interface bounds all bodies together and pauses by 5 s. Counters, one log line a second for each cause, docs, design note. Ruled out: a limit of each connection, refusing whoever comes last, oldest first (docs/design/hostile-callers.md).

--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -144,10 +144,12 @@
             continueWrite();
     }
 
-    void send(std::string request, const ReplyFraming &framing)
+    void send(std::string request, const ReplyFraming &framing, std::shared_ptr<const std::string> body)
     {
         busy_ = true;
         output_ = std::move(request);
+        body_ = std::move(body);
+        bodySent_ = 0;
         sent_ = 0;
         skippedResponses_ = 0;
         framing_ = framing;
@@ -158,21 +160,19 @@
 
     void continueWrite()
     {
-        const auto rest = std::string_view(output_).substr(sent_);
         error_code error;
-        const auto count =
-            rest.empty() ? 0 : socket_.write_some(asio::buffer(rest.data(), rest.size()), error);
+        writePart(output_, sent_, error);
+        if (!error && body_ && sent_ == output_.size())
+            writePart(*body_, bodySent_, error);
         if (error && error != asio::error::would_block && error != asio::error::try_again) {
             // send() may be on the stack of the caller, who expects the failure later.
             asio::post(socket_.get_executor(),
                        [self = Pointer(this), detail = error.message()] { self->fail(detail); });
             return;
         }
-        if (!error)
-            sent_ += count;
-        if (sent_ == output_.size()) {
-            output_.clear();
-            output_.shrink_to_fit();
+        if (sent_ == output_.size() && (!body_ || bodySent_ == body_->size())) {
+            std::string().swap(output_);
+            body_.reset();
             wroteAll_ = true;
             return;
         }
@@ -183,6 +183,15 @@
                            });
     }
 
+    void writePart(const std::string &part, std::size_t &sent, error_code &error)
+    {
+        const auto rest = std::string_view(part).substr(sent);
+        const auto count =
+            rest.empty() ? 0 : socket_.write_some(asio::buffer(rest.data(), rest.size()), error);
+        if (!error)
+            sent += count;
+    }
+
     void waitReadable()
     {
         socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = Pointer(this)](const error_code &error) {
@@ -337,7 +346,9 @@
     std::optional<ResponseParser> parser_;
     std::string input_;
     std::string output_;
-    std::size_t sent_ = 0;
+    std::size_t sent_ = 0; ///< Of `output_`.
+    std::shared_ptr<const std::string> body_; ///< Follows `output_`; null without one.
+    std::size_t bodySent_ = 0;
     bool wroteAll_ = false;
     bool connected_ = false;
     bool connectTimedOut_ = false;
@@ -362,9 +373,10 @@
     abort();
 }
 
-void BackendConnection::send(std::string request, const ReplyFraming &framing)
+void BackendConnection::send(std::string request, const ReplyFraming &framing,
+                             std::shared_ptr<const std::string> body)
 {
-    implementation_->send(std::move(request), framing);
+    implementation_->send(std::move(request), framing, std::move(body));
 }
 
 void BackendConnection::abort()
--- a/Libraries/LibEdge/BackendConnection.h
+++ b/Libraries/LibEdge/BackendConnection.h
@@ -9,6 +9,7 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace Edge {
@@ -53,8 +54,9 @@
     BackendConnection(const BackendConnection &) = delete;
     BackendConnection &operator=(const BackendConnection &) = delete;
 
-    /// Sends a formatted request.
-    void send(std::string request, const ReplyFraming &framing = {});
+    /// Sends a formatted request; `body` follows it, and several connections may send the same one.
+    void send(std::string request, const ReplyFraming &framing = {},
+              std::shared_ptr<const std::string> body = nullptr);
 
     /// Ends the connection without further events.
     void abort();
--- a/Libraries/LibEdge/CallerServer.cpp
+++ b/Libraries/LibEdge/CallerServer.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <fmt/format.h>
+#include <malloc.h>
 #include <vector>
 
 namespace Edge {
@@ -17,6 +18,8 @@
 
 /// Interval of the timeout checks; timeouts are exact to this.
 constexpr Base::Duration SweepInterval = Base::milliseconds(250);
+/// Memory for callers of a server that shares none; no caller of a deployment comes near it.
+constexpr std::size_t DefaultMemoryBytes = std::size_t {256} * 1024 * 1024;
 /// Pause before accepting again after an error such as too many open descriptors.
 constexpr Base::Duration AcceptRetryDelay = Base::milliseconds(100);
 
@@ -25,12 +28,15 @@
 class CallerServer::Implementation
 {
 public:
-    Implementation(Loop &loop, CallerHandler handler)
+    Implementation(Loop &loop, CallerHandler handler, CallerServerOptions options)
         : acceptor_(loop.context())
         , sweepTimer_(loop.context())
         , retryTimer_(loop.context())
     {
         context_.handler = std::move(handler);
+        context_.options = std::move(options);
+        if (!context_.options.memory)
+            context_.options.memory = std::make_shared<MemoryAccount>(DefaultMemoryBytes);
     }
 
     ~Implementation()
@@ -100,14 +106,37 @@
 
     void add(asio::ip::tcp::socket socket)
     {
-        if (connections_.size() >= context_.limits.maxConnections)
+        if (connections_.size() >= context_.limits.maxConnections && !closeLeastUseful()) {
+            context_.note(RefusalCause::TooManyConnections);
             return; // The socket closes here; the caller tries another gateway.
+        }
         const boost::intrusive_ptr<CallerConnection> connection(
             new CallerConnection(std::move(socket), context_));
         connections_.push_back(*connection);
         connection->start();
     }
 
+    /// Closes the connection that is least likely to carry an ordinary request, if there is one.
+    /// Load pattern: crowds that open connections and send nothing, or very little.
+    bool closeLeastUseful()
+    {
+        const auto now = context_.clock.now();
+        CallerConnection *least = nullptr;
+        std::optional<Usefulness> lowest;
+        for (auto &connection : connections_) {
+            const auto usefulness = connection.usefulness(now);
+            if (usefulness && (!lowest || *usefulness < *lowest)) {
+                lowest = usefulness;
+                least = &connection;
+            }
+        }
+        if (least == nullptr)
+            return false;
+        const boost::intrusive_ptr<CallerConnection> kept(least);
+        kept->giveWay(RefusalCause::TooManyConnections);
+        return true;
+    }
+
     void sweep()
     {
         sweepTimer_.expires_after(SweepInterval);
@@ -116,6 +145,10 @@
                 return;
             const auto now = context_.clock.now();
             forEach([now](CallerConnection &connection) { connection.checkTimeouts(now); });
+            // The allocator keeps what is freed between blocks in use, and would hold a crowd's peak for
+            // ever.
+            if (context_.options.memory->takeDecrease())
+                ::malloc_trim(0);
             sweep();
         });
     }
@@ -140,10 +173,28 @@
     Connections connections_;
 };
 
+std::string_view refusalCauseName(RefusalCause cause)
+{
+    switch (cause) {
+    case RefusalCause::NoMemory:
+        return "no_memory";
+    case RefusalCause::TooManyFields:
+        return "too_many_fields";
+    case RefusalCause::SlowRequest:
+        return "slow_request";
+    case RefusalCause::AnswerNotTaken:
+        return "answer_not_taken";
+    case RefusalCause::TooManyConnections:
+        return "too_many_connections";
+    }
+    return "no_memory";
+}
+
 Base::Result<std::unique_ptr<CallerServer>> CallerServer::create(Loop &loop, const std::string &address,
-                                                                 CallerHandler handler)
+                                                                 CallerHandler handler,
+                                                                 CallerServerOptions options)
 {
-    auto implementation = std::make_unique<Implementation>(loop, std::move(handler));
+    auto implementation = std::make_unique<Implementation>(loop, std::move(handler), std::move(options));
     if (auto opened = implementation->open(address); !opened)
         return tl::unexpected(opened.error());
     return std::unique_ptr<CallerServer>(new CallerServer(std::move(implementation)));
@@ -200,10 +251,10 @@
 CallerExchange &CallerExchange::operator=(const CallerExchange &) = default;
 CallerExchange &CallerExchange::operator=(CallerExchange &&) noexcept = default;
 
-void CallerExchange::respond(const ResponseMessage &response) const
+void CallerExchange::respond(ResponseMessage response) const
 {
     if (connection_)
-        connection_->respond(sequence_, response);
+        connection_->respond(sequence_, std::move(response));
 }
 
 std::optional<Base::Duration> CallerExchange::roundTripTime() const
--- a/Libraries/LibEdge/MessageParser.cpp
+++ b/Libraries/LibEdge/MessageParser.cpp
@@ -1,5 +1,6 @@
 #include "LibEdge/MessageParser.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 
 namespace Edge {
@@ -13,6 +14,9 @@
 constexpr int MinStatus = 100;
 constexpr int MaxStatus = 599;
 
+/// A name of one letter, a colon and the end of the line.
+constexpr std::size_t ShortestField = 4;
+
 /// Feeds a parser until the message is complete or more input is needed.
 template<typename Parser>
 Parsed feedParser(Parser &parser, std::string_view input)
@@ -33,6 +37,13 @@
     return result;
 }
 
+/// Memory of a text besides its object; short ones need none.
+std::size_t textBytes(const std::string &text)
+{
+    static const std::size_t Inside = std::string().capacity();
+    return text.capacity() > Inside ? text.capacity() + 1 : 0;
+}
+
 std::string toText(boost::beast::string_view text)
 {
     return {text.data(), text.size()};
@@ -40,11 +51,12 @@
 
 } // namespace
 
-RequestParser::RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes)
+RequestParser::RequestParser(const RequestLimits &limits)
+    : limits_(limits)
 {
     eager(true);
-    header_limit(maxHeaderBytes);
-    body_limit(maxBodyBytes);
+    header_limit(limits.maxHeaderBytes);
+    body_limit(limits.maxBodyBytes);
 }
 
 Parsed RequestParser::feed(std::string_view input)
@@ -52,6 +64,35 @@
     return feedParser<Base>(*this, input);
 }
 
+std::size_t RequestParser::heldBytesAfter(std::size_t more) const
+{
+    if (!is_header_done()) {
+        // Their container may hold twice as many fields as it has.
+        const auto fields = std::min(limits_.maxHeaderFields, more / ShortestField);
+        return heldBytes() + 2 * more + 2 * fields * sizeof(Http::Header);
+    }
+    return message_.bodyDropped ? heldBytes() : headBytes_ + bodyCapacityFor(message_.body.size() + more);
+}
+
+/// Grows by halves up to the announced length, so that little is held that no byte has arrived for.
+std::size_t RequestParser::bodyCapacityFor(std::size_t size) const
+{
+    const auto capacity = message_.body.capacity();
+    if (size <= capacity)
+        return capacity;
+    const auto grown = std::max(size, capacity + capacity / 2);
+    return bodyLength_ >= size ? std::min(grown, bodyLength_) : grown;
+}
+
+std::size_t RequestParser::appendBody(Text body)
+{
+    if (message_.bodyDropped)
+        return body.size();
+    message_.body.reserve(bodyCapacityFor(message_.body.size() + body.size()));
+    message_.body.append(body.data(), body.size());
+    return body.size();
+}
+
 RequestMessage RequestParser::take()
 {
     message_.keepAlive = keep_alive();
@@ -72,25 +113,37 @@
         error = boost::beast::http::error::bad_transfer_encoding;
     if (field == boost::beast::http::field::expect && boost::beast::iequals(value, "100-continue"))
         expectsContinue_ = true;
+    if (message_.headers.size() >= limits_.maxHeaderFields) {
+        error = boost::beast::http::error::header_limit;
+        return;
+    }
     message_.headers.emplace_back(toText(name), toText(value));
 }
 
+void RequestParser::on_header_impl(Error &)
+{
+    headBytes_ = textBytes(message_.target) + message_.headers.capacity() * sizeof(Http::Header);
+    for (const auto &[name, value] : message_.headers)
+        headBytes_ += textBytes(name) + textBytes(value);
+}
+
 void RequestParser::on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &)
 {
-    if (length)
-        message_.hasBody = true;
+    message_.bodyDropped = limits_.usesBody != nullptr && *limits_.usesBody && !(*limits_.usesBody)(message_);
+    if (!length)
+        return;
+    message_.hasBody = true;
+    bodyLength_ = *length;
 }
 
 std::size_t RequestParser::on_body_impl(Text body, Error &)
 {
-    message_.body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body);
 }
 
 std::size_t RequestParser::on_chunk_body_impl(std::uint64_t, Text body, Error &)
 {
-    message_.body.append(body.data(), body.size());
-    return body.size();
+    return appendBody(body);
 }
 
 ResponseParser::ResponseParser(const ReplyFraming &framing)
--- a/Libraries/LibEdge/MessageParser.h
+++ b/Libraries/LibEdge/MessageParser.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/basic_parser.hpp>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,19 @@
     std::uint64_t maxBodyBytes = std::uint64_t {8} * 1024 * 1024;
 };
 
+/// Tells from the head of a request whether its body will be used.
+using BodyFilter = std::function<bool(const RequestMessage &)>;
+
+/// What one request may hold.
+struct RequestLimits
+{
+    std::uint32_t maxHeaderBytes = 16384;
+    std::uint64_t maxBodyBytes = std::uint64_t {256} * 1024;
+    /// Each field costs its container as well, so that short ones hold many times their bytes.
+    std::size_t maxHeaderFields = 256;
+    const BodyFilter *usesBody = nullptr; ///< A body that it does not want is dropped as it arrives.
+};
+
 /// Unparsed bytes that a parser may leave over before they count as a line or trailer without end. Headers
 /// have limits of their own; chunk extensions and trailers do not.
 constexpr std::size_t MaxUnparsedBytes = std::size_t {80} * 1024;
@@ -33,12 +47,17 @@
 class RequestParser final : private boost::beast::http::basic_parser<true>
 {
 public:
-    RequestParser(std::uint32_t maxHeaderBytes, std::uint64_t maxBodyBytes);
+    explicit RequestParser(const RequestLimits &limits);
 
     /// Consumes bytes of at most one request; what is left belongs to the next one.
     Parsed feed(std::string_view input);
 
     bool hasHeader() const { return is_header_done(); }
+    /// Memory of what has been parsed.
+    std::size_t heldBytes() const { return headBytes_ + message_.body.capacity(); }
+    /// The most that it may be after `more` further bytes.
+    std::size_t heldBytesAfter(std::size_t more) const;
+    bool hasTooManyFields() const { return message_.headers.size() >= limits_.maxHeaderFields; }
     bool expectsContinue() const { return expectsContinue_; }
     /// Valid after feed() reported `done`.
     RequestMessage take();
@@ -51,14 +70,20 @@
     void on_request_impl(boost::beast::http::verb, Text method, Text target, int version, Error &) override;
     void on_response_impl(int, Text, int, Error &) override { }
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error &) override;
-    void on_header_impl(Error &) override { }
+    void on_header_impl(Error &) override;
     void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &) override;
     std::size_t on_body_impl(Text body, Error &) override;
     void on_chunk_header_impl(std::uint64_t, Text, Error &) override { message_.hasBody = true; }
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, Error &) override;
     void on_finish_impl(Error &) override { }
 
+    std::size_t bodyCapacityFor(std::size_t size) const;
+    std::size_t appendBody(Text body);
+
+    RequestLimits limits_;
     RequestMessage message_;
+    std::size_t headBytes_ = 0; ///< Memory of the head.
+    std::size_t bodyLength_ = 0; ///< As announced; 0 if it is not known.
     bool expectsContinue_ = false;
 };
 
--- a/Libraries/LibEdge/ReplyMemory.h
+++ b/Libraries/LibEdge/ReplyMemory.h
@@ -1,6 +1,11 @@
 #pragma once
 
+#include "LibBase/Clock.h"
+#include "LibEdge/MemoryAccount.h"
+
 #include <cstddef>
+#include <memory>
+#include <utility>
 
 namespace Edge {
 
@@ -10,8 +15,10 @@
 class ReplyMemory
 {
 public:
-    explicit ReplyMemory(std::size_t limitBytes)
+    /// What is counted here is charged to `account` as well.
+    explicit ReplyMemory(std::size_t limitBytes, std::shared_ptr<MemoryAccount> account = nullptr)
         : limitBytes_(limitBytes)
+        , account_(std::move(account))
     {
     }
 
@@ -22,6 +29,8 @@
         const auto wanted = heldBytes_ - before + after;
         if (after > before && wanted > limitBytes_)
             return false;
+        if (account_ && !account_->resize(clock_.now(), before, after))
+            return false;
         heldBytes_ = wanted;
         return true;
     }
@@ -31,6 +40,8 @@
 private:
     std::size_t limitBytes_;
     std::size_t heldBytes_ = 0;
+    std::shared_ptr<MemoryAccount> account_;
+    Base::SystemClock clock_;
 };
 
 } // namespace Edge
--- a/Libraries/LibEdge/RequestMessage.cpp
+++ b/Libraries/LibEdge/RequestMessage.cpp
@@ -77,6 +77,11 @@
     return {reason.data(), reason.size()};
 }
 
+bool isBodiless(int status)
+{
+    return status == 204 || status == 304;
+}
+
 std::string formatResponse(const ResponseMessage &response, bool closes, bool withoutBody)
 {
     std::string text;
@@ -90,8 +95,7 @@
     }
     if (closes)
         text += "Connection: close\r\n";
-    // These statuses have no body by definition (RFC 9110, section 6.4.1).
-    const bool bodiless = response.status == 204 || response.status == 304;
+    const bool bodiless = isBodiless(response.status);
     if (!bodiless)
         fmt::format_to(std::back_inserter(text), "Content-Length: {}\r\n", response.body.size());
     text += "\r\n";
--- a/Libraries/LibEdge/RequestMessage.h
+++ b/Libraries/LibEdge/RequestMessage.h
@@ -16,6 +16,7 @@
     std::vector<Http::Header> headers;
     std::string body;
     bool hasBody = false; ///< A length or chunks were given, even if the body is empty.
+    bool bodyDropped = false; ///< `body` is empty, because its server does not want it.
     bool keepAlive = true;
 
     /// Returns the first header with this name, compared without case, or an empty view.
@@ -44,6 +45,9 @@
 /// Compares header names or tokens without case.
 bool equalsIgnoringCase(std::string_view left, std::string_view right);
 
+/// Whether answers with this status have no body by definition (RFC 9110, section 6.4.1).
+bool isBodiless(int status);
+
 /// Formats a response with its length; `closes` announces that the connection ends after it. Headers of one
 /// connection and lengths in `response` are left out. The body is left out when `withoutBody` (HEAD).
 std::string formatResponse(const ResponseMessage &response, bool closes, bool withoutBody = false);
--- a/Libraries/LibHttp/CivetWebServer.cpp
+++ b/Libraries/LibHttp/CivetWebServer.cpp
@@ -28,6 +28,9 @@
 /// Connections that wait for a free thread; further ones wait in the kernel's backlog.
 constexpr auto ConnectionQueue = "64";
 
+/// A request that brings no byte for this long gives its thread back.
+constexpr Base::Duration LongestPause = Base::seconds(5);
+
 constexpr std::size_t ReadChunkBytes = std::size_t {16} * 1024;
 constexpr int StatusTooLarge = 413;
 constexpr int FirstServerError = 500;
@@ -100,6 +103,7 @@
 
 CivetWebServer::CivetWebServer(ServerOptions options)
     : options_(std::move(options))
+    , bodies_(options_.maxBodiesBytes)
 {
 }
 
@@ -115,7 +119,8 @@
         return tl::unexpected<Base::Error>(address.error());
     initializeCivetWeb();
     const auto threads = std::to_string(options_.threads);
-    const auto timeout = std::to_string(options_.requestTimeout / Base::milliseconds(1));
+    const auto timeout = std::to_string(std::min<Base::Duration>(options_.requestTimeout, LongestPause)
+                                        / Base::milliseconds(1));
     const std::array<const char *, 19> settings {
         "listening_ports",
         options_.listenAddress.c_str(),
@@ -208,7 +213,8 @@
 
 Response CivetWebServer::respond(mg_connection *connection, const mg_request_info &info, bool &closes)
 {
-    auto body = readBody(connection, info);
+    BodyMemory::Charge charge(bodies_);
+    auto body = readBody(connection, info, charge);
     if (!body) {
         // The rest of the body is unread, so the connection cannot carry another request.
         closes = true;
@@ -217,8 +223,8 @@
     return callHandler(makeRequest(info, std::move(*body)));
 }
 
-Base::Result<std::string> CivetWebServer::readBody(mg_connection *connection,
-                                                   const mg_request_info &info) const
+Base::Result<std::string> CivetWebServer::readBody(mg_connection *connection, const mg_request_info &info,
+                                                   BodyMemory::Charge &charge) const
 {
     const auto tooLarge = [this] {
         return Base::fail(Base::ErrorKind::RequestTooLarge,
@@ -241,9 +247,16 @@
             return Base::fail(Base::ErrorKind::InvalidRequest, "the body is truncated or malformed");
         if (count == 0)
             break;
-        body.append(chunk.data(), static_cast<std::size_t>(count));
-        if (body.size() > options_.maxBodyBytes)
+        const auto size = body.size() + static_cast<std::size_t>(count);
+        if (size > options_.maxBodyBytes)
             return tooLarge();
+        // Grows by halves, so that little is held that no byte has arrived for.
+        const auto capacity =
+            size <= body.capacity() ? body.capacity() : std::max(size, body.capacity() + body.capacity() / 2);
+        if (!charge.growTo(capacity))
+            return Base::fail(Base::ErrorKind::Overloaded, "the memory for requests is used up");
+        body.reserve(capacity);
+        body.append(chunk.data(), static_cast<std::size_t>(count));
         if (clock.now() > deadline)
             return Base::fail(Base::ErrorKind::InvalidRequest, "the body arrived too slowly");
     }
--- a/Libraries/LibHttp/CivetWebServer.h
+++ b/Libraries/LibHttp/CivetWebServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibHttp/BodyMemory.h"
 #include "LibHttp/Server.h"
 
 #include <civetweb.h>
@@ -28,12 +29,14 @@
 
     void serve(mg_connection *connection);
     Response respond(mg_connection *connection, const mg_request_info &info, bool &closes);
-    Base::Result<std::string> readBody(mg_connection *connection, const mg_request_info &info) const;
+    Base::Result<std::string> readBody(mg_connection *connection, const mg_request_info &info,
+                                       BodyMemory::Charge &charge) const;
     Response callHandler(const Request &request) const;
     bool enterRequest();
     void leaveRequest();
 
     ServerOptions options_;
+    BodyMemory bodies_;
     std::string listenAddress_;
     mg_context *context_ = nullptr;
     std::mutex mutex_;
--- a/Libraries/LibHttp/Server.h
+++ b/Libraries/LibHttp/Server.h
@@ -18,6 +18,8 @@
     std::string listenAddress; ///< ip:port; port 0 lets the kernel choose.
     int threads = 64; ///< Also the limit on connections served at once.
     std::size_t maxBodyBytes = 1U << 20U;
+    /// All bodies together; a request beyond it is answered with 503, as not run.
+    std::size_t maxBodiesBytes = std::size_t {256} * 1024 * 1024;
     Base::Duration requestTimeout = Base::seconds(30); ///< For reading one request.
     Handler handler;
 };
--- a/Services/Cli/ServiceCommands.cpp
+++ b/Services/Cli/ServiceCommands.cpp
@@ -56,6 +56,7 @@
     settings.join = line.isOn("join");
     settings.repair = line.isOn("repair");
     settings.sharedSecret = key;
+    settings.memoryMegabytes = line.number("memory-megabytes");
     return settings;
 }
 
@@ -107,6 +108,7 @@
     settings.vmListFile = line.text("vm-list-file");
     settings.sharedSecret = *key;
     settings.callerThreads = static_cast<int>(line.number("caller-threads"));
+    settings.memoryMegabytes = line.number("memory-megabytes");
     setLogLevel(line.text("log-level"));
     return exitCodeOf(runEntry(settings));
 }
--- a/Services/Common/MetricsEndpoint.h
+++ b/Services/Common/MetricsEndpoint.h
@@ -2,6 +2,7 @@
 
 #include "LibEdge/CallerServer.h"
 #include "LibMetrics/Registry.h"
+#include "Services/Common/CallerGuard.h"
 
 #include <functional>
 #include <memory>
@@ -18,6 +19,6 @@
 Base::Result<std::unique_ptr<Edge::CallerServer>> serveMetrics(Edge::Loop &loop,
                                                                const Metrics::Registry &metrics,
                                                                const std::string &ip, const std::string &port,
-                                                               MakeStatus makeStatus);
+                                                               MakeStatus makeStatus, CallerGuard &guard);
 
 } // namespace Services
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -55,7 +55,7 @@
     double allowanceSlack = 0.0; ///< Requests by which it may be exceeded besides.
     double coldOverage = 1.0; ///< Factor on the requests that a cold server may get in any second.
     double coldSlack = 0.0; ///< Requests that it may get besides.
-    double memoryMegabytes = 0.0; ///< Of this process; 0 if it has no limit.
+    double memoryMegabytes = 0.0; ///< Of each process of this VM; 0 if they have no limit.
     std::uint32_t maxDescriptors = 0; ///< Of this process; 0 if it has no limit.
     /// Whether gateways find out how many attempts at once each server takes well.
     bool learnServerLimits = false;
--- a/Services/Control/ControlProcess.cpp
+++ b/Services/Control/ControlProcess.cpp
@@ -1,5 +1,6 @@
 #include "Services/Control/ControlProcess.h"
 
+#include "Services/Common/RequestMemory.h"
 #include "Services/Control/ClusterBootstrap.h"
 
 #include <algorithm>
@@ -117,6 +118,8 @@
 
 Base::Result<void> ControlProcess::startTransports()
 {
+    if (settings_.memoryMegabytes > 0)
+        returnFreedMemory();
     Peer::EndpointOptions peerOptions;
     peerOptions.listenAddress = settings_.peerAddress;
     peerOptions.sharedSecret = settings_.sharedSecret;
@@ -131,6 +134,8 @@
 
     Http::ServerOptions httpOptions;
     httpOptions.listenAddress = settings_.httpAddress;
+    if (settings_.memoryMegabytes > 0)
+        httpOptions.maxBodiesBytes = requestMemory(settings_.memoryMegabytes);
     httpOptions.handler = [this](const Http::Request &request) {
         // Monitoring needs no key and must work while the decision thread is busy.
         if (request.method == "GET" && request.path == "/metrics")
--- a/Services/Control/ControlSettings.h
+++ b/Services/Control/ControlSettings.h
@@ -2,6 +2,7 @@
 
 #include "LibWire/RaftMessages.h"
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -21,6 +22,7 @@
     bool repair =
         false; ///< Sets the files of a damaged data directory aside before the start; only with `join`.
     std::string sharedSecret; ///< Read from the key file.
+    std::size_t memoryMegabytes = 0; ///< That this process may use; 0 if it has no limit.
 };
 
 } // namespace Services
--- a/Services/Entry/EntryProcess.cpp
+++ b/Services/Entry/EntryProcess.cpp
@@ -2,6 +2,7 @@
 
 #include "LibBase/Incarnation.h"
 #include "LibBase/Log.h"
+#include "Services/Common/RequestMemory.h"
 
 namespace Services {
 
@@ -46,6 +47,8 @@
 
 Base::Result<void> EntryProcess::open(const EntrySettings &settings)
 {
+    if (settings.memoryMegabytes > 0)
+        returnFreedMemory();
     auto endpoint = Peer::Endpoint::create({settings.peerAddress, settings.sharedSecret,
                                             [this](Wire::Method method, const Base::Bytes &payload,
                                                    const std::shared_ptr<Peer::Responder> &responder) {
@@ -59,6 +62,8 @@
     options.listenAddress = settings.httpAddress;
     options.threads = settings.callerThreads;
     options.maxBodyBytes = MaxQueryBytes;
+    if (settings.memoryMegabytes > 0)
+        options.maxBodiesBytes = requestMemory(settings.memoryMegabytes);
     options.handler = [this](const Http::Request &request) { return callerApi_.handle(request); };
     auto server = Http::Server::create(std::move(options));
     if (!server)
--- a/Services/Entry/EntrySettings.h
+++ b/Services/Entry/EntrySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
     std::string vmListFile; ///< Platform's list of live and leaving VMs; empty means none.
     std::string sharedSecret; ///< Read from the key file.
     int callerThreads = 128; ///< Caller connections served at once.
+    std::size_t memoryMegabytes = 0; ///< That this process may use; 0 if it has no limit.
 };
 
 } // namespace Services
--- a/Services/Gateway/BackendPool.cpp
+++ b/Services/Gateway/BackendPool.cpp
@@ -29,10 +29,11 @@
     {
     }
 
-    void send(Forward::AttemptId attempt, std::string request, const Edge::ReplyFraming &framing)
+    void send(Forward::AttemptId attempt, std::string request, std::shared_ptr<const std::string> body,
+              const Edge::ReplyFraming &framing)
     {
         attempt_ = attempt;
-        connection_.send(std::move(request), framing);
+        connection_.send(std::move(request), framing, std::move(body));
     }
 
     bool answersRequest(const Edge::ResponseMessage &response) override
@@ -69,17 +70,18 @@
     Forward::AttemptId attempt_ = 0;
 };
 
-BackendPool::BackendPool(Edge::Loop &loop, AttemptEvents &events)
+BackendPool::BackendPool(Edge::Loop &loop, AttemptEvents &events, std::shared_ptr<Edge::MemoryAccount> memory)
     : loop_(loop)
     , events_(events)
-    , memory_(MaxBufferedReplyBytes)
+    , memory_(MaxBufferedReplyBytes, std::move(memory))
 {
 }
 
 BackendPool::~BackendPool() = default;
 
 void BackendPool::send(Forward::AttemptId attempt, const Forward::BackendPointer &backend,
-                       std::string request, const Edge::ReplyFraming &framing, bool freshConnection)
+                       std::string request, std::shared_ptr<const std::string> body,
+                       const Edge::ReplyFraming &framing, bool freshConnection)
 {
     const auto now = clock_.now();
     auto &idle = idle_[backend];
@@ -99,7 +101,7 @@
     }
     auto &used = *pooled;
     busy_[attempt] = std::move(pooled);
-    used.send(attempt, std::move(request), framing);
+    used.send(attempt, std::move(request), std::move(body), framing);
 }
 
 void BackendPool::release(PooledConnection &pooled, bool keep)
--- a/Services/Gateway/BackendPool.h
+++ b/Services/Gateway/BackendPool.h
@@ -26,15 +26,17 @@
 class BackendPool
 {
 public:
-    BackendPool(Edge::Loop &loop, AttemptEvents &events);
+    /// Unfinished responses are charged to `memory`.
+    BackendPool(Edge::Loop &loop, AttemptEvents &events, std::shared_ptr<Edge::MemoryAccount> memory);
     ~BackendPool();
     BackendPool(const BackendPool &) = delete;
     BackendPool &operator=(const BackendPool &) = delete;
 
-    /// Sends a formatted request. `freshConnection` avoids a pooled connection that the server may be
-    /// closing, for requests that must not be sent again.
+    /// Sends a formatted request, followed by `body` if that is not null. `freshConnection` avoids a pooled
+    /// connection that the server may be closing, for requests that must not be sent again.
     void send(Forward::AttemptId attempt, const Forward::BackendPointer &backend, std::string request,
-              const Edge::ReplyFraming &framing, bool freshConnection);
+              std::shared_ptr<const std::string> body, const Edge::ReplyFraming &framing,
+              bool freshConnection);
 
     /// Aborts the attempt and its connection without a callback.
     void abort(Forward::AttemptId attempt);
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -19,6 +19,8 @@
 constexpr Base::Duration TypicalStartupTime = Base::milliseconds(900);
 /// Maximum body size of one part of a gather. Parts hold records of 16 bytes, of which a merge keeps a few.
 constexpr std::uint64_t MaxPartBytes = std::uint64_t {1} * 1024 * 1024;
+/// Size up to which each attempt copies the body of its request.
+constexpr std::size_t MaxJoinedBody = std::size_t {16} * 1024;
 /// Minimum Retry-After of a gateway that is not ready.
 constexpr Base::Duration MinRetryAfter = Base::milliseconds(250);
 /// Retry-After of a gateway that has lost touch with the registries. Load pattern: a few VMs are cut off or
@@ -72,13 +74,13 @@
 
 Forwarder::Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
                      GatewayMetrics &metrics, const Forward::ForwardOptions &options,
-                     Base::Duration keyRemovalBound)
+                     Base::Duration keyRemovalBound, std::shared_ptr<Edge::MemoryAccount> memory)
     : loop_(loop)
     , adapter_(adapter)
     , events_(events)
     , metrics_(metrics)
     , core_(options)
-    , pool_(loop, *this)
+    , pool_(loop, *this, std::move(memory))
     , startedAt_(clock_.now())
     , authenticator_(keyRemovalBound)
 {
@@ -132,7 +134,13 @@
     performActions();
 }
 
-void Forwarder::handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
+bool Forwarder::usesBody(const Edge::RequestMessage &head) const
+{
+    return !refusingNewRequests_ && table_ && hasServers()
+           && table_->find(head.header("Host"), head.path()) != nullptr;
+}
+
+void Forwarder::handle(Edge::RequestMessage request, const Edge::CallerExchange &caller)
 {
     if (refusingNewRequests_)
         return refuse(request, caller, Base::ErrorKind::ShuttingDown, "gateway is shutting down");
@@ -162,9 +170,13 @@
 }
 
 /// Hands a request that may be served to the core.
-void Forwarder::admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+void Forwarder::admit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                       const Route::RouteRule &route, const Route::TenantRule *tenant)
 {
+    // The configuration has changed since the head arrived.
+    if (request.bodyDropped && request.hasBody)
+        return refuse(request, caller, Base::ErrorKind::ControlUnavailable,
+                      "the route is newer than the request");
     HeldUnit held;
     if (!obtainUnit(request, caller, route, tenant, held))
         return;
@@ -186,7 +198,8 @@
     pending.version = table_->version();
     pending.callerDelay = callerDelay.network;
     pending.head = forwardedHead(request, adapter_.headers(), table_->configuration(), tenant);
-    pending.body = request.body;
+    if (!request.body.empty())
+        pending.body = std::make_shared<const std::string>(std::move(request.body));
     pending.headRequest = request.method == "HEAD";
     pending.attemptsAllowed = route.attempts;
     pending.isGather = route.gather.has_value();
@@ -295,17 +308,21 @@
     const auto &names = adapter_.headers();
     const auto milliseconds = std::max<std::int64_t>(1, action.timeLeft / Base::milliseconds(1));
     std::string request;
-    request.reserve(pending.head.size() + pending.body.size() + 128);
+    // A small body travels with its head, which saves a system call; a large one is shared by all attempts.
+    const bool joined = pending.body && pending.body->size() <= MaxJoinedBody;
+    request.reserve(pending.head.size() + (joined ? pending.body->size() : 0) + 128);
     request += pending.head;
     fmt::format_to(std::back_inserter(request), "{}: {}\r\n{}: {}\r\n\r\n", names.deadline, milliseconds,
                    names.targetServer, action.backend->record.id);
-    request += pending.body;
+    if (joined)
+        request += *pending.body;
     attemptRequestIds_[action.attempt] = pending.requestId;
     Edge::ReplyFraming framing;
     framing.headRequest = pending.headRequest;
     if (pending.isGather)
         framing.maxBodyBytes = MaxPartBytes;
-    pool_.send(action.attempt, action.backend, std::move(request), framing, !pending.repeatable);
+    pool_.send(action.attempt, action.backend, std::move(request), joined ? nullptr : pending.body, framing,
+               !pending.repeatable);
 }
 
 bool Forwarder::answersAttempt(Forward::AttemptId attempt, const Forward::Backend &backend,
@@ -399,14 +416,15 @@
     if (action.outcome.kind == Forward::Outcome::Kind::Refused
         && Base::errorAnswer(action.outcome.error).runState == Base::RunState::NotRun)
         giveBackUnit(pending.held);
-    const auto response = responseFor(pending, action.outcome);
-    pending.caller.respond(response);
+    auto response = responseFor(pending, action.outcome);
+    const auto status = response.status;
+    pending.caller.respond(std::move(response));
     const auto now = clock_.now();
     if (action.outcome.dueAt)
         answerLag_.record(*action.outcome.dueAt, now);
     metrics_.requestAnswered(pending.routeName, std::string(outcomeName(action.outcome)),
                              now - pending.arrivedAt);
-    logAnswer(now, pending, action.outcome, response.status);
+    logAnswer(now, pending, action.outcome, status);
     if (action.outcome.sharing.result != Forward::SharingRecord::Result::NotNeeded)
         logSharing(now, pending, action.outcome.sharing, action.outcome.cause);
 }
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -26,9 +26,11 @@
 public:
     Forwarder(Edge::Loop &loop, const Adapter::PlatformAdapter &adapter, Base::EventLog &events,
               GatewayMetrics &metrics, const Forward::ForwardOptions &options,
-              Base::Duration keyRemovalBound = {});
+              Base::Duration keyRemovalBound = {}, std::shared_ptr<Edge::MemoryAccount> memory = nullptr);
 
-    void handle(const Edge::RequestMessage &request, const Edge::CallerExchange &caller);
+    void handle(Edge::RequestMessage request, const Edge::CallerExchange &caller);
+    /// Whether a request with this head would be forwarded with its body.
+    bool usesBody(const Edge::RequestMessage &head) const;
 
     /// Sets the route table for requests that arrive from now on.
     void setRoutes(std::shared_ptr<const Route::RouteTable> table);
@@ -104,14 +106,14 @@
         Base::Instant arrivedAt;
         Base::Duration callerDelay {}; ///< Estimated network delay to the caller.
         std::string head; ///< Request line and headers common to all attempts.
-        std::string body;
+        std::shared_ptr<const std::string> body; ///< Null without one.
         bool headRequest = false;
         bool isGather = false;
         bool repeatable = false;
         std::uint32_t attemptsAllowed = 1; ///< Servers per service that the route allows.
     };
 
-    void admit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+    void admit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                const Route::RouteRule &route, const Route::TenantRule *tenant);
     Tenant::Authenticator::Verdict authenticate(const Edge::RequestMessage &request,
                                                 const Route::RouteRule &route) const;
@@ -122,7 +124,7 @@
     Base::Duration retryAfter(Base::Instant now, Base::ErrorKind error) const;
     void watchCurrency(Base::Instant now);
     // ForwarderAllowance.cpp
-    bool obtainUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+    bool obtainUnit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                     const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held);
     std::optional<UnitWaiter> takeUnitWaiter(Allowance::WaiterId waiter);
     void unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking);
--- a/Services/Gateway/ForwarderAllowance.cpp
+++ b/Services/Gateway/ForwarderAllowance.cpp
@@ -43,7 +43,7 @@
 
 /// Returns false if the request was refused or waits; a request that waits comes back through handle(), so
 /// that what has changed meanwhile holds for it.
-bool Forwarder::obtainUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+bool Forwarder::obtainUnit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                            const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held)
 {
     if (tenant == nullptr || tenant->requestsPerSecond <= 0.0 || allowances_ == nullptr)
@@ -67,7 +67,8 @@
         return false;
     }
     const auto waiter = taking.waiter;
-    waitingForUnits_.emplace(waiter, UnitWaiter {request, caller, {route.name, tenant->name, {}}, now, size});
+    waitingForUnits_.emplace(
+        waiter, UnitWaiter {std::move(request), caller, {route.name, tenant->name, {}}, now, size});
     bytesWaitingForUnits_ += size;
     caller.onCallerLeft([this, waiter] {
         allowances_->abandon(waiter);
@@ -87,7 +88,7 @@
 
 void Forwarder::unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking)
 {
-    const auto found = takeUnitWaiter(waiter);
+    auto found = takeUnitWaiter(waiter);
     const auto now = clock_.now();
     if (found && taking.kind != Kind::Granted) {
         auto details = found->details;
@@ -97,7 +98,7 @@
     if (found) {
         found->caller.onCallerLeft({});
         resumed_ = HeldUnit {std::move(taking.unit), now - found->arrivedAt};
-        handle(found->request, found->caller);
+        handle(std::move(found->request), found->caller);
     } else if (taking.kind == Kind::Granted) {
         resumed_ = HeldUnit {std::move(taking.unit), {}};
     }
--- a/Services/Gateway/GatewayMetrics.h
+++ b/Services/Gateway/GatewayMetrics.h
@@ -25,7 +25,7 @@
     void serverLimitChanged(const std::string &direction);
     void setGauge(const char *name, const char *help, double value);
 
-    const Metrics::Registry &registry() const { return registry_; }
+    Metrics::Registry &registry() { return registry_; }
 
 private:
     Metrics::Registry registry_;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -100,6 +100,7 @@
 
 Base::Result<void> GatewayProcess::start(const std::string &metricsPort)
 {
+    guard_ = std::make_unique<CallerGuard>(settings_, events_, metrics_.registry());
     Peer::EndpointOptions options;
     options.listenAddress = settings_.gatewayListenAddress();
     options.sharedSecret = settings_.clusterKey;
@@ -117,7 +118,7 @@
         return tl::unexpected(endpoint.error());
     endpoint_ = std::move(*endpoint);
     forwarder_ = std::make_unique<Forwarder>(loop_, adapter_, events_, metrics_, forwardOptions(),
-                                             settings_.keyRemovalBound);
+                                             settings_.keyRemovalBound, guard_->memory());
     forwarder_->setGatewayCount(AssumedGateways);
     allowances_ =
         std::make_unique<AllowanceClient>(loop_, *endpoint_, events_, metrics_, incarnation_, [this] {
@@ -126,25 +127,29 @@
     allowances_->setGatewayCount(AssumedGateways);
     forwarder_->setAllowances(allowances_.get());
 
-    const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, const std::string &address,
-                              Edge::CallerHandler handler) -> Base::Result<void> {
-        auto created = Edge::CallerServer::create(loop_, address, std::move(handler));
+    const auto serve = [this](std::unique_ptr<Edge::CallerServer> &server, Door door,
+                              const std::string &address, Edge::CallerHandler handler,
+                              Edge::BodyFilter usesBody = {}) -> Base::Result<void> {
+        auto created = serveAt(loop_, *guard_, door, address, std::move(handler), std::move(usesBody));
         if (!created)
             return tl::unexpected(created.error());
         server = std::move(*created);
         return {};
     };
-    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort,
-                                      [this] { return describeStatus(); });
+    auto metricsServer = serveMetrics(
+        loop_, metrics_.registry(), settings_.listenIp, metricsPort, [this] { return describeStatus(); },
+        *guard_);
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
-    return serve(callerServer_, settings_.callerAddress,
-                 [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
-                     forwarder_->handle(request, caller);
-                 })
+    return serve(
+               callerServer_, Door::Callers, settings_.callerAddress,
+               [this](Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
+                   forwarder_->handle(std::move(request), caller);
+               },
+               [this](const Edge::RequestMessage &head) { return forwarder_->usesBody(head); })
         .and_then([&] {
-            return serve(readinessServer_, settings_.readinessAddress,
+            return serve(readinessServer_, Door::Readiness, settings_.readinessAddress,
                          [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
                              const bool known = adapter_.classify(request.method, request.path())
                                                 == Adapter::Call::CheckReadiness;
@@ -152,7 +157,7 @@
                          });
         })
         .and_then([&] {
-            return serve(lookupServer_, settings_.lookupAddress,
+            return serve(lookupServer_, Door::Lookups, settings_.lookupAddress,
                          [this](const Edge::RequestMessage &request, const Edge::CallerExchange &caller) {
                              handleLookup(request, caller);
                          });
@@ -301,6 +306,7 @@
     limits.maxBodyBytes = configuration->limits.maxBodyBytes;
     limits.headerTimeout = configuration->limits.headerTimeout;
     limits.idleTimeout = configuration->limits.idleTimeout;
+    limits.maxConnections = guard_->maxConnections(Door::Callers);
     callerServer_->setLimits(limits);
     configurationText_ = reply.configurationText;
     const auto routes = configuration->routes.size();
@@ -411,6 +417,7 @@
     allowances_->maintain(now);
     relayedGateways_.tick(now);
     watchers_.answer(now);
+    guard_->tick(now);
     reloadSettings(false);
     events_.flush();
 }
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -8,6 +8,7 @@
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "Services/Common/CallerGuard.h"
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
 #include "Services/Common/WatchDesk.h"
@@ -94,6 +95,7 @@
     std::vector<Wire::GatewayRecord> advertised_;
     std::unique_ptr<AllowanceClient> allowances_;
     std::unique_ptr<Forwarder> forwarder_;
+    std::unique_ptr<CallerGuard> guard_;
     std::unique_ptr<Edge::CallerServer> callerServer_;
     std::unique_ptr<Edge::CallerServer> readinessServer_;
     std::unique_ptr<Edge::CallerServer> lookupServer_;
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -59,6 +59,7 @@
 
 Base::Result<void> RegistryProcess::start(const std::string &metricsPort)
 {
+    guard_ = std::make_unique<CallerGuard>(settings_, events_, metrics_);
     Peer::EndpointOptions options;
     options.listenAddress = settings_.registryListenAddress();
     options.sharedSecret = settings_.clusterKey;
@@ -70,19 +71,23 @@
     if (!endpoint)
         return tl::unexpected(endpoint.error());
     endpoint_ = std::move(*endpoint);
-    auto server = Edge::CallerServer::create(
-        loop_, settings_.operatorAddress,
+    auto server = serveAt(
+        loop_, *guard_, Door::Operators, settings_.operatorAddress,
         [this](const Edge::RequestMessage &request, const Edge::CallerExchange &exchange) {
             handleOperator(request, exchange);
+        },
+        [this](const Edge::RequestMessage &head) {
+            return adapter_.classify(head.method, head.path()) == Adapter::Call::ReplaceConfiguration;
         });
     if (!server)
         return tl::unexpected(server.error());
     operatorServer_ = std::move(*server);
     Edge::EdgeLimits limits;
     limits.maxBodyBytes = MaxConfigurationBytes;
+    limits.maxConnections = guard_->maxConnections(Door::Operators);
     operatorServer_->setLimits(limits);
-    auto metricsServer =
-        serveMetrics(loop_, metrics_, settings_.listenIp, metricsPort, [this] { return describeStatus(); });
+    auto metricsServer = serveMetrics(
+        loop_, metrics_, settings_.listenIp, metricsPort, [this] { return describeStatus(); }, *guard_);
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -135,6 +140,7 @@
     shareState(now);
     renewConfirmation(now);
     watchers_.answer(now);
+    guard_->tick(now);
     events_.flush();
 }
 
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -15,6 +15,7 @@
 #include "LibRegistry/ServerListHolder.h"
 #include "LibTenant/ConfigurationCurrency.h"
 #include "LibWire/IntroduceMessages.h"
+#include "Services/Common/CallerGuard.h"
 #include "Services/Common/NodeSettings.h"
 #include "Services/Common/SettingsWatch.h"
 #include "Services/Common/WatchDesk.h"
@@ -190,6 +191,7 @@
     Base::Instant nextAllowanceSweep_;
     Base::Instant nextAllowanceRefusalLine_;
     WatchDesk watchers_;
+    std::unique_ptr<CallerGuard> guard_;
     std::unique_ptr<Edge::CallerServer> operatorServer_;
     std::unique_ptr<Edge::CallerServer> metricsServer_;
     /// Last member, so that its thread ends before the members it posts to are destroyed.
--- a/Tests/LibHttp/TestServer.cpp
+++ b/Tests/LibHttp/TestServer.cpp
@@ -154,6 +154,31 @@
 }
 
 // Guards against headers that grow the server's memory.
+// As many bodies as there are threads would otherwise hold their size each.
+TEST(Server, RefusesBodiesBeyondTheirMemoryAsNotRun)
+{
+    std::atomic<int> handled = 0;
+    ServerOptions options;
+    options.listenAddress = "127.0.0.1:0";
+    options.threads = 4;
+    options.maxBodyBytes = 100'000;
+    options.maxBodiesBytes = 50'000;
+    options.handler = [&handled](const Request &request) {
+        ++handled;
+        return echo(request);
+    };
+    const auto server = Server::create(std::move(options));
+    ASSERT_TRUE(server);
+    const auto large = connectTo(**server)->exchange(post("/a", std::string(80'000, 'x')), LongTimeout);
+    ASSERT_TRUE(large);
+    EXPECT_EQ(large->status, 503);
+    EXPECT_EQ(nlohmann::json::parse(large->body).at("run"), "no");
+    EXPECT_EQ(handled, 0);
+    const auto small = connectTo(**server)->exchange(post("/a", std::string(20'000, 'x')), LongTimeout);
+    ASSERT_TRUE(small);
+    EXPECT_EQ(small->status, 200);
+}
+
 TEST(Server, RefusesOversizedHeaders)
 {
     const auto server = makeServer(&echo);
