--- a/Tests/LibTenant/TestAuthenticator.cpp
+++ b/Tests/LibTenant/TestAuthenticator.cpp
@@ -4,7 +4,6 @@
 
 namespace {
 
-using Base::ErrorKind;
 using Base::milliseconds;
 using Base::seconds;
 
--- a/Tests/Services/TestTenantRequests.cpp
+++ b/Tests/Services/TestTenantRequests.cpp
@@ -89,7 +89,7 @@
     TenantRequestsTest()
     {
         EXPECT_EQ(::pipe2(log, O_NONBLOCK), 0);
-        const auto serve = [this](std::string proof) {
+        const auto serve = [this](const std::string &proof) {
             return [this, proof](const Edge::RequestMessage &request, const Edge::CallerExchange &exchange) {
                 const std::lock_guard lock(mutex);
                 std::string head;
