--- a/Libraries/LibEdge/CallerConnection.h
+++ b/Libraries/LibEdge/CallerConnection.h
@@ -28,8 +28,9 @@
     }
 };
 
-/// Order in which connections give way to new ones: closing, idle, stopped in an answer, stopped in a request,
-/// slow; within each the one without progress for longest first, and of the slow ones the oldest transfer.
+/// Order in which connections give way to new ones: closing, idle, stopped in an answer, stopped in a
+/// request, slow; within each the one without progress for longest first, and of the slow ones the oldest
+/// transfer.
 struct Usefulness
 {
     int kind = 0;
