--- a/Tests/Services/FakeAdapter.h
+++ b/Tests/Services/FakeAdapter.h
@@ -27,6 +27,8 @@
         return Adapter::ServerPage {};
     }
     std::string encodeGateways(std::span<const std::string>, Base::Duration) const override { return {}; }
+    std::string evacuatedDataCentre(std::string_view) const override { return {}; }
+    std::optional<Base::Duration> decodeWarmUp(std::string_view) const override { return {}; }
     std::string callerDataCentre(std::string_view) const override { return {}; }
 
 private:
