--- a/Libraries/LibAllowance/AllowanceStock.cpp
+++ b/Libraries/LibAllowance/AllowanceStock.cpp
@@ -161,6 +161,7 @@
         return;
     addLot(*entry, validUntil, 1);
     serveWaiters(now, *entry);
+    noteArrival(*entry);
 }
 
 void AllowanceStock::abandon(WaiterId waiter)
@@ -189,6 +190,12 @@
     }
 }
 
+void AllowanceStock::noteArrival(Entry &entry)
+{
+    if (entry.stock > 0 && std::exchange(entry.awaited, false))
+        hasArrival_ = true;
+}
+
 void AllowanceStock::refuseWaiters(Base::Instant now, Entry &entry)
 {
     while (!entry.waiters.empty())
@@ -267,8 +274,7 @@
     else
         unitsEnded_ += units;
     serveWaiters(now, entry);
-    if (entry.stock > 0 && std::exchange(entry.awaited, false))
-        hasArrival_ = true;
+    noteArrival(entry);
     if (units < ask.needed) {
         entry.blockedUntil = now + Base::milliseconds(std::min(grant.unitAfterMs, MaxRetryMs));
         entry.nextRetry =
--- a/Libraries/LibAllowance/AllowanceStock.h
+++ b/Libraries/LibAllowance/AllowanceStock.h
@@ -142,6 +142,7 @@
     void wantIfLow(Base::Instant now, Entry &entry);
     bool isIdle(Base::Instant now, const Entry &entry) const;
     void serveWaiters(Base::Instant now, Entry &entry);
+    void noteArrival(Entry &entry);
     void refuseWaiters(Base::Instant now, Entry &entry);
     Base::Duration nextRetryAfter(Base::Instant now, Entry &entry);
     void decide(WaiterId waiter, Taking taking);
