--- a/Tests/Services/TestRegistryAllowances.cpp
+++ b/Tests/Services/TestRegistryAllowances.cpp
@@ -46,7 +46,8 @@
 class RegistryAllowancesTest : public ::testing::Test
 {
 protected:
-    RegistryAllowancesTest()
+    // Without a registry the tests cannot go on, so a failure here ends them.
+    void SetUp() override
     {
         const auto port = 20000 + ::getpid() * 4 % 20000;
         address = fmt::format("127.0.0.1:{}", port);
@@ -55,15 +56,13 @@
                                 "operator_address = \"127.0.0.1:{}\"\nfirst_peer_port = {}\n"
                                 "cluster_key = \"secret\"\nseeds = \"127.0.0.1:{}\"\nfirst_start = true\n"
                                 "data_directory = \"{}/data\"\nshutdown_grace_s = 1\nlost_vms_tolerated = 0\n"
-                                "allowance_window_s = 5\nallowance_overage = 0.1\nallowance_slack = 0\n",
+                                "allowance_window_s = \"5\"\nallowance_overage = \"0.1\"\n"
+                                "allowance_slack = \"0\"\n",
                                 port + 2, port, port + 2, directory.path());
         settings.close();
         Edge::Loop::holdSignals({SIGTERM, SIGINT, SIGHUP});
         auto created = Services::RegistryProcess::create(directory.path() + "/settings.toml", {}, adapter);
-        if (!created) {
-            ADD_FAILURE() << created.error().detail;
-            return;
-        }
+        ASSERT_TRUE(created.has_value()) << created.error().detail;
         registry = std::move(*created);
         thread = std::thread([this] { registry->run(); });
         Peer::EndpointOptions options;
