--- a/Tests/LibForward/TenantLoad.h
+++ b/Tests/LibForward/TenantLoad.h
@@ -164,7 +164,7 @@
             demands[tenant].perSecond *= heated ? 8.0 : 1.0;
             demands[tenant].repeats = repeats;
         }
-        const auto served = play(demands, Base::seconds(path == "/g/x" ? 3 : 6));
+        const auto served = play(demands, Base::seconds(path == "/g/x" ? 2 : 4));
         hotServed = served[hot.front()];
         fmt::print("fair {} heated {} repeats {} {}: others {:.4f} of {}, hot {:.4f} of {}\n", fair, heated,
                    repeats, path, sum(served, hot).inTimeShare(), sum(served, hot).asked,
--- a/Tests/LibForward/TestLearnedLimits.cpp
+++ b/Tests/LibForward/TestLearnedLimits.cpp
@@ -142,18 +142,18 @@
 {
     servers.nature("a") = {1.0, 4.0, 2.5, {}};
     useGateways(1, false);
-    play(600, seconds(4));
-    const auto before = play(1700, seconds(12), seconds(4));
+    play(600, seconds(2));
+    const auto before = play(1700, seconds(6), seconds(3));
     now += seconds(10);
     useGateways(1, true);
-    play(600, seconds(4));
-    const auto after = play(1700, seconds(12), seconds(4));
+    play(600, seconds(2));
+    const auto after = play(1700, seconds(6), seconds(3));
     EXPECT_GE(limited(), 1U);
     EXPECT_LT(after.meanMs, before.meanMs);
     EXPECT_LE(after.refused, before.refused);
     // It becomes fast again.
     servers.nature("a") = {};
-    play(1700, seconds(20));
+    play(1700, seconds(15));
     EXPECT_EQ(limited(), 0U);
 }
 
@@ -165,12 +165,12 @@
     for (const std::size_t count : {3U, 6U}) {
         now += seconds(10);
         useGateways(count, false);
-        play(400, seconds(4));
-        const auto before = play(1000, seconds(12), seconds(4));
+        play(400, seconds(2));
+        const auto before = play(1000, seconds(6), seconds(3));
         now += seconds(10);
         useGateways(count, true);
-        play(400, seconds(4));
-        const auto after = play(1000, seconds(12), seconds(4));
+        play(400, seconds(2));
+        const auto after = play(1000, seconds(6), seconds(3));
         EXPECT_LT(after.meanMs, before.meanMs);
         EXPECT_LE(after.refused, before.refused);
     }
@@ -182,10 +182,10 @@
     servers.nature("a").slowness = 0.8;
     servers.nature("c").slowness = 1.3;
     useGateways(1, false);
-    const auto before = play(1200, seconds(12), seconds(4));
+    const auto before = play(1200, seconds(6), seconds(3));
     now += seconds(10);
     useGateways(1, true);
-    const auto after = play(1200, seconds(12), seconds(4));
+    const auto after = play(1200, seconds(6), seconds(3));
     EXPECT_EQ(limited(), 0U);
     EXPECT_LE(after.meanMs, before.meanMs * 1.02);
 }
--- a/Tests/LibForward/TestSharing.cpp
+++ b/Tests/LibForward/TestSharing.cpp
@@ -46,7 +46,7 @@
 TEST_F(TenantLoad, NoTenantStarvesUnderLastingOverload)
 {
     useTenants();
-    const auto served = play(usualDemand(2.0 * Capacity), Base::seconds(10));
+    const auto served = play(usualDemand(2.0 * Capacity), Base::seconds(6));
     const auto all = sum(served);
     fmt::print("all: in time {:.3f}, served {:.3f}\n", all.inTimeShare(), all.servedShare());
     EXPECT_GE(all.servedShare(), 0.45);
@@ -58,10 +58,10 @@
 TEST_F(TenantLoad, OverloadIsServedInTime)
 {
     const auto demands = usualDemand(1.4 * Capacity);
-    const auto unshared = sum(play(demands, Base::seconds(6)));
+    const auto unshared = sum(play(demands, Base::seconds(4)));
     useTenants();
     useOptions({"dc-a", 1, 0.2, 1000.0});
-    const auto shared = sum(play(demands, Base::seconds(6)));
+    const auto shared = sum(play(demands, Base::seconds(4)));
     fmt::print("in time: one queue {:.3f}, shared {:.3f}\n", unshared.inTimeShare(), shared.inTimeShare());
     EXPECT_GE(shared.inTimeShare(), unshared.inTimeShare() - 0.02);
 }
@@ -73,7 +73,7 @@
     auto demands = usualDemand(1.2 * Capacity);
     for (const auto &demand : usualDemand(0.8 * Capacity, "/low/x"))
         demands.push_back(demand);
-    const auto served = play(demands, Base::seconds(10));
+    const auto served = play(demands, Base::seconds(6));
     const auto split = served.begin() + Tenants;
     const auto urgent = sum({served.begin(), split});
     const auto low = sum({split, served.end()});
@@ -90,7 +90,7 @@
     useTenants();
     auto demands = usualDemand(1.0 * Capacity);
     demands.push_back({Tenants, 1.0 * Capacity, "/s/x"});
-    const auto served = play(demands, Base::seconds(10));
+    const auto served = play(demands, Base::seconds(6));
     fmt::print("without tenant {:.3f}, all {:.3f}\n", served.back().servedShare(), sum(served).servedShare());
     EXPECT_GE(served.back().servedShare(), 0.5 * sum(served).servedShare());
 }
