Write the settings of the registries' allowance test as texts

Cause: bounds that a platform may lack are texts in the settings since; the fixture still wrote numbers, failed, and ended the whole program on a null pointer. Change: the three settings are texts.

--- a/Tests/Services/TestRegistryAllowances.cpp
+++ b/Tests/Services/TestRegistryAllowances.cpp
@@ -51,12 +51,13 @@
         const auto port = 20000 + ::getpid() * 4 % 20000;
         address = fmt::format("127.0.0.1:{}", port);
         std::ofstream settings(directory.path() + "/settings.toml");
-        settings << fmt::format("node = \"vm-1\"\ndata_centre = \"a\"\nip = \"127.0.0.1\"\n"
-                                "operator_address = \"127.0.0.1:{}\"\nfirst_peer_port = {}\n"
-                                "cluster_key = \"secret\"\nseeds = \"127.0.0.1:{}\"\nfirst_start = true\n"
-                                "data_directory = \"{}/data\"\nshutdown_grace_s = 1\nlost_vms_tolerated = 0\n"
-                                "allowance_window_s = 5\nallowance_overage = 0.1\nallowance_slack = 0\n",
-                                port + 2, port, port + 2, directory.path());
+        settings << fmt::format(
+            "node = \"vm-1\"\ndata_centre = \"a\"\nip = \"127.0.0.1\"\n"
+            "operator_address = \"127.0.0.1:{}\"\nfirst_peer_port = {}\n"
+            "cluster_key = \"secret\"\nseeds = \"127.0.0.1:{}\"\nfirst_start = true\n"
+            "data_directory = \"{}/data\"\nshutdown_grace_s = 1\nlost_vms_tolerated = 0\n"
+            "allowance_window_s = \"5\"\nallowance_overage = \"0.1\"\nallowance_slack = \"0\"\n",
+            port + 2, port, port + 2, directory.path());
         settings.close();
         Edge::Loop::holdSignals({SIGTERM, SIGINT, SIGHUP});
         auto created = Services::RegistryProcess::create(directory.path() + "/settings.toml", {}, adapter);
