Let registries find those that have forgotten all members

Since each data centre runs two registries, one of them without a disk, the settings may name only those without a disk after a restart. They have forgotten the members, and the members removed them as silent; gateways and they knew only each other. Change: RegistryAddresses remembers where registries were seen. The leader introduces itself there each second, and a registry that is introduced to joins through the introducer and names it to gateways. Ruled out: registries without a disk in the deploy file only where others have none: neither a share nor a count can say that for all deployments.

--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -18,6 +18,8 @@
 /// A later delivery is useless, because the sender has repeated the message by then.
 constexpr Base::Duration RaftMessageTimeout = Base::seconds(2);
 constexpr Base::Duration IntroductionInterval = Base::milliseconds(200);
+/// Interval at which a leader calls at addresses where a registry was that is no member now.
+constexpr Base::Duration SearchForFormerInterval = Base::seconds(1);
 constexpr Base::Duration JoinInterval = Base::milliseconds(300);
 constexpr Base::Duration JoinTimeout = Base::milliseconds(800);
 /// A member that hears no leader for this long asks whether it is still a member.
@@ -201,20 +203,32 @@
                    {"losses_asked", settings_.lostVmsTolerated}});
 }
 
-/// A node that has just been added does not know the membership, so it could not answer the leader.
+/// A node that has just been added does not know the membership, so it could not answer the leader. One that
+/// has lost its log and its vote may know no member at all.
 void RegistryProcess::introduceToNewMembers(const Consensus::RaftStatus &status)
 {
     const auto now = clock_.now();
     if (now < nextIntroduction_)
         return;
     nextIntroduction_ = now + IntroductionInterval;
+    seenRegistries_.rememberMembers(status.members);
     for (const auto &member : status.members) {
         if (member.matchIndex == 0 && member.member.nodeId != settings_.nodeId)
-            endpoint_->call(member.member.peerAddress, Wire::Method::IntroduceNode,
-                            Wire::encode(Wire::IntroduceNodeRequest {
-                                settings_.nodeId, cluster_->incarnation(), settings_.registryPeerAddress()}),
-                            RaftMessageTimeout, [](const Base::Result<Base::Bytes> &) {});
+            introduceTo(member.member.peerAddress);
     }
+    if (now < nextSearchForFormer_)
+        return;
+    nextSearchForFormer_ = now + SearchForFormerInterval;
+    for (const auto &address : seenRegistries_.withoutMember(status.members))
+        introduceTo(address);
+}
+
+void RegistryProcess::introduceTo(const std::string &address)
+{
+    endpoint_->call(address, Wire::Method::IntroduceNode,
+                    Wire::encode(Wire::IntroduceNodeRequest {settings_.nodeId, cluster_->incarnation(),
+                                                             settings_.registryPeerAddress()}),
+                    RaftMessageTimeout, [](const Base::Result<Base::Bytes> &) {});
 }
 
 bool RegistryProcess::isMember(const Consensus::RaftStatus &status) const
@@ -243,6 +257,7 @@
         for (const auto &member : cluster_->raft().status(clock_.now()).members)
             known.insert(member.member.peerAddress);
     }
+    known.insert(seenRegistries_.remembered().begin(), seenRegistries_.remembered().end());
     known.erase(settings_.registryPeerAddress());
     known.erase(std::string());
     return {known.begin(), known.end()};
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -86,6 +86,8 @@
                                       const ResponderPointer &responder)
 {
     addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
+    if (seenRegistries_.remember(request.peerAddress))
+        nextJoin_ = clock_.now(); // A node that knew no member can join through this one.
     if (!cluster_)
         return responder->fail({ErrorKind::StorageFailed, "data directory is not usable"});
     responder->reply(Wire::encode(
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -12,6 +12,7 @@
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/FormationWatch.h"
 #include "LibRegistry/GatewayTable.h"
+#include "LibRegistry/RegistryAddresses.h"
 #include "LibRegistry/ServerListHolder.h"
 #include "LibTenant/ConfigurationCurrency.h"
 #include "LibWire/IntroduceMessages.h"
@@ -72,6 +73,7 @@
     void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
     std::size_t votersToForm() const;
     void introduceToNewMembers(const Consensus::RaftStatus &status);
+    void introduceTo(const std::string &address);
     void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
     void handleJoinReply(const std::string &address, std::uint64_t incarnation,
                          const Base::Result<Base::Bytes> &payload);
@@ -155,6 +157,8 @@
     std::size_t nextJoinTarget_ = 0;
     Base::Instant nextJoin_;
     Base::Instant nextIntroduction_;
+    Registry::RegistryAddresses seenRegistries_;
+    Base::Instant nextSearchForFormer_; ///< When the leader next calls at addresses without a member.
     Registry::FormationWatch formation_;
     bool warnedOfFewVoters_ = false;
     std::uint64_t loggedVersion_ = 0;
