Count voters in one place

Cause: the same loop stood in Formation, FormationWatch and RegistryProcess::watchFormation. Behaviour is the same.

--- a/Libraries/LibRegistry/FormationWatch.cpp
+++ b/Libraries/LibRegistry/FormationWatch.cpp
@@ -1,6 +1,7 @@
 #include "LibRegistry/FormationWatch.h"
 
 #include "LibControl/RaftWatch.h"
+#include "LibRegistry/Formation.h"
 
 #include <algorithm>
 
@@ -13,12 +14,6 @@
 constexpr Base::Duration ShortestPatience = Base::seconds(10);
 constexpr Base::Duration LongestGap = Base::seconds(1);
 
-std::size_t votersOf(const Consensus::RaftStatus &status)
-{
-    return static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
-                                                  [](const auto &member) { return member.member.voter; }));
-}
-
 /// Whether some registry is known that may still become a voter, or a voter that may have more to tell.
 bool expectsMore(const Consensus::RaftStatus &status, std::span<const std::string> seeds)
 {
@@ -51,7 +46,7 @@
 FormationWatch::State FormationWatch::observe(Base::Instant now, const Consensus::RaftStatus &status,
                                               const Facts &facts)
 {
-    if (votersOf(status) >= facts.votersNeeded) {
+    if (voterCount(status) >= facts.votersNeeded) {
         reset();
         return state_ = State::Complete;
     }
