Read the account of memory on the thread that owns it

The fault is the test's; the account states that it is not thread-safe, and the product uses it on the loop alone.

Change: the test asks on the loop.

--- a/Tests/LibEdge/TestRefusals.cpp
+++ b/Tests/LibEdge/TestRefusals.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <fmt/format.h>
+#include <future>
 #include <gtest/gtest.h>
 #include <map>
 #include <mutex>
@@ -60,6 +61,14 @@
         return causes_[cause];
     }
 
+    /// The account belongs to the thread of the loop.
+    std::size_t heldBytes()
+    {
+        std::promise<std::size_t> held;
+        loop_.post([this, &held] { held.set_value(memory_->heldBytes()); });
+        return held.get_future().get();
+    }
+
     RawSocket connect() const { return RawSocket::connectTo(address_); }
 
     static std::string upload(std::size_t bodyBytes)
@@ -204,7 +213,7 @@
     caller.send(requests);
     std::this_thread::sleep_for(milliseconds(500));
     EXPECT_LT(handled_, Requests);
-    EXPECT_LT(memory_->heldBytes(), 4 * LargeAnswer);
+    EXPECT_LT(heldBytes(), 4 * LargeAnswer);
     std::size_t received = 0;
     while (received < Requests * LargeAnswer) {
         const auto piece = caller.receive();
