--- a/Tests/LibAllowance/TestAllowanceExplorer.cpp
+++ b/Tests/LibAllowance/TestAllowanceExplorer.cpp
@@ -2,6 +2,7 @@
 
 #include "LibAllowance/AllowanceKey.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -222,6 +223,36 @@
     }
 }
 
+// A tenant that sends far more than its limit for seconds may use rate x window + burst in each window; what
+// is refused below that was owed to it.
+TEST(AllowanceExplorer, FloodUsesTheWholeLimitOfEachWindow)
+{
+    const RateLimit limit {14, 14};
+    const Tolerance tolerance {Base::seconds(5), 0.1, 20.0};
+    const auto key = Allowance::tenantKey("a");
+    AllowanceSimulation simulation(17, 71, {});
+    simulation.setCallInterval(Base::milliseconds(35));
+    simulation.setTerms({{key, Allowance::termsFor(limit, tolerance)}});
+    simulation.advance(Base::seconds(14));
+    const auto start = simulation.now();
+    for (int step = 0; step < 12 * 100; ++step) {
+        if (simulation.unit() < 0.45)
+            simulation.request(simulation.below(71), key);
+        simulation.advance(Base::milliseconds(10));
+    }
+    const auto spent = simulation.spentAt(key);
+    const auto allowed =
+        static_cast<std::ptrdiff_t>(limit.perSecond * 5 + limit.burst); // For a window of 5 s.
+    for (int from = 0; from <= 7; ++from) {
+        const auto begin = start + Base::seconds(from);
+        const auto count = std::count_if(spent.begin(), spent.end(), [begin](Base::Instant at) {
+            return at >= begin && at < begin + Base::seconds(5);
+        });
+        EXPECT_GE(count, allowed * 98 / 100) << "from second " << from;
+    }
+    EXPECT_EQ(findExcess(spent, limit, tolerance, {{Base::Instant(), 1.0}}), "");
+}
+
 // The worst moment of a freeze: the answer with all units is on its way, and the bucket fills again
 // meanwhile.
 TEST(AllowanceExplorer, WokenGatewayDoesNotAddItsOldUnits)
