Decode only what changed for the leader's allowances

Cause: at the first ask for units after each change, the leader decoded the whole configuration on the loop that sends heartbeats, although the decoder takes the configuration before. Each change of one tenant in a storm cost the decoding of all.

Change: the registry keeps the configuration that the terms are from and decodes the next one against it, as gateways do. One that cannot be decoded leaves the former in force, and the next is decoded against that.

Ruled out: dropping the kept one when the leadership ends; it takes about as much memory as the text, and a node that leads again would decode all. Decoding on another thread: the terms must be those of the version that is answered for.

The new test fails without the change.

--- a/Services/Registry/RegistryAllowances.cpp
+++ b/Services/Registry/RegistryAllowances.cpp
@@ -72,22 +72,25 @@
 }
 
 /// Decodes the configuration when a gateway asks for the first time since it changed; so deployments without
-/// limits never do.
+/// limits never do. Only what differs from the one before is decoded: in a storm of changes, decoding
+/// thousands of tenants for each would hold up the loop that sends heartbeats.
 void RegistryProcess::updateAllowanceTerms(Base::Instant now)
 {
     const auto &held = cluster_->core().configuration();
     if (held.version() == allowanceVersion_)
         return;
     allowanceVersion_ = held.version();
-    const auto configuration =
+    auto configuration =
         Base::decompress(held.text(), MaxConfigurationBytes).and_then([this](const std::string &text) {
-            return adapter_.decodeConfiguration(text, nullptr);
+            return adapter_.decodeConfiguration(text, allowanceConfiguration_ ? &*allowanceConfiguration_
+                                                                              : nullptr);
         });
     if (!configuration) {
         events_.write(now, Importance::Notable, "configuration_refused",
                       {{"version", held.version()}, {"detail", configuration.error().detail}});
         return;
     }
+    allowanceConfiguration_ = std::move(*configuration);
     Allowance::Tolerance tolerance {settings_.allowanceWindow, settings_.allowanceOverage,
                                     settings_.allowanceSlack};
     if (tolerance.window <= Base::Duration::zero())
@@ -95,12 +98,12 @@
     const Allowance::Tolerance coldTolerance {Base::seconds(1), std::max(0.0, settings_.coldOverage - 1.0),
                                               settings_.coldSlack};
     Allowance::TermsByRule terms;
-    for (const auto &tenant : configuration->tenants) {
+    for (const auto &tenant : allowanceConfiguration_->tenants) {
         if (tenant.requestsPerSecond > 0.0)
             terms.emplace(Allowance::tenantKey(tenant.name),
                           Allowance::termsFor({tenant.requestsPerSecond, tenant.burst}, tolerance));
     }
-    for (const auto &[name, service] : configuration->services) {
+    for (const auto &[name, service] : allowanceConfiguration_->services) {
         if (service.coldRequestsPerSecond > 0.0)
             terms.emplace(Allowance::coldServiceRule(name),
                           Allowance::termsFor({service.coldRequestsPerSecond, 0.0}, coldTolerance));
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -14,6 +14,7 @@
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/RegistryAddresses.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "LibRoute/Configuration.h"
 #include "LibTenant/ConfigurationCurrency.h"
 #include "LibWire/IntroduceMessages.h"
 #include "Services/Common/CallerGuard.h"
@@ -188,7 +189,10 @@
     Base::Instant confirmationWantedUntil_;
     Base::Instant nextConfirmation_;
     Allowance::AllowanceDivider allowances_;
-    std::uint64_t allowanceVersion_ = 0; ///< Of the configuration that the terms of `allowances_` are from.
+    std::uint64_t allowanceVersion_ = 0; ///< Of the last configuration that was read for `allowances_`.
+    /// The terms of `allowances_` are from it. Kept also while another node leads, which takes about as much
+    /// memory as the text.
+    std::optional<Route::Configuration> allowanceConfiguration_;
     std::uint64_t seenVersion_ = 0;
     Base::Instant configurationSeenAt_; ///< When `seenVersion_` was first seen.
     Base::Instant ledSince_; ///< Begin of the term of `allowances_`.
--- a/Tests/Services/TestRegistryAllowances.cpp
+++ b/Tests/Services/TestRegistryAllowances.cpp
@@ -23,10 +23,11 @@
 class TenantAdapter final : public Services::FakeAdapter
 {
 public:
-    Base::Result<Route::Configuration> decodeConfiguration(std::string_view text,
-                                                           const Route::Configuration *) const override
+    Base::Result<Route::Configuration>
+    decodeConfiguration(std::string_view text, const Route::Configuration *previous) const override
     {
         ++decoded;
+        decodedAgainst = previous != nullptr ? previous->version : 0;
         Route::Configuration configuration;
         double rate = 0.0;
         double burst = 0.0;
@@ -41,6 +42,7 @@
     }
 
     mutable std::atomic<int> decoded {0};
+    mutable std::atomic<std::uint64_t> decodedAgainst {0}; ///< Version of the previous one; 0 without.
 };
 
 class RegistryAllowancesTest : public ::testing::Test
@@ -145,6 +147,26 @@
     EXPECT_EQ(take(1), 0U);
 }
 
+// A storm of changes to a configuration of many tenants must not hold up the leader, which sends heartbeats
+// on the same loop, so only what differs is decoded.
+TEST_F(RegistryAllowancesTest, ChangeIsDecodedAgainstTheConfigurationBefore)
+{
+    store(1, "1 1000 100");
+    take(1);
+    EXPECT_EQ(adapter.decodedAgainst, 0U);
+    store(2, "2 1000 100");
+    take(1);
+    EXPECT_EQ(adapter.decodedAgainst, 1U);
+    // What cannot be decoded leaves the configuration before in force.
+    store(3, "damaged");
+    take(1);
+    EXPECT_EQ(adapter.decodedAgainst, 2U);
+    store(4, "4 1000 100");
+    take(1);
+    EXPECT_EQ(adapter.decodedAgainst, 2U);
+    EXPECT_EQ(adapter.decoded, 4);
+}
+
 TEST_F(RegistryAllowancesTest, RequestBeyondItsLimitsIsRefusedAndTheRegistryServesOn)
 {
     store(1, "1 1000 100");
