Take over tolerances and times of a registry without a restart

Cause: a registry that read its settings again took over seeds and lost_vms_tolerated; catch_up_s, shutdown_grace_s and the tolerances of allowances and cold servers held until its next start.

Change: one table of members says what a registry takes over (NodeSettings::takeOverForRegistry). The leader works the terms out anew when the tolerances differ from those in force, from the configuration that it holds decoded. A tolerance that falls is handled as a limit that falls: the divider clips the levels, and units already handed out end within the validity that they were given. allowances_in_force tells the tolerance.

Ruled out: first_start, which must stay false once the node has learned that its cluster exists; addresses and directories, which need a restart.

--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <fstream>
 #include <sstream>
+#include <tuple>
 
 namespace Services {
 
@@ -18,6 +19,13 @@
 constexpr std::string_view AcceptedAddress = "an address ip:port, or an empty string";
 constexpr std::uint32_t HighestPort = 65535;
 
+/// What a registry takes over while it runs.
+constexpr std::tuple ChangeableAtRegistry {
+    &NodeSettings::seeds,          &NodeSettings::lostVmsTolerated, &NodeSettings::catchUpTime,
+    &NodeSettings::shutdownGrace,  &NodeSettings::allowanceWindow,  &NodeSettings::allowanceOverage,
+    &NodeSettings::allowanceSlack, &NodeSettings::coldOverage,      &NodeSettings::coldSlack,
+};
+
 std::string address(TableReader &table, std::string_view key)
 {
     auto text = table.optionalText(key);
@@ -146,6 +154,11 @@
     return fmt::format("{}:{}", listenIp, gatewayPort);
 }
 
+void NodeSettings::takeOverForRegistry(const NodeSettings &newer)
+{
+    std::apply([&](auto... member) { ((this->*member = newer.*member), ...); }, ChangeableAtRegistry);
+}
+
 Wire::GatewayRecord NodeSettings::gatewayRecord(std::uint64_t incarnation, Wire::GatewayState state) const
 {
     return {nodeId, incarnation, callerAddress, dataCentre, state, processorShare, false};
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -66,6 +66,9 @@
     std::string registryListenAddress() const;
     std::string gatewayListenAddress() const;
 
+    /// Takes over what a registry may change while it runs; addresses and directories need a restart.
+    void takeOverForRegistry(const NodeSettings &newer);
+
     /// What a gateway with these settings tells of itself.
     Wire::GatewayRecord gatewayRecord(std::uint64_t incarnation, Wire::GatewayState state) const;
 };
--- a/Services/Registry/RegistryAllowances.cpp
+++ b/Services/Registry/RegistryAllowances.cpp
@@ -73,44 +73,67 @@
 
 /// Decodes the configuration when a gateway asks for the first time since it changed; so deployments without
 /// limits never do. Only what differs from the one before is decoded: in a storm of changes, decoding
-/// thousands of tenants for each would hold up the loop that sends heartbeats.
-void RegistryProcess::updateAllowanceTerms(Base::Instant now)
+/// thousands of tenants for each would hold up the loop that sends heartbeats. Returns false if it cannot be
+/// decoded, and the one before holds.
+bool RegistryProcess::readAllowanceConfiguration(Base::Instant now)
 {
     const auto &held = cluster_->core().configuration();
-    if (held.version() == allowanceVersion_)
-        return;
     allowanceVersion_ = held.version();
     auto configuration =
         Base::decompress(held.text(), MaxConfigurationBytes).and_then([this](const std::string &text) {
             return adapter_.decodeConfiguration(text, allowanceConfiguration_ ? &*allowanceConfiguration_
                                                                               : nullptr);
         });
-    if (!configuration) {
+    if (configuration)
+        allowanceConfiguration_ = std::move(*configuration);
+    else
         events_.write(now, Importance::Notable, "configuration_refused",
                       {{"version", held.version()}, {"detail", configuration.error().detail}});
+    return configuration.has_value();
+}
+
+RegistryProcess::AllowanceTolerances RegistryProcess::allowanceTolerances() const
+{
+    AllowanceTolerances tolerances;
+    tolerances.tenants = {settings_.allowanceWindow, settings_.allowanceOverage, settings_.allowanceSlack};
+    if (tolerances.tenants.window <= Base::Duration::zero())
+        tolerances.tenants = DefaultTolerance;
+    tolerances.coldServers = {Base::seconds(1), std::max(0.0, settings_.coldOverage - 1.0),
+                              settings_.coldSlack};
+    return tolerances;
+}
+
+/// Works out the terms anew if the configuration or the tolerances have changed. Where a tolerance falls, the
+/// divider clips the levels, and units already handed out end within the validity that they were given.
+void RegistryProcess::updateAllowanceTerms(Base::Instant now)
+{
+    const auto tolerances = allowanceTolerances();
+    const bool isNewVersion = cluster_->core().configuration().version() != allowanceVersion_;
+    if (!isNewVersion && tolerances == allowanceTolerances_)
+        return;
+    if (isNewVersion && !readAllowanceConfiguration(now))
+        return;
+    allowanceTolerances_ = tolerances;
+    if (!allowanceConfiguration_)
         return;
-    }
-    allowanceConfiguration_ = std::move(*configuration);
-    Allowance::Tolerance tolerance {settings_.allowanceWindow, settings_.allowanceOverage,
-                                    settings_.allowanceSlack};
-    if (tolerance.window <= Base::Duration::zero())
-        tolerance = DefaultTolerance;
-    const Allowance::Tolerance coldTolerance {Base::seconds(1), std::max(0.0, settings_.coldOverage - 1.0),
-                                              settings_.coldSlack};
     Allowance::TermsByRule terms;
     for (const auto &tenant : allowanceConfiguration_->tenants) {
         if (tenant.requestsPerSecond > 0.0)
             terms.emplace(Allowance::tenantKey(tenant.name),
-                          Allowance::termsFor({tenant.requestsPerSecond, tenant.burst}, tolerance));
+                          Allowance::termsFor({tenant.requestsPerSecond, tenant.burst}, tolerances.tenants));
     }
     for (const auto &[name, service] : allowanceConfiguration_->services) {
         if (service.coldRequestsPerSecond > 0.0)
             terms.emplace(Allowance::coldServiceRule(name),
-                          Allowance::termsFor({service.coldRequestsPerSecond, 0.0}, coldTolerance));
+                          Allowance::termsFor({service.coldRequestsPerSecond, 0.0}, tolerances.coldServers));
     }
     allowances_.setTerms(now, terms, std::max(ledSince_, configurationSeenAt_));
     events_.write(now, Importance::Notable, "allowances_in_force",
-                  {{"version", held.version()}, {"rules", terms.size()}});
+                  {{"version", allowanceConfiguration_->version},
+                   {"rules", terms.size()},
+                   {"window_ms", Base::toMilliseconds(tolerances.tenants.window)},
+                   {"overage", tolerances.tenants.overage},
+                   {"slack", tolerances.tenants.slack}});
 }
 
 } // namespace Services
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -154,9 +154,7 @@
                       {{"file", settingsPath_}, {"mistakes", settings->error().detail}});
         return;
     }
-    // Changed addresses and directories take effect only after a restart.
-    settings_.seeds = (*settings)->seeds;
-    settings_.lostVmsTolerated = (*settings)->lostVmsTolerated;
+    settings_.takeOverForRegistry(**settings);
     events_.write(clock_.now(), Base::EventLog::Importance::Notable, "settings_reloaded",
                   {{"seeds", fmt::format("{}", fmt::join(settings_.seeds, ","))}});
 }
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -55,6 +55,14 @@
 private:
     using ResponderPointer = std::shared_ptr<Peer::Responder>;
 
+    struct AllowanceTolerances
+    {
+        Allowance::Tolerance tenants;
+        Allowance::Tolerance coldServers;
+
+        bool operator==(const AllowanceTolerances &) const = default;
+    };
+
     RegistryProcess(const std::string &settingsPath, NodeSettings settings,
                     const Adapter::PlatformAdapter &adapter);
 
@@ -123,6 +131,8 @@
     // RegistryAllowances.cpp: bounded rates, shared by all gateways.
     void takeAllowance(const Wire::TakeAllowanceRequest &request, const ResponderPointer &responder);
     void watchAllowances(Base::Instant now);
+    bool readAllowanceConfiguration(Base::Instant now);
+    AllowanceTolerances allowanceTolerances() const;
     void updateAllowanceTerms(Base::Instant now);
 
     // RegistryOperators.cpp: the operators' interface.
@@ -193,6 +203,7 @@
     /// The terms of `allowances_` are from it. Kept also while another node leads, which takes about as much
     /// memory as the text.
     std::optional<Route::Configuration> allowanceConfiguration_;
+    AllowanceTolerances allowanceTolerances_; ///< With which the terms were worked out.
     std::uint64_t seenVersion_ = 0;
     Base::Instant configurationSeenAt_; ///< When `seenVersion_` was first seen.
     Base::Instant ledSince_; ///< Begin of the term of `allowances_`.
--- a/Tests/LibAllowance/TestAllowanceDivider.cpp
+++ b/Tests/LibAllowance/TestAllowanceDivider.cpp
@@ -194,6 +194,30 @@
     RC_ASSERT(terms.perSecond >= 0.0);
 }
 
+// A tolerance that falls must not let more be spent, in a window that begins under the old one, than that
+// allowed: what is earned goes on no faster, and nothing is valid for longer.
+RC_GTEST_PROP(AllowanceTermsProperties, FallingToleranceAllowsNoMoreThanTheOldOne, ())
+{
+    const auto real = [](double high) {
+        return high * static_cast<double>(*rc::gen::inRange(0, 1'000'001)) / 1e6;
+    };
+    const Allowance::RateLimit limit {0.001 + real(5000.0), real(1000.0)};
+    const Allowance::Tolerance old {milliseconds(200 + *rc::gen::inRange(0, 20'000)), real(1.0), real(50.0)};
+    const auto before = Allowance::termsFor(limit, old);
+    const auto after =
+        Allowance::termsFor(limit, {old.window, old.overage * real(1.0), old.slack * real(1.0)});
+    RC_ASSERT(after.perSecond <= before.perSecond + 1e-6);
+    RC_ASSERT(after.capacity <= before.capacity + 1e-6);
+    RC_ASSERT(after.validity <= before.validity);
+    // The leader in whose term it falls may have its start level still to give.
+    const double span = std::chrono::duration<double>(old.window + before.validity).count();
+    const double leaders =
+        std::floor(span / std::chrono::duration<double>(Allowance::StartLevelDelay).count());
+    const double most = before.perSecond * span + before.capacity + leaders * before.startLevel
+                        + std::max(before.startLevel, after.startLevel);
+    RC_ASSERT(most <= std::max(1.0, Allowance::mostInWindow(limit, old)) + 1e-6);
+}
+
 // Cold servers fail when the bound is exceeded, and stay cold for long when it isn't used.
 TEST(AllowanceTerms, OfAColdServer)
 {
--- a/Tests/LibAllowance/TestAllowanceExplorer.cpp
+++ b/Tests/LibAllowance/TestAllowanceExplorer.cpp
@@ -18,19 +18,29 @@
 struct Change
 {
     Base::Instant at;
-    double factor = 1.0;
+    double factor = 1.0; ///< Of the limit.
+    double share = 1.0; ///< Of the tolerance, in the same window.
 };
 
-/// Largest factor in force at some time of [from, to].
-double largestFactor(const std::vector<Change> &changes, Base::Instant from, Base::Instant to)
+Tolerance shareOf(const Tolerance &tolerance, double share)
 {
-    double largest = 0.0;
+    return {tolerance.window, tolerance.overage * share, tolerance.slack * share};
+}
+
+/// Most that a window may have of what was in force at some time of [from, to].
+double mostAllowed(const RateLimit &limit, const Tolerance &tolerance, const std::vector<Change> &changes,
+                   Base::Instant from, Base::Instant to)
+{
+    double most = 0.0;
     for (std::size_t index = 0; index < changes.size(); ++index) {
+        const auto &change = changes[index];
         const bool endsBefore = index + 1 < changes.size() && changes[index + 1].at < from;
-        if (changes[index].at <= to && !endsBefore)
-            largest = std::max(largest, changes[index].factor);
+        if (change.at <= to && !endsBefore)
+            most = std::max(
+                most, Allowance::mostInWindow({limit.perSecond * change.factor, limit.burst * change.factor},
+                                              shareOf(tolerance, change.share)));
     }
-    return largest;
+    return most;
 }
 
 /// Returns an explanation if a window has more than the limit and its tolerance allow.
@@ -41,11 +51,10 @@
     for (std::size_t last = 0; last < spentAt.size(); ++last) {
         while (spentAt[last] - spentAt[first] > tolerance.window)
             ++first;
-        const double factor =
-            largestFactor(changes, spentAt[last] - tolerance.window - MaxValidity, spentAt[last]);
         // The least that can be handed out is one whole unit.
-        const double most = std::max(
-            1.0, Allowance::mostInWindow({limit.perSecond * factor, limit.burst * factor}, tolerance));
+        const double most =
+            std::max(1.0, mostAllowed(limit, tolerance, changes,
+                                      spentAt[last] - tolerance.window - MaxValidity, spentAt[last]));
         if (static_cast<double>(last - first + 1) > most)
             return fmt::format("{} in the window that ends at {} s, allowed {}", last - first + 1,
                                std::chrono::duration<double>(spentAt[last].time_since_epoch()).count(), most);
@@ -74,19 +83,20 @@
         {0.2, 2.0}, {real(0.5, 5.0), real(0.0, 10.0)}, {real(10.0, 50.0), real(0.0, 100.0)}};
     const Tolerance tolerance {duration(1.0, 6.0), real(0.0, 0.2), pick() % 2 == 0 ? 0.0 : real(0.0, 5.0)};
     const bool limitsChange = pick() % 3 == 0;
+    const bool toleranceChanges = pick() % 3 == 0;
     std::vector<Change> changes;
-    const auto apply = [&](double factor) {
-        changes.push_back({simulation.now(), factor});
+    const auto apply = [&](double factor, double share) {
+        changes.push_back({simulation.now(), factor, share});
         Allowance::TermsByRule terms;
         for (std::size_t index = 0; index < limits.size(); ++index)
             terms[Allowance::tenantKey(fmt::format("{}", index))] = Allowance::termsFor(
-                {limits[index].perSecond * factor, limits[index].burst * factor}, tolerance);
+                {limits[index].perSecond * factor, limits[index].burst * factor}, shareOf(tolerance, share));
         simulation.setTerms(terms);
     };
     const auto request = [&](std::size_t gateway, std::size_t limit) {
         simulation.request(gateway, Allowance::tenantKey(fmt::format("{}", limit)), simulation.unit() < 0.1);
     };
-    apply(1.0);
+    apply(1.0, 1.0);
     simulation.advance(duration(0.0, 10.0));
     const auto end = simulation.now() + Base::seconds(25);
     double pressure = 1.0;
@@ -112,7 +122,9 @@
         } else if (chance < 0.03 && !simulation.hasLeader()) {
             simulation.electLeader(simulation.below(2));
         } else if (chance < 0.032 && limitsChange) {
-            apply(real(0.2, 3.0));
+            apply(real(0.2, 3.0), changes.back().share);
+        } else if (chance >= 0.032 && chance < 0.034 && toleranceChanges) {
+            apply(changes.back().factor, real(0.0, 1.5));
         } else if (chance < 0.04) {
             pressure = pick() % 4 != 0 ? 0.0 : real(0.5, 8.0);
         }
--- a/Tests/Services/TestNodeSettings.cpp
+++ b/Tests/Services/TestNodeSettings.cpp
@@ -41,3 +41,41 @@
     EXPECT_FALSE(Services::parseNodeSettings(required + "allowance_slack = \"many\"\n"));
     EXPECT_FALSE(Services::parseNodeSettings(required + "key_removal_is_bounded = \"perhaps\"\n"));
 }
+
+// A registry whose tolerances and times hold until its next restart keeps a bound that the deployment has
+// given up.
+TEST(NodeSettings, RegistryTakesOverWhatMayChangeWhileItRuns)
+{
+    Services::NodeSettings held;
+    held.nodeId = "vm-1";
+    held.registryPort = 7000;
+    held.dataDirectory = "/data";
+    Services::NodeSettings newer;
+    newer.nodeId = "vm-2";
+    newer.registryPort = 8000;
+    newer.dataDirectory = "/other";
+    newer.firstStart = true;
+    newer.seeds = {"10.0.0.1:80"};
+    newer.lostVmsTolerated = 2;
+    newer.catchUpTime = Base::seconds(9);
+    newer.shutdownGrace = Base::seconds(8);
+    newer.allowanceWindow = Base::seconds(7);
+    newer.allowanceOverage = 0.3;
+    newer.allowanceSlack = 20.0;
+    newer.coldOverage = 1.5;
+    newer.coldSlack = 4.0;
+    held.takeOverForRegistry(newer);
+    EXPECT_EQ(held.seeds, newer.seeds);
+    EXPECT_EQ(held.lostVmsTolerated, 2U);
+    EXPECT_EQ(held.catchUpTime, Base::seconds(9));
+    EXPECT_EQ(held.shutdownGrace, Base::seconds(8));
+    EXPECT_EQ(held.allowanceWindow, Base::seconds(7));
+    EXPECT_EQ(held.allowanceOverage, 0.3);
+    EXPECT_EQ(held.allowanceSlack, 20.0);
+    EXPECT_EQ(held.coldOverage, 1.5);
+    EXPECT_EQ(held.coldSlack, 4.0);
+    EXPECT_EQ(held.nodeId, "vm-1");
+    EXPECT_EQ(held.registryPort, 7000U);
+    EXPECT_EQ(held.dataDirectory, "/data");
+    EXPECT_FALSE(held.firstStart); // Another cluster must not be founded.
+}
--- a/Tests/Services/TestRegistryAllowances.cpp
+++ b/Tests/Services/TestRegistryAllowances.cpp
@@ -53,15 +53,7 @@
     {
         const auto port = 20000 + ::getpid() * 4 % 20000;
         address = fmt::format("127.0.0.1:{}", port);
-        std::ofstream settings(directory.path() + "/settings.toml");
-        settings << fmt::format("node = \"vm-1\"\ndata_centre = \"a\"\nip = \"127.0.0.1\"\n"
-                                "operator_address = \"127.0.0.1:{}\"\nfirst_peer_port = {}\n"
-                                "cluster_key = \"secret\"\nseeds = \"127.0.0.1:{}\"\nfirst_start = true\n"
-                                "data_directory = \"{}/data\"\nshutdown_grace_s = 1\nlost_vms_tolerated = 0\n"
-                                "allowance_window_s = \"5\"\nallowance_overage = \"0.1\"\n"
-                                "allowance_slack = \"0\"\n",
-                                port + 2, port, port + 2, directory.path());
-        settings.close();
+        writeSettings("0.1");
         Edge::Loop::holdSignals({SIGTERM, SIGINT, SIGHUP});
         auto created = Services::RegistryProcess::create(directory.path() + "/settings.toml", {}, adapter);
         ASSERT_TRUE(created.has_value()) << created.error().detail;
@@ -84,6 +76,32 @@
         endpoint->shutDown(Base::milliseconds(100));
     }
 
+    void writeSettings(const std::string &overage) const
+    {
+        const auto port = std::stoi(address.substr(address.find(':') + 1));
+        std::ofstream settings(directory.path() + "/settings.toml");
+        settings << fmt::format("node = \"vm-1\"\ndata_centre = \"a\"\nip = \"127.0.0.1\"\n"
+                                "operator_address = \"127.0.0.1:{}\"\nfirst_peer_port = {}\n"
+                                "cluster_key = \"secret\"\nseeds = \"127.0.0.1:{}\"\nfirst_start = true\n"
+                                "data_directory = \"{}/data\"\nshutdown_grace_s = 1\nlost_vms_tolerated = 0\n"
+                                "allowance_window_s = \"5\"\nallowance_overage = \"{}\"\n"
+                                "allowance_slack = \"0\"\n",
+                                port + 2, port, port + 2, directory.path(), overage);
+    }
+
+    /// Has the settings read again, and waits until units are valid for `validMs`.
+    void reload(const std::string &overage, std::uint32_t validMs)
+    {
+        writeSettings(overage);
+        ::kill(::getpid(), SIGHUP);
+        std::uint32_t seen = 0;
+        for (int tries = 0; tries < 200 && seen != validMs; ++tries) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            seen = grant(0).validMs;
+        }
+        EXPECT_EQ(seen, validMs);
+    }
+
     template<typename Reply, typename Request>
     Base::Result<Reply> call(Wire::Method method, const Request &request)
     {
@@ -107,13 +125,14 @@
         ADD_FAILURE() << "the registry does not lead";
     }
 
-    std::uint32_t take(std::uint32_t needed)
+    Wire::AllowanceGrant grant(std::uint32_t needed)
     {
         const auto reply = call<Wire::TakeAllowanceReply>(
             Wire::Method::TakeAllowance,
             Wire::TakeAllowanceRequest {{{Allowance::tenantKey("acme"), needed, 0}}});
-        return reply && !reply->grants.empty() ? reply->grants.front().units : 0;
+        return reply && !reply->grants.empty() ? reply->grants.front() : Wire::AllowanceGrant {};
     }
+    std::uint32_t take(std::uint32_t needed) { return grant(needed).units; }
 
     TemporaryDirectory directory;
     TenantAdapter adapter;
@@ -167,6 +186,30 @@
     EXPECT_EQ(adapter.decoded, 4);
 }
 
+// A tolerance that operators change must hold without a restart, and a lower one at once also for what was
+// earned under the higher one.
+TEST_F(RegistryAllowancesTest, ToleranceIsTakenOverOnReload)
+{
+    store(1, "1 1000 100");
+    while (take(1) == 0)
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    const Allowance::RateLimit limit {1000.0, 100.0};
+    const auto low = Allowance::termsFor(limit, {Base::seconds(5), 0.1, 0.0});
+    const auto high = Allowance::termsFor(limit, {Base::seconds(5), 0.4, 0.0});
+    const auto ms = [](const Allowance::AllowanceTerms &terms) {
+        return static_cast<std::uint32_t>(terms.validity / Base::milliseconds(1));
+    };
+    ASSERT_GT(high.capacity, low.capacity + 100.0);
+    reload("0.4", ms(high));
+    // Until the bucket holds more than the low tolerance allows.
+    std::this_thread::sleep_for(std::chrono::duration<double>(high.capacity / high.perSecond));
+    reload("0.1", ms(low));
+    const auto units = take(1000);
+    EXPECT_GT(units, 0U);
+    EXPECT_LE(units, static_cast<std::uint32_t>(low.capacity));
+    EXPECT_EQ(adapter.decoded, 1); // What the configuration says was known.
+}
+
 TEST_F(RegistryAllowancesTest, RequestBeyondItsLimitsIsRefusedAndTheRegistryServesOn)
 {
     store(1, "1 1000 100");
