Count cold and evacuated servers where their marks change

Cause: each tick of a gateway (250 ms) went through the whole table of servers twice, for the gauges of cold and evacuated servers, also where no server was either.

Change: the number of evacuated servers is counted when the list or the evacuations change. Servers that become cold are noted when they are marked, by the list, by their own figure or at the end of an evacuation; the count looks only at those and drops the ones that have become warm.

Ruled out: counting only while a cold rule or an evacuation exists; servers are cold, and shown as that by status, also without a rule.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -34,6 +34,7 @@
     /// Set at the end of an evacuation, when it may have become cold unnoticed. Until then it counts as cold.
     Base::Instant presumedColdUntil;
     Base::Instant reportedColdUntil; ///< By its last response that told it.
+    bool notedCold = false; ///< The table that holds it has it among those that may be cold.
     /// Of the unit that the last choice of this server has spent, until the attempt takes it over.
     std::optional<Base::Instant> unitValidUntil;
     std::uint32_t misdirections = 0; ///< Such answers in a row.
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -152,6 +152,7 @@
         backend->evacuated = evacuated_.contains(record.dataCentre);
         backend->absentReads = 0;
         backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
+        noteCold(now, backend);
     }
     for (auto next = backends_.begin(); next != backends_.end();) {
         auto &backend = *next->second;
@@ -162,6 +163,8 @@
         next = gone ? backends_.erase(next) : std::next(next);
     }
     loaded_ = true;
+    std::erase_if(cold_, [](const BackendPointer &backend) { return !backend->listed; });
+    countEvacuated();
     findDisplaced();
     index();
 }
@@ -179,13 +182,17 @@
         const bool evacuated = evacuated_.contains(backend->record.dataCentre);
         if (std::exchange(backend->evacuated, evacuated) && !evacuated)
             backend->presumedColdUntil = now + PresumedColdTime;
+        noteCold(now, backend);
     }
+    countEvacuated();
 }
 
-std::size_t BackendTable::evacuatedCount() const
+void BackendTable::countEvacuated()
 {
-    return static_cast<std::size_t>(std::count_if(backends_.begin(), backends_.end(),
-                                                  [](const auto &entry) { return entry.second->evacuated; }));
+    evacuatedCount_ = evacuated_.empty() ? 0
+                                         : static_cast<std::size_t>(std::count_if(
+                                             backends_.begin(), backends_.end(),
+                                             [](const auto &entry) { return entry.second->evacuated; }));
 }
 
 /// Follows from the present list alone, so that it ends with the entry that causes it.
@@ -260,10 +267,19 @@
         coldUnits_->giveBack(now, backend, *validUntil);
 }
 
-std::size_t BackendTable::coldCount(Base::Instant now) const
+void BackendTable::noteCold(Base::Instant now, const BackendPointer &backend)
 {
-    return static_cast<std::size_t>(std::count_if(
-        backends_.begin(), backends_.end(), [now](const auto &entry) { return entry.second->isCold(now); }));
+    if (backend->isCold(now) && !std::exchange(backend->notedCold, true))
+        cold_.push_back(backend);
+}
+
+std::size_t BackendTable::coldCount(Base::Instant now)
+{
+    std::erase_if(cold_, [now](const BackendPointer &backend) {
+        backend->notedCold = backend->isCold(now);
+        return !backend->notedCold;
+    });
+    return cold_.size();
 }
 
 BackendPointer BackendTable::choose(Base::Instant now, std::string_view service,
@@ -457,11 +473,14 @@
     backend.misdirectedUntil = now + MinMisdirection * (1 << doublings);
 }
 
-void BackendTable::recordWarmUp(Base::Instant now, Backend &backend, Base::Duration timeLeft)
+void BackendTable::recordWarmUp(Base::Instant now, const BackendPointer &backend, Base::Duration timeLeft)
 {
-    backend.reportedColdUntil = now + timeLeft;
+    backend->reportedColdUntil = now + timeLeft;
     // Its own figure is newer than the list and than a guess.
-    backend.presumedColdUntil = std::min(backend.presumedColdUntil, now + timeLeft);
+    backend->presumedColdUntil = std::min(backend->presumedColdUntil, now + timeLeft);
+    // A late response may come from a server that is no longer held.
+    if (backend->listed)
+        noteCold(now, backend);
 }
 
 bool BackendTable::markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Forward {
 
@@ -47,15 +48,16 @@
     void setColdLimits(std::map<std::string, double, std::less<>> limits, ColdUnits *units);
     /// Gives the unit of an attempt back that did not count at the server.
     void giveBackUnit(Base::Instant now, const Backend &backend, std::optional<Base::Instant> validUntil);
-    /// Number of servers that are cold at `now`.
-    std::size_t coldCount(Base::Instant now) const;
+    /// Number of servers that are cold at `now`. Looks only at those that were cold at the last call or have
+    /// been marked since.
+    std::size_t coldCount(Base::Instant now);
 
     /// Sets the data centres whose servers get nothing. Those of one that is taken from the set count as cold
     /// for a while: they may have started anew or grown cold, and the list shows it later.
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
 
     /// Number of listed servers whose data centre is evacuated.
-    std::size_t evacuatedCount() const;
+    std::size_t evacuatedCount() const { return evacuatedCount_; }
 
     /// Returns the server of the service that is expected to answer first, or null if none may take another
     /// attempt. Only servers with fewer than `connectionShare` open attempts, and fewer than they have slots
@@ -103,7 +105,7 @@
     /// each time.
     static void markMisdirected(Base::Instant now, Backend &backend);
     /// The server stated in a response that it stays cold for `timeLeft`; zero if it is warm.
-    static void recordWarmUp(Base::Instant now, Backend &backend, Base::Duration timeLeft);
+    void recordWarmUp(Base::Instant now, const BackendPointer &backend, Base::Duration timeLeft);
     /// The server announced in a response that it leaves. It may be used as a last resort for `useTime`, and
     /// gets nothing afterwards. Returns false if it had announced that before.
     static bool markLeaving(Base::Instant now, Backend &backend, Base::Duration useTime);
@@ -138,6 +140,8 @@
     /// Requests per second that the server tolerates from all gateways together; empty if it has no bound.
     std::optional<double> coldLimit(Base::Instant now, const Backend &backend) const;
     std::span<const BackendPointer> serversOf(std::string_view service) const;
+    void noteCold(Base::Instant now, const BackendPointer &backend);
+    void countEvacuated();
     void findDisplaced();
     bool displaces(const Backend &newer, const Backend &older) const;
     void index();
@@ -146,6 +150,8 @@
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     std::set<std::string, std::less<>> services_;
     std::set<std::string, std::less<>> evacuated_; ///< Data centres.
+    std::size_t evacuatedCount_ = 0;
+    std::vector<BackendPointer> cold_; ///< Those with Backend::notedCold.
     std::map<std::string, double, std::less<>> coldLimits_; ///< By service.
     ColdUnits *coldUnits_ = nullptr;
     Base::RandomSource random_;
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -318,7 +318,7 @@
 {
     auto &backend = *attempt.backend;
     if (reply.warmUp)
-        BackendTable::recordWarmUp(now, backend, *reply.warmUp);
+        backends_.recordWarmUp(now, attempt.backend, *reply.warmUp);
     if (reply.announcesLeaving && BackendTable::markLeaving(now, backend, options_.leavingUseTime))
         actions_.emplace_back(
             ServerNotice {ServerNotice::Kind::Leaving, attempt.backend, *backend.lastUse, reply.requestId});
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -189,6 +189,8 @@
     std::size_t exchangesInFlight() const { return exchanges_.size(); }
     std::size_t legsWaiting() const { return waiting_.size(); }
     const BackendTable &backends() const { return backends_; }
+    /// As BackendTable::coldCount().
+    std::size_t coldServers(Base::Instant now) { return backends_.coldCount(now); }
     /// Services whose room is shared by tenant; 0 unless the configuration has tenants.
     std::size_t sharedServices() const { return fairQueues_.size(); }
     /// Maximum number of connections of this gateway to one server of the service.
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -554,7 +554,7 @@
                       "Backend servers that were found to take fewer attempts than their slots.",
                       static_cast<double>(core_.backends().limitedCount()));
     metrics_.setGauge("daisyroute_cold_servers", "Backend servers that are warming up.",
-                      static_cast<double>(core_.backends().coldCount(now)));
+                      static_cast<double>(coldServers(now)));
     metrics_.setGauge("daisyroute_evacuated_servers", "Backend servers in evacuated data centres.",
                       static_cast<double>(core_.backends().evacuatedCount()));
     metrics_.setGauge("daisyroute_server_list_age_seconds", "Age of the server list.",
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -67,7 +67,7 @@
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight() + waitingForUnits_.size(); }
-    std::size_t coldServers(Base::Instant now) const { return core_.backends().coldCount(now); }
+    std::size_t coldServers(Base::Instant now) { return core_.coldServers(now); }
     std::size_t evacuatedServers() const { return core_.backends().evacuatedCount(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
--- a/Tests/LibForward/TestColdServers.cpp
+++ b/Tests/LibForward/TestColdServers.cpp
@@ -197,3 +197,51 @@
     EXPECT_GT(unlimited, 0.01);
     EXPECT_EQ(backends.coldCount(now), servers.servers.size());
 }
+
+// Counts are kept up as marks change, so that no tick looks at all servers.
+TEST_F(ColdServers, CountFollowsEveryMark)
+{
+    listCold({"s0-a", "s1-b"}); // For 10 s.
+    EXPECT_EQ(core->coldServers(now), 2U);
+    // Once each, also if both the list and the server say it. Four attempts fill both servers of the service.
+    for (int count = 0; count < 4; ++count)
+        begin("/s/x");
+    for (auto &sent : std::exchange(sends, {})) {
+        auto cold = success();
+        cold.warmUp = milliseconds(20'000);
+        reply(sent.attempt, cold);
+    }
+    EXPECT_EQ(core->coldServers(now), 3U);
+    now += milliseconds(10'001);
+    EXPECT_EQ(core->coldServers(now), 2U);
+    core->setEvacuated(now, {"dc-a"});
+    EXPECT_EQ(core->backends().evacuatedCount(), list().servers.size());
+    core->setEvacuated(now, {});
+    EXPECT_EQ(core->backends().evacuatedCount(), 0U);
+    EXPECT_EQ(core->coldServers(now), list().servers.size());
+    now += BackendTable::PresumedColdTime;
+    EXPECT_EQ(core->coldServers(now), 2U);
+    now += milliseconds(20'000);
+    EXPECT_EQ(core->coldServers(now), 0U);
+}
+
+// One that has left the list is not held, and a late figure of it must not bring it back.
+TEST_F(ColdServers, CountHoldsOnlyListedServers)
+{
+    begin("/s/x");
+    listCold({"s0-a", "s0-b"});
+    EXPECT_EQ(core->coldServers(now), 2U);
+    const auto late = sends.back();
+    auto servers = list();
+    std::erase_if(servers.servers, [&](const auto &server) { return server.id == late.backend->record.id; });
+    for (int read = 0; read < 2; ++read) {
+        for (auto &server : servers.servers)
+            server.warmUpLeftMs = server.service == "s0" ? 10'000 : 0;
+        core->setServers(now, servers);
+    }
+    EXPECT_EQ(core->coldServers(now), 1U);
+    auto cold = success();
+    cold.warmUp = milliseconds(3000);
+    reply(late.attempt, cold);
+    EXPECT_EQ(core->coldServers(now), 1U);
+}
--- a/Tests/LibForward/TestEvacuatedServers.cpp
+++ b/Tests/LibForward/TestEvacuatedServers.cpp
@@ -56,9 +56,11 @@
     table.setEvacuated(Start, {"dc-a"});
     table.update(Start, listOf({recordIn("a", "dc-a")}));
     EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
+    EXPECT_EQ(table.evacuatedCount(), 1U);
     auto moved = recordIn("a", "dc-b");
     table.update(Start, listOf({moved}));
     EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
+    EXPECT_EQ(table.evacuatedCount(), 0U);
 }
 
 // A server that is paused in an evacuated data centre promises nothing when its pause ends.
