Give back the unit of a request whose caller left before anything ran

Cause: a caller that left after its request was handed to the core kept its unit of the tenant's allowance spent, also if no server had seen the request.

Change: the core tells once what has become of a request whose caller has left (CallerGone): at once if nothing of it is open, else when its open attempts have ended. Not run means what it means in an answer: nothing sent, no connection, or the server states that it has not run it. The forwarder holds the unit until then and gives it back with its old end, or drops it. Should the caller leave between the core's answer and its delivery, the answer settles the unit.

Ruled out: giving it back at once while an attempt is open, as that may reach a server yet; keeping it then in any case, as attempts at a server that takes no connection last 250 ms. An attempt that is aborted counts as run.

The new test of the forwarder fails without the change.

--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -272,6 +272,8 @@
     } else if (serverFault || reply.notExecuted) {
         BackendTable::recordError(now, *attempt.backend);
     }
+    const bool notRun = reply.notExecuted || reply.response.status == 421;
+    settleGone(attempt, notRun);
     auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
@@ -281,7 +283,6 @@
         takeSuccess(now, attempt.exchange, exchange, attempt.leg, reply);
         return dispatchWaiting(now);
     }
-    const bool notRun = reply.notExecuted || reply.response.status == 421;
     leg.mayHaveRun = leg.mayHaveRun || !notRun;
     leg.failure = notRun ? "not_executed" : !reply.isWhole ? "malformed" : "server_error";
     // Unless the server states that the request has not run, it may have. A status that implies "not run" is
@@ -364,15 +365,18 @@
         BackendTable::recordError(now, *attempt.backend);
     else
         BackendTable::recordUnreachable(now, *attempt.backend);
-    if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection)
+    const bool sentNothing =
+        failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection;
+    if (sentNothing)
         backends_.giveBackUnit(now, *attempt.backend, attempt.unitValidUntil);
+    settleGone(attempt, sentNothing);
     auto *owner = endAttempt(attempt);
     if (owner == nullptr)
         return dispatchWaiting(now);
     auto &exchange = *owner;
     auto &leg = exchange.legs[attempt.leg];
     leg.failure = Edge::exchangeFailureName(failure);
-    if (failure == Edge::ExchangeFailure::NotSent || failure == Edge::ExchangeFailure::NoConnection) {
+    if (sentNothing) {
         // Nothing reached the server, so the attempt does not count towards the limit.
         --leg.sends;
         leg.unreached.push_back(attempt.backend);
@@ -387,15 +391,37 @@
 
 void ForwardCore::callerLeft(Base::Instant now, ExchangeId id)
 {
-    if (exchanges_.erase(id) == 0)
+    const auto node = exchanges_.extract(id);
+    if (!node)
         return;
+    const auto &legs = node.mapped().legs;
+    const bool mayHaveRun = std::any_of(legs.begin(), legs.end(), [](const Leg &leg) {
+        return leg.mayHaveRun || leg.state == LegState::Present;
+    });
     std::erase_if(waiting_, [id](const WaitingLeg &waiting) { return waiting.exchange == id; });
+    std::size_t open = 0;
     for (auto &[attemptId, attempt] : attempts_) {
         if (attempt.exchange != id)
             continue;
+        ++open;
         attempt.exchange = 0;
+        attempt.gone = mayHaveRun ? 0 : id;
         aborts_.schedule(now + AbandonedGrace, attemptId);
     }
+    if (mayHaveRun || open == 0)
+        actions_.emplace_back(CallerGone {id, !mayHaveRun});
+    else
+        gone_.emplace(id, open);
+}
+
+/// Takes the end of an attempt into what is known of a request whose caller has left.
+void ForwardCore::settleGone(const Attempt &attempt, bool notRun)
+{
+    const auto found = gone_.find(attempt.gone);
+    if (found == gone_.end() || (notRun && --found->second > 0))
+        return;
+    gone_.erase(found);
+    actions_.emplace_back(CallerGone {attempt.gone, notRun});
 }
 
 void ForwardCore::endAll(Base::Instant now)
@@ -423,6 +449,7 @@
             continue;
         BackendTable::recordAbandoned(now, *attempt->backend, silenceLimit(attempt->routeName));
         actions_.emplace_back(AbortAttempt {*attemptId});
+        settleGone(*attempt, false);
     }
     dispatchWaiting(now);
 }
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -106,6 +106,12 @@
     ExchangeId exchange = 0;
     Outcome outcome;
 };
+/// What has become of a request whose caller has left; exactly one for each that had no answer by then.
+struct CallerGone
+{
+    ExchangeId exchange = 0;
+    bool notRun = false; ///< No server has run any of it.
+};
 /// A server has said something of itself that changes which attempts it gets; for the log.
 struct ServerNotice
 {
@@ -124,7 +130,7 @@
     std::uint32_t to = 0;
     double latencyRatio = 0.0; ///< Its latency with little work over that of its routes.
 };
-using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, ServerNotice, LimitChange>;
+using Action = std::variant<SendAttempt, AbortAttempt, AnswerCaller, CallerGone, ServerNotice, LimitChange>;
 
 /// Deployment settings and limits given by the platform.
 struct ForwardOptions
@@ -172,7 +178,7 @@
     void replyArrived(Base::Instant now, AttemptId attempt, AttemptReply reply);
     void attemptFailed(Base::Instant now, AttemptId attempt, Edge::ExchangeFailure failure);
     /// The caller disconnected: nothing more is sent for it, and open attempts are aborted unless they end
-    /// soon.
+    /// soon. CallerGone follows when it is known whether anything has run.
     void callerLeft(Base::Instant now, ExchangeId exchange);
 
     /// Sets when endAll() will be called: from now on, requests that would probably not be done by then are
@@ -259,6 +265,7 @@
         Base::Instant sentAt;
         std::string routeName;
         std::optional<Base::Instant> unitValidUntil; ///< Of the unit that it spent at a cold server.
+        ExchangeId gone = 0; ///< Its exchange, once that is in `gone_`.
     };
 
     struct WaitingLeg
@@ -319,6 +326,7 @@
     Base::Duration retryDelay(Base::Instant now, const Exchange &exchange);
     void finish(Base::Instant now, ExchangeId id, Exchange &exchange, Outcome outcome);
     void abandonAttempts(Base::Instant now, ExchangeId id);
+    void settleGone(const Attempt &attempt, bool notRun);
     void scheduleReview(ExchangeId id, Exchange &exchange);
     RouteTimes &timesOf(const Route::RouteRule &route);
     Query::ExtraLoadBudget &budgetOf(std::string_view service);
@@ -341,6 +349,8 @@
     std::unordered_map<std::string, Query::ExtraLoadBudget> budgets_; ///< By service.
     std::unordered_map<std::string, std::vector<double>> splitCredits_; ///< By route name.
     std::unordered_map<std::string, Base::Instant> nextProbes_; ///< By route name.
+    /// Open attempts of exchanges whose caller has left before anything of them had run.
+    std::unordered_map<ExchangeId, std::size_t> gone_;
     Query::TimerQueue reviews_; ///< When to review exchanges.
     Query::TimerQueue aborts_; ///< When to abort attempts without an exchange.
     std::vector<Action> actions_;
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -214,6 +214,8 @@
                        {"route", found->second.routeName},
                        {"after_ms", Base::toMilliseconds(leftAt - found->second.arrivedAt)}});
         metrics_.requestAnswered(found->second.routeName, "caller_left", leftAt - found->second.arrivedAt);
+        if (!found->second.held.unit.key.empty())
+            unitsOfGone_.emplace(id, std::move(found->second.held));
         pending_.erase(found);
         core_.callerLeft(leftAt, id);
         performActions();
@@ -286,6 +288,8 @@
             metrics_.attemptEnded("aborted");
         } else if (auto *answerAction = std::get_if<Forward::AnswerCaller>(&action)) {
             answerCaller(*answerAction);
+        } else if (const auto *gone = std::get_if<Forward::CallerGone>(&action)) {
+            settleUnitOfGone(gone->exchange, gone->notRun);
         } else if (const auto *notice = std::get_if<Forward::ServerNotice>(&action)) {
             logNotice(*notice);
         } else if (const auto *change = std::get_if<Forward::LimitChange>(&action)) {
@@ -408,13 +412,15 @@
 
 void Forwarder::answerCaller(Forward::AnswerCaller &action)
 {
+    const bool notRun = action.outcome.kind == Forward::Outcome::Kind::Refused
+                        && Base::errorAnswer(action.outcome.error).runState == Base::RunState::NotRun;
     const auto found = pending_.find(action.exchange);
+    // The caller disconnected; this was logged already.
     if (found == pending_.end())
-        return; // The caller disconnected; this was logged already.
+        return settleUnitOfGone(action.exchange, notRun);
     const auto pending = std::move(found->second);
     pending_.erase(found);
-    if (action.outcome.kind == Forward::Outcome::Kind::Refused
-        && Base::errorAnswer(action.outcome.error).runState == Base::RunState::NotRun)
+    if (notRun)
         giveBackUnit(pending.held);
     auto response = responseFor(pending, action.outcome);
     const auto status = response.status;
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -129,6 +129,7 @@
     std::optional<UnitWaiter> takeUnitWaiter(Allowance::WaiterId waiter);
     void unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking);
     void giveBackUnit(const HeldUnit &held);
+    void settleUnitOfGone(Forward::ExchangeId id, bool notRun);
     void refuseUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                     const UnitDetails &details, const Allowance::Taking &taking);
     void endUnitWaiters();
@@ -169,6 +170,8 @@
     AllowanceClient *allowances_ = nullptr;
     std::unordered_map<Allowance::WaiterId, UnitWaiter> waitingForUnits_;
     std::size_t bytesWaitingForUnits_ = 0;
+    /// Units of requests whose caller has left, until it is known whether anything of them has run.
+    std::unordered_map<Forward::ExchangeId, HeldUnit> unitsOfGone_;
     std::optional<HeldUnit> resumed_; ///< Of the request that comes back from waiting for it.
     Base::RandomSource random_ {std::random_device {}()};
     Forward::AnswerLag answerLag_;
--- a/Services/Gateway/ForwarderAllowance.cpp
+++ b/Services/Gateway/ForwarderAllowance.cpp
@@ -113,6 +113,13 @@
         allowances_->giveBack(clock_.now(), held.unit.key, held.unit.validUntil);
 }
 
+void Forwarder::settleUnitOfGone(Forward::ExchangeId id, bool notRun)
+{
+    const auto node = unitsOfGone_.extract(id);
+    if (node && notRun)
+        giveBackUnit(node.mapped());
+}
+
 void Forwarder::refuseUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                            const UnitDetails &details, const Allowance::Taking &taking)
 {
--- a/Tests/LibForward/ForwardFixture.h
+++ b/Tests/LibForward/ForwardFixture.h
@@ -117,6 +117,12 @@
         collect();
     }
 
+    void leave(Forward::ExchangeId id)
+    {
+        core->callerLeft(now, id);
+        collect();
+    }
+
     void advance(Base::Duration step)
     {
         const auto end = now + step;
@@ -159,6 +165,8 @@
                 aborts.push_back(abort->attempt);
             else if (auto *notice = std::get_if<Forward::ServerNotice>(&action))
                 notices.push_back(*notice);
+            else if (auto *left = std::get_if<Forward::CallerGone>(&action))
+                gone.push_back(*left);
         }
     }
 
@@ -171,6 +179,7 @@
     std::map<Forward::ExchangeId, Instant> answeredAt;
     std::vector<Forward::AttemptId> aborts;
     std::vector<Forward::ServerNotice> notices;
+    std::vector<Forward::CallerGone> gone;
 };
 
 } // namespace Tests
--- a/Tests/LibForward/TestForwardCore.cpp
+++ b/Tests/LibForward/TestForwardCore.cpp
@@ -2,6 +2,8 @@
 #include "LibForward/GatherPolicy.h"
 #include "LibForward/TopRecords.h"
 
+#include <functional>
+
 using Forward::Outcome;
 using Tests::ForwardFixture;
 using Tests::milliseconds;
@@ -280,14 +282,93 @@
 {
     const auto id = begin("/g/x");
     const auto sent = sends.size();
-    core->callerLeft(now, id);
-    collect();
+    leave(id);
     advance(milliseconds(450));
     EXPECT_EQ(sends.size(), sent);
     EXPECT_EQ(aborts.size(), sent);
     EXPECT_TRUE(answers.empty());
 }
 
+// A tenant must not lose its allowance for what no server has run, whenever that becomes known.
+TEST_F(ForwardFixture, DisconnectedCallerOfWaitingWorkHasNotRun)
+{
+    for (int count = 0; count < 200 && core->legsWaiting() == 0; ++count)
+        begin("/s/x");
+    const auto sent = sends.size();
+    const auto id = begin("/s/x");
+    ASSERT_EQ(core->legsWaiting(), 2U);
+    leave(id);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_EQ(gone.front().exchange, id);
+    EXPECT_TRUE(gone.front().notRun);
+    EXPECT_EQ(sends.size(), sent);
+    advance(milliseconds(450));
+    EXPECT_EQ(gone.size(), 1U);
+}
+
+TEST_F(ForwardFixture, DisconnectedCallerIsSettledWhenItsAttemptsEnd)
+{
+    const auto settle = [this](const std::function<void(Forward::AttemptId)> &end) {
+        gone.clear();
+        const auto id = begin("/s/x");
+        const auto attempt = sends.back().attempt;
+        leave(id);
+        EXPECT_TRUE(gone.empty());
+        end(attempt);
+        advance(milliseconds(450));
+        EXPECT_EQ(gone.size(), 1U);
+        return gone.size() == 1 && gone.front().exchange == id && gone.front().notRun;
+    };
+    EXPECT_TRUE(settle([this](auto attempt) { fail(attempt, Edge::ExchangeFailure::NotSent); }));
+    EXPECT_TRUE(settle([this](auto attempt) { fail(attempt, Edge::ExchangeFailure::NoConnection); }));
+    EXPECT_TRUE(settle([this](auto attempt) { reply(attempt, notExecuted(503)); }));
+    EXPECT_FALSE(settle([this](auto attempt) { reply(attempt, success()); }));
+    EXPECT_FALSE(settle([this](auto attempt) { fail(attempt, Edge::ExchangeFailure::ReplyLost); }));
+    EXPECT_FALSE(settle([](auto) {})); // Aborted, when a server may have begun to run it.
+}
+
+// One part that may have run is enough, whatever comes of the others and in which order.
+TEST_F(ForwardFixture, DisconnectedCallerOfAGatherIsSettledOnce)
+{
+    auto id = begin("/g/x");
+    leave(id);
+    for (int shard = 1; shard < Shards; ++shard)
+        fail(sends[shard].attempt, Edge::ExchangeFailure::NoConnection);
+    EXPECT_TRUE(gone.empty());
+    fail(sends[0].attempt, Edge::ExchangeFailure::NoConnection);
+    ASSERT_EQ(gone.size(), 1U);
+    EXPECT_TRUE(gone.front().notRun);
+
+    sends.clear();
+    id = begin("/g/x");
+    leave(id);
+    fail(sends[0].attempt, Edge::ExchangeFailure::NoConnection);
+    reply(sends[1].attempt, success());
+    ASSERT_EQ(gone.size(), 2U);
+    EXPECT_FALSE(gone.back().notRun);
+    for (int shard = 2; shard < Shards; ++shard)
+        fail(sends[shard].attempt, Edge::ExchangeFailure::NoConnection);
+    EXPECT_EQ(gone.size(), 2U);
+
+    sends.clear();
+    id = begin("/g/x");
+    reply(sends[0].attempt, success());
+    leave(id);
+    ASSERT_EQ(gone.size(), 3U);
+    EXPECT_FALSE(gone.back().notRun);
+    advance(milliseconds(450));
+    EXPECT_EQ(gone.size(), 3U);
+}
+
+TEST_F(ForwardFixture, AnsweredCallerThatLeavesIsNotSettledAgain)
+{
+    const auto id = begin("/s/x");
+    reply(sends.back().attempt, success());
+    ASSERT_EQ(answers.size(), 1U);
+    leave(id);
+    EXPECT_TRUE(gone.empty());
+}
+
 // There is more work than connections. The more urgent route is served first, regardless of arrival.
 TEST_F(ForwardFixture, WaitingWorkIsOrderedByRank)
 {
--- a/Tests/Services/TestTenantAllowances.cpp
+++ b/Tests/Services/TestTenantAllowances.cpp
@@ -53,7 +53,8 @@
                     ++run;
                     response.headers.emplace_back("Proof", "p");
                 }
-                exchange.respond(response);
+                if (!holdsResponses)
+                    exchange.respond(response);
             }));
         Forward::ForwardOptions forwardOptions;
         forwardOptions.dataCentre = "a";
@@ -91,11 +92,7 @@
     void start(double requestsPerSecond, double units)
     {
         setRoutes(1, requestsPerSecond, "key");
-        Wire::ServerList list;
-        list.digest = 1;
-        list.servers.push_back({"i", 0, "s", server->address(), "a", 4, Wire::ServerState::Ready,
-                                coldRequestsPerSecond > 0.0 ? 60'000U : 0U});
-        forwarder->setServers(clock.now(), list);
+        setServer(1, server->address());
         const auto before = clock.now() - Base::seconds(1'000'000);
         divider.begin(before, 1);
         const Allowance::AllowanceTerms terms {0.001, units, 0.0, Base::seconds(5)};
@@ -104,6 +101,15 @@
         thread = std::thread([this] { loop.run(); });
     }
 
+    void setServer(std::uint64_t digest, const std::string &serverAddress)
+    {
+        Wire::ServerList list;
+        list.digest = digest;
+        list.servers.push_back({"i", 0, "s", serverAddress, "a", 4, Wire::ServerState::Ready,
+                                coldRequestsPerSecond > 0.0 ? 60'000U : 0U});
+        forwarder->setServers(clock.now(), list);
+    }
+
     void setRoutes(std::uint64_t version, double requestsPerSecond, std::string_view key)
     {
         Route::Configuration configuration;
@@ -151,6 +157,17 @@
     std::string ask() const { return begin().receiveAll(); }
     static std::string statusOf(const std::string &response) { return response.substr(9, 3); }
 
+    /// Waits until this many requests have no answer; false if that does not come to pass.
+    bool waitForInFlight(std::size_t count)
+    {
+        std::size_t inFlight = count + 1;
+        for (int tries = 0; tries < 1000 && inFlight != count; ++tries) {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            onLoop([&] { inFlight = forwarder->requestsInFlight(); });
+        }
+        return inFlight == count;
+    }
+
     template<typename Value>
     Value locked(const Value &value)
     {
@@ -173,6 +190,7 @@
     Allowance::AllowanceDivider divider;
     bool leaderIsSilent = false;
     bool refusesToRun = false;
+    bool holdsResponses = false; ///< The server runs requests and does not answer.
     double coldRequestsPerSecond = 0.0; ///< Of the service; its server is cold if this is set.
     int calls = 0; ///< To the leader.
     int run = 0; ///< Requests that the server has run.
@@ -309,6 +327,50 @@
     EXPECT_EQ(locked(calls), 1);
 }
 
+// A caller that leaves before a server was reached must not take a unit with it, nor return two.
+TEST_F(TenantAllowancesTest, CallerThatLeavesBeforeAnythingWasSentGivesItsUnitBackOnce)
+{
+    start(1.0, 1.0);
+    setLocked(refusesToRun, true);
+    EXPECT_EQ(statusOf(ask()), "503"); // Its unit is in stock now, so that the next request goes on at once.
+    setLocked(refusesToRun, false);
+    onLoop([this] { setServer(2, "127.0.0.1:1"); });
+    const int before = locked(calls);
+    {
+        const auto socket = begin();
+        ASSERT_TRUE(waitForInFlight(1));
+    }
+    ASSERT_TRUE(waitForInFlight(0));
+    EXPECT_EQ(locked(calls), before);
+    onLoop([this] { setServer(3, server->address()); });
+    std::string status;
+    for (int count = 0; count < 100 && status != "200"; ++count) {
+        status = statusOf(ask());
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    EXPECT_EQ(status, "200");
+    EXPECT_EQ(statusOf(ask()), "429");
+    EXPECT_EQ(locked(run), 1);
+}
+
+// What a server has begun to run counts, also if its caller did not wait for it.
+TEST_F(TenantAllowancesTest, CallerThatLeavesWhileAServerRunsItsRequestKeepsItsUnitSpent)
+{
+    start(1.0, 1.0);
+    setLocked(holdsResponses, true);
+    {
+        const auto socket = begin();
+        while (locked(run) == 0)
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    ASSERT_TRUE(waitForInFlight(0));
+    setLocked(holdsResponses, false);
+    // Until its attempt is aborted.
+    std::this_thread::sleep_for(std::chrono::milliseconds(400));
+    EXPECT_EQ(statusOf(ask()), "429");
+    EXPECT_EQ(locked(run), 1);
+}
+
 // A deployment whose tenants have no limit must not pay for limits.
 TEST_F(TenantAllowancesTest, WithoutALimitNothingIsAskedOrHeld)
 {
