Keep submissions and orders that wait in one table

Cause: RegistryCore had two tables of proposed commands, for configurations and for evacuation orders, and two copies of what ends them at their deadline, at the end of the process and at the entry in the log.

Change: PendingCommands holds both. Callbacks now run after the table is whole again; before, a command added from within one was lost and its caller never answered. No callback does that today.

Ruled out: one rule for both kinds. An order at a replaced index must not be confirmed by a later one, a submission is confirmed by a later version.

One of the two new tests fails without the change.

--- a/Libraries/LibRegistry/RegistryCore.cpp
+++ b/Libraries/LibRegistry/RegistryCore.cpp
@@ -6,8 +6,17 @@
 
 namespace {
 
+using Command = PendingCommands::Command;
+using Kind = PendingCommands::Kind;
+using Verdict = std::optional<PendingCommands::Outcome>;
+
 /// Callers give up on a node after about a second; a later answer is useless.
-constexpr Base::Duration SubmissionTimeout = Base::milliseconds(1500);
+constexpr Base::Duration CommandTimeout = Base::milliseconds(1500);
+
+PendingCommands::Outcome replacedInLog()
+{
+    return Base::fail(Base::ErrorKind::OutcomeUnknown, "entry replaced by another leader's entry in the log");
+}
 
 } // namespace
 
@@ -22,7 +31,7 @@
     const auto index = raft_.propose(now, Wire::encode(StoreConfiguration {version, text}));
     if (!index)
         return callback(tl::unexpected(index.error()));
-    pending_.push_back({*index, version, now + SubmissionTimeout, callback});
+    pending_.add({Kind::Configuration, *index, 0, version, now + CommandTimeout, callback});
 }
 
 void RegistryCore::orderEvacuation(Base::Instant now, const std::string &dataCentre, bool evacuated,
@@ -45,7 +54,7 @@
         return callback(tl::unexpected(index.error()));
     lastOrderIndex_ = *index;
     lastOrderTerm_ = term;
-    pendingOrders_.push_back({*index, term, now + SubmissionTimeout, callback});
+    pending_.add({Kind::EvacuationOrder, *index, term, 0, now + CommandTimeout, callback});
 }
 
 bool RegistryCore::isUpToDateLeader(Base::Instant now) const
@@ -118,66 +127,27 @@
 /// Ends the orders up to `index`. The entry there is the proposed one if its term is the same.
 void RegistryCore::completeOrders(std::uint64_t index, std::uint64_t term)
 {
-    std::vector<PendingOrder> remaining;
-    for (auto &order : std::exchange(pendingOrders_, {})) {
+    pending_.settle(Kind::EvacuationOrder, [&](const Command &order) -> Verdict {
         if (order.index > index)
-            remaining.push_back(std::move(order));
-        else if (order.index == index && order.term == term)
-            order.callback(evacuations_.revision());
-        else
-            order.callback(Base::fail(Base::ErrorKind::OutcomeUnknown,
-                                      "entry replaced by another leader's entry in the log"));
-    }
-    pendingOrders_ = std::move(remaining);
+            return std::nullopt;
+        return order.index == index && order.term == term ? evacuations_.revision() : replacedInLog();
+    });
 }
 
 // The entry at a submission's index may come from another leader. The current version decides: if it is not
 // lower, the submission was stored or superseded, regardless of who proposed it.
 void RegistryCore::completeAppliedSubmissions()
 {
-    std::vector<PendingSubmission> remaining;
-    for (auto &item : std::exchange(pending_, {})) {
-        if (register_.version() >= item.version)
-            item.callback(register_.version());
-        else if (item.index <= appliedIndex_)
-            item.callback(Base::fail(Base::ErrorKind::OutcomeUnknown,
-                                     "entry replaced by another leader's entry in the log"));
-        else
-            remaining.push_back(std::move(item));
-    }
-    pending_ = std::move(remaining);
-}
-
-void RegistryCore::tick(Base::Instant now)
-{
-    std::vector<PendingSubmission> remaining;
-    for (auto &item : std::exchange(pending_, {})) {
-        if (now >= item.deadline)
-            item.callback(Base::fail(Base::ErrorKind::OutcomeUnknown,
-                                     "no majority confirmed the configuration before the timeout"));
-        else
-            remaining.push_back(std::move(item));
-    }
-    pending_ = std::move(remaining);
-    std::vector<PendingOrder> orders;
-    for (auto &order : std::exchange(pendingOrders_, {})) {
-        if (now >= order.deadline)
-            order.callback(Base::fail(Base::ErrorKind::OutcomeUnknown,
-                                      "no majority confirmed the evacuation order before the timeout"));
-        else
-            orders.push_back(std::move(order));
-    }
-    pendingOrders_ = std::move(orders);
+    pending_.settle(Kind::Configuration, [this](const Command &submission) -> Verdict {
+        if (register_.version() >= submission.version)
+            return register_.version();
+        return submission.index <= appliedIndex_ ? Verdict(replacedInLog()) : std::nullopt;
+    });
 }
 
 void RegistryCore::failPendingSubmissions()
 {
-    for (const auto &order : std::exchange(pendingOrders_, {}))
-        order.callback(
-            Base::fail(Base::ErrorKind::OutcomeUnknown, "node is shutting down or its store was closed"));
-    for (const auto &item : std::exchange(pending_, {}))
-        item.callback(
-            Base::fail(Base::ErrorKind::OutcomeUnknown, "node is shutting down or its store was closed"));
+    pending_.failAll("node is shutting down or its store was closed");
 }
 
 } // namespace Registry
--- a/Libraries/LibRegistry/RegistryCore.h
+++ b/Libraries/LibRegistry/RegistryCore.h
@@ -3,8 +3,8 @@
 #include "LibConsensus/RaftNode.h"
 #include "LibRegistry/ConfigurationRegister.h"
 #include "LibRegistry/EvacuationRegister.h"
+#include "LibRegistry/PendingCommands.h"
 
-#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -28,7 +28,7 @@
 {
 public:
     /// Receives the current version after the submission.
-    using SubmitCallback = std::function<void(Base::Result<std::uint64_t>)>;
+    using SubmitCallback = PendingCommands::Callback;
 
     explicit RegistryCore(Consensus::RaftNode &raft)
         : raft_(raft)
@@ -41,7 +41,7 @@
                 const SubmitCallback &callback);
 
     /// Receives the revision of the order.
-    using EvacuationCallback = std::function<void(Base::Result<std::uint64_t>)>;
+    using EvacuationCallback = PendingCommands::Callback;
 
     /// Completes once the order is durable on a majority. `heldRevision` is that of the last order which the
     /// process that took the operator's call had applied: an order that is based on an earlier revision than
@@ -62,9 +62,9 @@
     /// evacuations changed.
     Base::Result<bool> handleReady(const Consensus::Ready &ready);
 
-    /// Fails submissions that have reached their deadline.
-    void tick(Base::Instant now);
-    /// Fails all pending submissions with OutcomeUnknown.
+    /// Fails submissions and orders that have reached their deadline.
+    void tick(Base::Instant now) { pending_.expire(now); }
+    /// Fails all pending submissions and orders with OutcomeUnknown.
     void failPendingSubmissions();
 
     const ConfigurationRegister &configuration() const { return register_; }
@@ -74,22 +74,6 @@
     std::uint64_t appliedIndex() const { return appliedIndex_; }
 
 private:
-    struct PendingSubmission
-    {
-        std::uint64_t index = 0; ///< Log index of the command.
-        std::uint64_t version = 0;
-        Base::Instant deadline;
-        SubmitCallback callback;
-    };
-
-    struct PendingOrder
-    {
-        std::uint64_t index = 0; ///< Log index of the command.
-        std::uint64_t term = 0; ///< Of the leader that proposed it.
-        Base::Instant deadline;
-        EvacuationCallback callback;
-    };
-
     Base::Result<bool> apply(const Wire::RaftEntry &entry);
     Base::Result<void> restore(Base::ByteView snapshot);
     void completeAppliedSubmissions();
@@ -98,10 +82,9 @@
     Consensus::RaftNode &raft_;
     ConfigurationRegister register_;
     EvacuationRegister evacuations_;
-    std::vector<PendingOrder> pendingOrders_; ///< By index, rising.
     std::uint64_t lastOrderIndex_ = 0; ///< Of the last order that this node proposed, in `lastOrderTerm_`.
     std::uint64_t lastOrderTerm_ = 0;
-    std::vector<PendingSubmission> pending_;
+    PendingCommands pending_;
     std::uint64_t appliedIndex_ = 0;
     std::uint64_t appliedTerm_ = 0; ///< Term of the last entry applied.
 };
--- a/Tests/LibRegistry/TestRegistryCore.cpp
+++ b/Tests/LibRegistry/TestRegistryCore.cpp
@@ -3,6 +3,7 @@
 #include "LibControl/FakeRaftNode.h"
 
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace {
 
@@ -110,6 +111,39 @@
     EXPECT_EQ(results[0].error().kind, ErrorKind::OutcomeUnknown);
 }
 
+// A callback that submits again must not lose that submission, whose caller would wait without end.
+TEST_F(RegistryCoreTest, SubmissionFromWithinAnAnswerIsAnswered)
+{
+    core.submit(Start, 5, "five", [this](const Base::Result<std::uint64_t> &) { submit(6, "six"); });
+    ASSERT_TRUE(core.handleReady(commit(std::exchange(raft.uncommitted, {}))).has_value());
+    EXPECT_TRUE(results.empty());
+    core.tick(Start + Base::seconds(2));
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0].error().kind, ErrorKind::OutcomeUnknown);
+}
+
+// Submissions and orders wait side by side, and the end of one must not end the other.
+TEST_F(RegistryCoreTest, SubmissionsAndOrdersEndOnTheirOwn)
+{
+    ASSERT_TRUE(core.handleReady(commit({{1, 1, Wire::RaftEntryKind::Noop, {}}})).has_value());
+    raft.committedIndex = 1;
+    submit(5, "five");
+    std::vector<Base::Result<std::uint64_t>> orders;
+    core.orderEvacuation(Start + Base::seconds(1), "dc-a", true, 0,
+                         [&orders](const auto &result) { orders.push_back(result); });
+    core.tick(Start + Base::seconds(2));
+    ASSERT_EQ(results.size(), 1U);
+    EXPECT_EQ(results[0].error().kind, ErrorKind::OutcomeUnknown);
+    EXPECT_TRUE(orders.empty());
+    submit(5, "five");
+    ASSERT_EQ(raft.uncommitted.size(), 3U);
+    ASSERT_TRUE(core.handleReady(commit({raft.uncommitted[0], raft.uncommitted[1]})).has_value());
+    ASSERT_EQ(orders.size(), 1U);
+    EXPECT_EQ(orders[0].value(), raft.uncommitted[1].index);
+    ASSERT_EQ(results.size(), 2U);
+    EXPECT_EQ(results[1].value(), 5U);
+}
+
 // A new leader may lack commits of the earlier term until an entry of its own is applied.
 TEST_F(RegistryCoreTest, NewLeaderReadsOnlyAfterItsOwnEntry)
 {
