--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -162,14 +162,16 @@
         inTime += mayStart ? 1 : 0;
     }
     const auto needed = exchange.legsNeeded();
-    if (static_cast<double>(reachable) < needed && static_cast<double>(reachable + pausing) >= needed)
-        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
-                             "too many of the required services have only servers that asked for a pause");
-    if (static_cast<double>(reachable) < needed)
+    if (static_cast<double>(reachable) < needed) {
+        if (static_cast<double>(reachable + pausing) >= needed)
+            return failedOutcome(
+                exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
+                "too many of the required services have only servers that asked for a pause");
         return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
                              backends_.isLoaded()
                                  ? "too few of the required services have a server that accepts work"
                                  : "the list of servers is not known yet");
+    }
     if (static_cast<double>(reachable - silent) < needed && !probeIsDue(exchange))
         return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
                              "too many of the required services have only unresponsive servers");
--- a/Services/Entry/QueryParser.cpp
+++ b/Services/Entry/QueryParser.cpp
@@ -1,5 +1,7 @@
 #include "Services/Entry/QueryParser.h"
 
+#include "LibBase/JsonDepth.h"
+
 #include <algorithm>
 #include <array>
 #include <fmt/format.h>
@@ -144,15 +146,10 @@
 
 Base::Result<Query::CallerQuery> parseQuery(std::string_view body)
 {
-    bool tooDeep = false;
-    const auto limitDepth = [&tooDeep](int depth, json::parse_event_t /*event*/, json & /*parsed*/) {
-        tooDeep = tooDeep || depth > MaxDepth;
-        return !tooDeep;
-    };
+    if (Base::isNestedDeeperThan(body, MaxDepth))
+        return invalid("the body is nested too deeply");
     try {
-        const auto object = json::parse(body, limitDepth);
-        if (tooDeep)
-            return invalid("the body is nested too deeply");
+        const auto object = json::parse(body);
         if (!object.is_object())
             return invalid("the body is not a JSON object");
         return readQuery(object);
