--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -67,7 +67,7 @@
     /// Periodic maintenance: closes unused connections and updates gauges.
     void maintain(Base::Instant now);
     std::size_t requestsInFlight() const { return core_.exchangesInFlight() + waitingForUnits_.size(); }
-    std::size_t coldServers(Base::Instant now) const { return core_.backends().coldCount(now); }
+    std::size_t coldServers(Base::Instant now) { return core_.coldServers(now); }
     std::size_t evacuatedServers() const { return core_.backends().evacuatedCount(); }
     bool hasServers() const { return core_.backends().isLoaded(); }
 
@@ -129,6 +129,7 @@
     std::optional<UnitWaiter> takeUnitWaiter(Allowance::WaiterId waiter);
     void unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking);
     void giveBackUnit(const HeldUnit &held);
+    void settleUnitOfGone(Forward::ExchangeId id, bool notRun);
     void refuseUnit(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                     const UnitDetails &details, const Allowance::Taking &taking);
     void endUnitWaiters();
@@ -169,6 +170,8 @@
     AllowanceClient *allowances_ = nullptr;
     std::unordered_map<Allowance::WaiterId, UnitWaiter> waitingForUnits_;
     std::size_t bytesWaitingForUnits_ = 0;
+    /// Units of requests whose caller has left, until it is known whether anything of them has run.
+    std::unordered_map<Forward::ExchangeId, HeldUnit> unitsOfGone_;
     std::optional<HeldUnit> resumed_; ///< Of the request that comes back from waiting for it.
     Base::RandomSource random_ {std::random_device {}()};
     Forward::AnswerLag answerLag_;
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -14,6 +14,7 @@
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/RegistryAddresses.h"
 #include "LibRegistry/ServerListHolder.h"
+#include "LibRoute/Configuration.h"
 #include "LibTenant/ConfigurationCurrency.h"
 #include "LibWire/IntroduceMessages.h"
 #include "Services/Common/CallerGuard.h"
@@ -54,6 +55,14 @@
 private:
     using ResponderPointer = std::shared_ptr<Peer::Responder>;
 
+    struct AllowanceTolerances
+    {
+        Allowance::Tolerance tenants;
+        Allowance::Tolerance coldServers;
+
+        bool operator==(const AllowanceTolerances &) const = default;
+    };
+
     RegistryProcess(const std::string &settingsPath, NodeSettings settings,
                     const Adapter::PlatformAdapter &adapter);
 
@@ -122,6 +131,8 @@
     // RegistryAllowances.cpp: bounded rates, shared by all gateways.
     void takeAllowance(const Wire::TakeAllowanceRequest &request, const ResponderPointer &responder);
     void watchAllowances(Base::Instant now);
+    bool readAllowanceConfiguration(Base::Instant now);
+    AllowanceTolerances allowanceTolerances() const;
     void updateAllowanceTerms(Base::Instant now);
 
     // RegistryOperators.cpp: the operators' interface.
@@ -188,7 +199,11 @@
     Base::Instant confirmationWantedUntil_;
     Base::Instant nextConfirmation_;
     Allowance::AllowanceDivider allowances_;
-    std::uint64_t allowanceVersion_ = 0; ///< Of the configuration that the terms of `allowances_` are from.
+    std::uint64_t allowanceVersion_ = 0; ///< Of the last configuration that was read for `allowances_`.
+    /// The terms of `allowances_` are from it. Kept also while another node leads, which takes about as much
+    /// memory as the text.
+    std::optional<Route::Configuration> allowanceConfiguration_;
+    AllowanceTolerances allowanceTolerances_; ///< With which the terms were worked out.
     std::uint64_t seenVersion_ = 0;
     Base::Instant configurationSeenAt_; ///< When `seenVersion_` was first seen.
     Base::Instant ledSince_; ///< Begin of the term of `allowances_`.
