Name gateways that run hot to fewer callers

Read from the code, not from a run.

Change: with share_callers_by_load (default off) each gateway measures how late a timer of its loop runs (BusyMeter) and derives its share of callers, in sixteenths, with a bounded step and a dead band (CallerShare, OwnLoad). The share is a field of its record that is not encoded while it is full, so nothing changes on the wire without a hot gateway. Whoever answers a look-up names it in that part of the answers and lets a standby of the data centre stand in (GatewayNaming). Registries batch changes of shares alone for a second and log none.

--- a/Libraries/LibRegistry/Directory.cpp
+++ b/Libraries/LibRegistry/Directory.cpp
@@ -3,6 +3,7 @@
 #include "LibRegistry/GatewayTable.h"
 #include "LibWire/Packed.h"
 
+#include <algorithm>
 #include <optional>
 
 namespace Registry {
@@ -36,10 +37,17 @@
 
 } // namespace
 
-bool Directory::replace(std::vector<Wire::GatewayRecord> gateways)
+Directory::Change Directory::compare(const std::vector<Wire::GatewayRecord> &gateways) const
 {
     // Digest 0 means "not known yet", which differs from a directory known to be empty.
     if (gateways == gateways_ && (digest_ != 0 || gateways.empty()))
+        return Change::None;
+    return digest_ != 0 && haveSameGateways(gateways, gateways_) ? Change::CallerShares : Change::Gateways;
+}
+
+bool Directory::replace(std::vector<Wire::GatewayRecord> gateways)
+{
+    if (compare(gateways) == Change::None)
         return false;
     if (digest_ != 0)
         deltas_.push_back({digest_, computeChanges(gateways_, gateways)});
@@ -123,4 +131,13 @@
     return gateways;
 }
 
+bool haveSameGateways(const std::vector<Wire::GatewayRecord> &left,
+                      const std::vector<Wire::GatewayRecord> &right)
+{
+    return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](auto one, const auto &other) {
+        one.callerShare = other.callerShare;
+        return one == other;
+    });
+}
+
 } // namespace Registry
--- a/Libraries/LibRegistry/Directory.h
+++ b/Libraries/LibRegistry/Directory.h
@@ -25,6 +25,14 @@
     const std::vector<Wire::GatewayRecord> &gateways() const { return gateways_; }
     std::uint64_t digest() const { return digest_; }
 
+    /// What a replacement would change.
+    enum class Change : std::uint8_t {
+        None,
+        CallerShares, ///< Nothing but these.
+        Gateways
+    };
+    Change compare(const std::vector<Wire::GatewayRecord> &gateways) const;
+
     /// Replaces the directory by gateways sorted by id. Returns true if it changed.
     bool replace(std::vector<Wire::GatewayRecord> gateways);
 
@@ -56,4 +64,8 @@
     mutable std::map<std::uint64_t, std::string> packedByBase_;
 };
 
+/// Whether both, sorted by id, differ in nothing but caller shares.
+bool haveSameGateways(const std::vector<Wire::GatewayRecord> &left,
+                      const std::vector<Wire::GatewayRecord> &right);
+
 } // namespace Registry
--- a/Libraries/LibRegistry/GatewayChoice.cpp
+++ b/Libraries/LibRegistry/GatewayChoice.cpp
@@ -51,15 +51,21 @@
     return ranked;
 }
 
+double largestProcessorShare(const std::vector<Wire::GatewayRecord> &gateways)
+{
+    double largest = 0.0;
+    for (const auto &gateway : gateways)
+        largest = std::max(largest, gateway.processorShare);
+    return largest;
+}
+
 /// Returns the strong gateways plus a few weak ones that suit gathers, or all if too few are strong.
 std::vector<Wire::GatewayRecord> selectCandidates(const std::vector<Wire::GatewayRecord> &serving)
 {
-    double largest = 0.0;
+    const auto largest = largestProcessorShare(serving);
     std::set<std::string_view> dataCentres;
-    for (const auto &gateway : serving) {
-        largest = std::max(largest, gateway.processorShare);
+    for (const auto &gateway : serving)
         dataCentres.insert(gateway.dataCentre);
-    }
     std::vector<Wire::GatewayRecord> chosen;
     std::vector<Wire::GatewayRecord> weak;
     for (const auto &gateway : serving) {
@@ -92,4 +98,23 @@
     return chosen;
 }
 
+std::vector<Wire::GatewayRecord> rankStandbys(const std::vector<Wire::GatewayRecord> &serving,
+                                              const std::vector<Wire::GatewayRecord> &chosen)
+{
+    const auto strongFrom = StrongProcessorFraction * largestProcessorShare(serving);
+    std::set<std::string_view> taken;
+    for (const auto &gateway : chosen)
+        taken.insert(gateway.gatewayId);
+    std::vector<Wire::GatewayRecord> standbys;
+    for (const auto &gateway : serving) {
+        const bool isFit = gateway.processorShare >= strongFrom || gateway.suitsGathers;
+        if (isFit && !taken.contains(gateway.gatewayId))
+            standbys.push_back(gateway);
+    }
+    std::vector<Wire::GatewayRecord> result;
+    for (auto &standby : rankGateways(std::move(standbys)))
+        result.push_back(std::move(standby.gateway));
+    return result;
+}
+
 } // namespace Registry
--- a/Libraries/LibRegistry/GatewayChoice.h
+++ b/Libraries/LibRegistry/GatewayChoice.h
@@ -16,4 +16,9 @@
 std::vector<Wire::GatewayRecord> selectGateways(const std::vector<Wire::GatewayRecord> &serving,
                                                 std::size_t preferred);
 
+/// Returns the gateways outside `chosen` that can stand in for one of these: strong ones, and weak ones that
+/// suit gathers. The order is as for selectGateways().
+std::vector<Wire::GatewayRecord> rankStandbys(const std::vector<Wire::GatewayRecord> &serving,
+                                              const std::vector<Wire::GatewayRecord> &chosen);
+
 } // namespace Registry
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -60,6 +60,9 @@
     MSGPACK_DEFINE(servers, digest, ageMs)
 };
 
+/// Value of GatewayRecord::callerShare of a gateway that takes as many callers as others do.
+constexpr std::uint8_t FullCallerShare = 16;
+
 /// What a gateway tells of itself.
 struct GatewayRecord
 {
@@ -70,9 +73,31 @@
     GatewayState state = GatewayState::Joining;
     double processorShare = 1.0; ///< Of a core.
     bool suitsGathers = false; ///< Its VM can answer the widest gathers in time.
+    /// Share of callers that it can take now, in sixteenths of a full one, from 1.
+    std::uint8_t callerShare = FullCallerShare;
 
     bool operator==(const GatewayRecord &) const = default;
-    MSGPACK_DEFINE(gatewayId, incarnation, callerAddress, dataCentre, state, processorShare, suitsGathers)
+
+    /// A full share is left out: nothing is sent for it, and the digest of a directory without reduced shares
+    /// stays what it was before there were shares.
+    template<typename Packer>
+    void msgpack_pack(Packer &packer) const // NOLINT(readability-identifier-naming): msgpack's own name.
+    {
+        if (callerShare == FullCallerShare)
+            msgpack::type::make_define_array(gatewayId, incarnation, callerAddress, dataCentre, state,
+                                             processorShare, suitsGathers)
+                .msgpack_pack(packer);
+        else
+            msgpack::type::make_define_array(gatewayId, incarnation, callerAddress, dataCentre, state,
+                                             processorShare, suitsGathers, callerShare)
+                .msgpack_pack(packer);
+    }
+    void msgpack_unpack(const msgpack::object &object) // NOLINT(readability-identifier-naming)
+    {
+        msgpack::type::make_define_array(gatewayId, incarnation, callerAddress, dataCentre, state,
+                                         processorShare, suitsGathers, callerShare)
+            .msgpack_unpack(object);
+    }
 };
 
 /// A gateway's record with the time since it was received from the gateway itself.
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -119,6 +119,7 @@
     settings.memoryMegabytes = table.number("memory_megabytes", {0.0, 1e9, 0.0});
     settings.maxDescriptors = table.integer("max_descriptors", {0, 10'000'000, 0});
     settings.learnServerLimits = table.boolean("learn_server_limits", false);
+    settings.shareCallersByLoad = table.boolean("share_callers_by_load", false);
     table.refuseUnknownKeys();
     return settings;
 }
@@ -148,7 +149,7 @@
 
 Wire::GatewayRecord NodeSettings::gatewayRecord(std::uint64_t incarnation, Wire::GatewayState state) const
 {
-    return {nodeId, incarnation, callerAddress, dataCentre, state, processorShare, false};
+    return {nodeId, incarnation, callerAddress, dataCentre, state, processorShare};
 }
 
 Base::Result<NodeSettings> parseNodeSettings(std::string_view text)
--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -59,6 +59,8 @@
     std::uint32_t maxDescriptors = 0; ///< Of this process; 0 if it has no limit.
     /// Whether gateways find out how many attempts at once each server takes well.
     bool learnServerLimits = false;
+    /// Whether a gateway that runs hot is named to fewer callers.
+    bool shareCallersByLoad = false;
 
     /// Address of the registry on the VM of an operator address; empty when that is no address.
     std::string registryPeerAddress(std::string_view seed) const;
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -4,7 +4,6 @@
 #include "LibBase/Compression.h"
 #include "LibBase/Incarnation.h"
 #include "LibForward/GatherLoad.h"
-#include "LibRegistry/GatewayChoice.h"
 #include "Services/Common/MetricsEndpoint.h"
 
 #include <algorithm>
@@ -79,7 +78,11 @@
     , watchers_([this](Base::Instant now, const Wire::WatchRequest &request, Base::Instant arrivedAt) {
         return watchReply(now, request, arrivedAt);
     })
+    , naming_(settings_.shareCallersByLoad ? Registry::GatewayNaming::Rule::ByShare
+                                           : Registry::GatewayNaming::Rule::ByClass)
 {
+    if (settings_.shareCallersByLoad)
+        ownLoad_ = std::make_unique<OwnLoad>(events_, metrics_);
 }
 
 GatewayProcess::~GatewayProcess()
@@ -218,6 +221,8 @@
     Wire::WatchRequest request;
     request.gateway = settings_.gatewayRecord(incarnation_, state());
     request.gateway.suitsGathers = suitsGathers_;
+    if (ownLoad_)
+        request.gateway.callerShare = ownLoad_->callerShare();
     request.configurationVersion = forwarder_->routes() ? forwarder_->routes()->version() : 0;
     request.serverListDigest = serverList_.digest();
     request.serverListAgeMs = serverList_.ageMs(clock_.now());
@@ -373,38 +378,47 @@
 
 void GatewayProcess::applyDirectory(const Wire::WatchReply &reply)
 {
+    if (reply.directory.digest == directory_.digest())
+        return;
+    const auto before = directory_.gateways();
     const auto changed = directory_.apply(reply.directory);
     if (!changed)
         events_.write(clock_.now(), Importance::Notable, "directory_refused",
                       {{"detail", changed.error().detail}});
     if (!changed.value_or(false))
         return;
+    applyGateways();
+    if (Registry::haveSameGateways(before, directory_.gateways()))
+        return;
     std::vector<std::string> others;
     for (const auto &gateway : directory_.gateways()) {
         if (gateway.gatewayId != settings_.nodeId)
             others.push_back(peerAddressOf(gateway));
     }
     watcher_->setGateways(std::move(others));
-    advertised_ = Registry::selectGateways(directory_.gateways(), MaxAdvertisedGateways);
-    if (!advertised_.empty()) {
-        forwarder_->setGatewayCount(std::max(advertised_.size(), MinGatewayCount));
-        allowances_->setGatewayCount(advertised_.size());
-    }
     events_.write(clock_.now(), Importance::Notable, "directory_changed",
                   {{"serving", directory_.gateways().size()}});
 }
 
-void GatewayProcess::handleLookup(const Edge::RequestMessage &request,
-                                  const Edge::CallerExchange &caller) const
+void GatewayProcess::applyGateways()
+{
+    naming_.setGateways(directory_.gateways(), MaxAdvertisedGateways);
+    if (naming_.gatewaysInUse() == 0)
+        return;
+    forwarder_->setGatewayCount(std::max(naming_.gatewaysInUse(), MinGatewayCount));
+    allowances_->setGatewayCount(naming_.gatewaysInUse());
+}
+
+void GatewayProcess::handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller)
 {
     if (adapter_.classify(request.method, request.path()) != Adapter::Call::LookUpGateways)
         return caller.respond(emptyResponse(404));
     std::vector<std::string> addresses;
     // Callers with keys are better served by any other gateway while this one cannot confirm them.
     const bool avoidsItself = leavingSince_ || !forwarder_->authenticator().mayServeKeys(clock_.now());
-    for (const auto &gateway : advertised_) {
-        if (!avoidsItself || gateway.gatewayId != settings_.nodeId)
-            addresses.push_back(gateway.callerAddress);
+    for (const auto *gateway : naming_.nextAnswer()) {
+        if (!avoidsItself || gateway->gatewayId != settings_.nodeId)
+            addresses.push_back(gateway->callerAddress);
     }
     // Until the first directory arrives, this gateway knows only itself.
     if (addresses.empty() && isReady())
@@ -420,6 +434,8 @@
 void GatewayProcess::tick()
 {
     const auto now = clock_.now();
+    if (ownLoad_)
+        ownLoad_->tick(now);
     forwarder_->maintain(now);
     allowances_->maintain(now);
     relayedGateways_.tick(now);
@@ -427,6 +443,8 @@
     guard_->tick(now);
     reloadSettings(false);
     events_.flush();
+    if (ownLoad_)
+        ownLoad_->expectTick(clock_.now() + TickInterval);
 }
 
 void GatewayProcess::reloadSettings(bool force)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -6,6 +6,7 @@
 #include "LibEdge/Loop.h"
 #include "LibPeer/Endpoint.h"
 #include "LibRegistry/Directory.h"
+#include "LibRegistry/GatewayNaming.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/ServerListHolder.h"
 #include "Services/Common/CallerGuard.h"
@@ -16,6 +17,7 @@
 #include "Services/Gateway/ColdServerUnits.h"
 #include "Services/Gateway/Forwarder.h"
 #include "Services/Gateway/GatewayMetrics.h"
+#include "Services/Gateway/OwnLoad.h"
 #include "Services/Gateway/RegistryWatcher.h"
 
 #include <memory>
@@ -56,7 +58,8 @@
     Wire::WatchReply watchReply(Base::Instant now, const Wire::WatchRequest &request,
                                 Base::Instant arrivedAt) const;
     std::string peerAddressOf(const Wire::GatewayRecord &gateway) const;
-    void handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller) const;
+    void applyGateways();
+    void handleLookup(const Edge::RequestMessage &request, const Edge::CallerExchange &caller);
     void tick();
     void reloadSettings(bool force);
     nlohmann::json describeStatus() const;
@@ -92,8 +95,9 @@
     std::string leaderAddress_; ///< Kept while no registry names another.
     WatchDesk watchers_;
     Registry::Directory directory_;
-    /// Gateways of `directory_` that are advertised to callers.
-    std::vector<Wire::GatewayRecord> advertised_;
+    /// Chooses the gateways of `directory_` that are advertised to callers.
+    Registry::GatewayNaming naming_;
+    std::unique_ptr<OwnLoad> ownLoad_; ///< Null without `share_callers_by_load`.
     std::unique_ptr<AllowanceClient> allowances_;
     std::unique_ptr<ColdServerUnits> coldServerUnits_;
     std::unique_ptr<Forwarder> forwarder_;
--- a/Services/Registry/RegistryPeers.cpp
+++ b/Services/Registry/RegistryPeers.cpp
@@ -18,6 +18,9 @@
 /// Directory changes within this time are batched: when all gateways start together, each of them would
 /// otherwise trigger an update to all others. Callers keep a look-up result for seconds.
 constexpr Base::Duration DirectoryUpdateInterval = Base::milliseconds(100);
+/// Changed caller shares within this time are batched. Each change answers all open calls, so without this,
+/// many hot gateways would make all others call several times more often.
+constexpr Base::Duration CallerShareUpdateInterval = Base::seconds(1);
 /// Pause after a failed read of the server list.
 constexpr Base::Duration FailedReadPause = Base::milliseconds(500);
 
@@ -168,9 +171,20 @@
 {
     if (now < nextDirectoryUpdate_)
         return;
-    const auto before = directory_.gateways().size();
-    if (!directory_.replace(gateways_.serving(now)))
+    auto serving = gateways_.serving(now);
+    const auto change = directory_.compare(serving);
+    if (change == Registry::Directory::Change::None)
+        return;
+    if (change == Registry::Directory::Change::CallerShares) {
+        // Other registries get it with the next exchange, and no line is written: it is not news to anybody.
+        if (now >= nextShareUpdate_) {
+            nextShareUpdate_ = now + CallerShareUpdateInterval;
+            directory_.replace(std::move(serving));
+        }
         return;
+    }
+    const auto before = directory_.gateways().size();
+    directory_.replace(std::move(serving));
     nextDirectoryUpdate_ = now + DirectoryUpdateInterval;
     nextShare_ = now; // The other registries pass the change on to the gateways that watch them.
     events_.write(now, Importance::Notable, "directory_changed",
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -169,6 +169,7 @@
     Registry::GatewayTable gateways_;
     Registry::Directory directory_;
     Base::Instant nextDirectoryUpdate_; ///< Earliest time of the next directory update.
+    Base::Instant nextShareUpdate_; ///< Earliest time of the next one that changes only caller shares.
     Registry::ServerListHolder serverList_;
     std::unique_ptr<ServerListReader> listReader_;
     Base::Instant nextRead_;
--- a/Tests/LibRegistry/TestDirectory.cpp
+++ b/Tests/LibRegistry/TestDirectory.cpp
@@ -103,3 +103,22 @@
     EXPECT_EQ(receiver.gateways().size(), 6U);
     update(receiver, sender);
 }
+
+// Changed shares are frequent: they must not count as changed gateways, and must travel as changes do.
+TEST(Directory, TellsChangedCallerSharesFromChangedGateways)
+{
+    Directory sender;
+    Directory receiver;
+    EXPECT_EQ(sender.compare(gateways(50)), Directory::Change::Gateways);
+    sender.replace(gateways(50));
+    update(receiver, sender);
+    EXPECT_EQ(sender.compare(gateways(50)), Directory::Change::None);
+    auto hot = gateways(50);
+    hot[7].callerShare = 9;
+    EXPECT_EQ(sender.compare(hot), Directory::Change::CallerShares);
+    EXPECT_TRUE(sender.replace(hot));
+    update(receiver, sender);
+    EXPECT_EQ(receiver.gateways()[7].callerShare, 9);
+    EXPECT_EQ(sender.compare(gateways(50, 3)), Directory::Change::Gateways);
+    EXPECT_EQ(sender.compare({}), Directory::Change::Gateways);
+}
--- a/Tests/LibWire/TestCodec.cpp
+++ b/Tests/LibWire/TestCodec.cpp
@@ -1,11 +1,30 @@
 #include "LibWire/ClaimMessages.h"
 #include "LibWire/LeaseMessages.h"
 #include "LibWire/RaftMessages.h"
+#include "LibWire/RegistryMessages.h"
 #include "LibWire/SubrequestMessages.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+namespace {
+
+/// What a gateway told of itself before there were caller shares.
+struct RecordWithoutShare
+{
+    std::string gatewayId;
+    std::uint64_t incarnation = 0;
+    std::string callerAddress;
+    std::string dataCentre;
+    Wire::GatewayState state = Wire::GatewayState::Joining;
+    double processorShare = 1.0;
+    bool suitsGathers = false;
+
+    MSGPACK_DEFINE(gatewayId, incarnation, callerAddress, dataCentre, state, processorShare, suitsGathers)
+};
+
+} // namespace
+
 // A field left out of MSGPACK_DEFINE would silently arrive as its default.
 TEST(Codec, RoundTripsLeaseRenewal)
 {
@@ -41,3 +60,23 @@
     encoded.pop_back();
     RC_ASSERT(!Wire::decode<Wire::ReleasedShare>(encoded).has_value());
 }
+
+// Without a reduced share, messages and the digests of directories are byte for byte those of before.
+TEST(Codec, FullCallerShareTakesNoByteAndAReducedOneTakesOne)
+{
+    const RecordWithoutShare before {"vm-1", 7,   "10.0.0.1:80", "dc-a", Wire::GatewayState::Serving,
+                                     0.3,    true};
+    Wire::GatewayRecord record {"vm-1", 7, "10.0.0.1:80", "dc-a", Wire::GatewayState::Serving, 0.3, true};
+    EXPECT_EQ(Wire::encode(record), Wire::encode(before));
+    const auto decoded = Wire::decode<Wire::GatewayRecord>(Wire::encode(before));
+    ASSERT_TRUE(decoded.has_value());
+    EXPECT_EQ(*decoded, record);
+
+    record.callerShare = 5;
+    const auto reduced = Wire::encode(record);
+    EXPECT_EQ(reduced.size(), Wire::encode(before).size() + 1);
+    const auto decodedReduced = Wire::decode<Wire::GatewayRecord>(reduced);
+    ASSERT_TRUE(decodedReduced.has_value());
+    EXPECT_EQ(*decodedReduced, record);
+    EXPECT_TRUE(Wire::decode<RecordWithoutShare>(reduced).has_value());
+}
--- a/Tests/Services/TestNodeSettings.cpp
+++ b/Tests/Services/TestNodeSettings.cpp
@@ -41,3 +41,17 @@
     EXPECT_FALSE(Services::parseNodeSettings(required + "allowance_slack = \"many\"\n"));
     EXPECT_FALSE(Services::parseNodeSettings(required + "key_removal_is_bounded = \"perhaps\"\n"));
 }
+
+// Deployments that do not ask for it are served as before.
+TEST(NodeSettings, CallersAreSharedByLoadOnlyOnRequest)
+{
+    const std::string required = "node = \"vm-1\"\ndata_centre = \"dc-a\"\nip = \"10.0.0.1\"\n"
+                                 "first_peer_port = 7000\ncluster_key = \"k\"\n";
+    const auto unset = Services::parseNodeSettings(required);
+    ASSERT_TRUE(unset) << unset.error().detail;
+    EXPECT_FALSE(unset->shareCallersByLoad);
+    EXPECT_EQ(unset->gatewayRecord(1, Wire::GatewayState::Serving).callerShare, Wire::FullCallerShare);
+    const auto set = Services::parseNodeSettings(required + "share_callers_by_load = true\n");
+    ASSERT_TRUE(set) << set.error().detail;
+    EXPECT_TRUE(set->shareCallersByLoad);
+}
