Explain what would be done with a request by the functions that decide it

Operators can't see why a gateway would send a request where, or refuse it. BackendTable::standings() orders servers by the same costs and order as choose(). Backend::obstacleAfterPause() names what availability follows from. ColdUnits, UnitSource and AllowanceStock tell what take() would answer. Ruled out: a second set of rules beside the decision (would drift); explaining on a copy of the core (servers are shared by pointer, and a copy draws from the same random numbers).

--- a/Libraries/LibAllowance/AllowanceStock.cpp
+++ b/Libraries/LibAllowance/AllowanceStock.cpp
@@ -112,28 +112,61 @@
     entry.stock += units;
 }
 
+/// Lots that have ended may still be there.
+bool AllowanceStock::hasUnit(Base::Instant now, const Entry &entry)
+{
+    return !entry.lots.empty() && now < entry.lots.back().validUntil;
+}
+
+Taking::Kind AllowanceStock::foresee(Base::Instant now, const Entry &entry, Base::Instant patienceEnd) const
+{
+    if (entry.waiters.empty() && hasUnit(now, entry))
+        return Taking::Kind::Granted;
+    if (now < entry.blockedUntil)
+        return Taking::Kind::OverLimit;
+    const bool mayWait = waiters_.size() < MaxWaiters && now < patienceEnd;
+    return mayWait ? Taking::Kind::Waiting : Taking::Kind::Unavailable;
+}
+
+/// Keys that a sweep would drop count as held here.
+Taking::Kind AllowanceStock::foresee(Base::Instant now, std::string_view key, Base::Instant patienceEnd) const
+{
+    const auto found = entries_.find(key);
+    if (found != entries_.end())
+        return foresee(now, found->second, patienceEnd);
+    return entries_.size() < MaxKeys ? foresee(now, Entry {}, patienceEnd) : Taking::Kind::Unavailable;
+}
+
+bool AllowanceStock::has(Base::Instant now, std::string_view key) const
+{
+    const auto found = entries_.find(key);
+    return found != entries_.end() && hasUnit(now, found->second);
+}
+
 Taking AllowanceStock::take(Base::Instant now, std::string_view key, Base::Instant patienceEnd)
 {
     auto *entry = entryFor(now, key);
     if (entry == nullptr)
         return {};
     noteDemand(now, *entry);
-    if (entry->waiters.empty()) {
-        if (const auto validUntil = takeFromStock(now, *entry)) {
-            wantIfLow(now, *entry);
-            return {Taking::Kind::Granted, {std::string(key), *validUntil}, 0, {}};
-        }
-    }
-    if (now < entry->blockedUntil)
-        return {Taking::Kind::OverLimit, {}, 0, nextRetryAfter(now, *entry)};
-    if (waiters_.size() >= MaxWaiters || patienceEnd <= now)
+    if (entry->waiters.empty())
+        dropEnded(now, *entry);
+    const auto kind = foresee(now, *entry, patienceEnd);
+    if (kind == Taking::Kind::Unavailable)
         return {};
+    if (kind == Taking::Kind::OverLimit)
+        return {kind, {}, 0, nextRetryAfter(now, *entry)};
+    if (kind == Taking::Kind::Granted) {
+        const auto validUntil = takeFromStock(now, *entry);
+        wantIfLow(now, *entry);
+        return {kind, {std::string(key), validUntil.value_or(now)}, 0, {}};
+    }
     const auto waiter = ++lastWaiter_;
     waiters_.emplace(waiter, Waiter {entry, patienceEnd});
     patience_.emplace(patienceEnd, waiter);
     entry->waiters.push_back(waiter);
     want(*entry);
-    return {Taking::Kind::Waiting, {}, waiter, {}};
+    return {kind, {}, waiter, {}};
 }
 
 std::optional<Base::Instant> AllowanceStock::take(Base::Instant now, std::string_view key)
--- a/Libraries/LibAllowance/AllowanceStock.h
+++ b/Libraries/LibAllowance/AllowanceStock.h
@@ -59,10 +59,13 @@
 
     /// Spends a unit, or queues the request until `patienceEnd`.
     Taking take(Base::Instant now, std::string_view key, Base::Instant patienceEnd);
+    /// What take() would answer. Spends nothing and notes no demand.
+    Taking::Kind foresee(Base::Instant now, std::string_view key, Base::Instant patienceEnd) const;
     void abandon(WaiterId waiter);
 
     // UnitSource
     std::optional<Base::Instant> take(Base::Instant now, std::string_view key) override;
+    bool has(Base::Instant now, std::string_view key) const override;
     void giveBack(Base::Instant now, std::string_view key, Base::Instant validUntil) override;
 
     /// A call to the leader that should be made at once.
@@ -132,6 +135,8 @@
     };
 
     Entry *entryFor(Base::Instant now, std::string_view key);
+    static bool hasUnit(Base::Instant now, const Entry &entry);
+    Taking::Kind foresee(Base::Instant now, const Entry &entry, Base::Instant patienceEnd) const;
     static double demandAt(Base::Instant now, const Entry &entry);
     std::uint32_t wantedStock(Base::Instant now, const Entry &entry) const;
     void noteDemand(Base::Instant now, Entry &entry);
--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -20,6 +20,19 @@
     Usual
 };
 
+/// Why a server can get no new attempt now.
+enum class Obstacle : std::uint8_t {
+    None,
+    NotReady, ///< By the platform's list: it drains, or is gone.
+    Displaced,
+    Evacuated,
+    Misdirected,
+    Left, ///< The end of its use that followed from its announcement has passed.
+    Paused,
+    Full, ///< Open attempts have reached its limit.
+    NoUnit ///< It is cold, and no unit for it is in stock.
+};
+
 /// One incarnation of a backend server with this gateway's observations of it.
 struct Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
@@ -64,14 +77,24 @@
     /// Whether connections to it are kept for later requests.
     bool keepsConnections() const { return isListedReady() && !evacuated && !lastUse && !misdirectedUntil; }
 
+    /// Apart from a pause that it has asked for, and from its room.
+    Obstacle obstacleAfterPause(Base::Instant now) const
+    {
+        if (!isListedReady())
+            return displaced ? Obstacle::Displaced : Obstacle::NotReady;
+        if (evacuated)
+            return Obstacle::Evacuated;
+        if (misdirectedUntil && now < *misdirectedUntil)
+            return Obstacle::Misdirected;
+        return lastUse && now >= *lastUse ? Obstacle::Left : Obstacle::None;
+    }
+
     /// Apart from a pause that it has asked for.
     Availability availabilityAfterPause(Base::Instant now) const
     {
-        if (!isListedReady() || evacuated || (misdirectedUntil && now < *misdirectedUntil))
+        if (obstacleAfterPause(now) != Obstacle::None)
             return Availability::None;
-        if (!lastUse)
-            return Availability::Usual;
-        return now < *lastUse ? Availability::LastResort : Availability::None;
+        return lastUse ? Availability::LastResort : Availability::Usual;
     }
 
     Availability availability(Base::Instant now) const
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -63,10 +63,15 @@
 /// A single lost connection may be chance; two in a row indicate a fault.
 constexpr std::uint32_t FailuresBeforeAvoidance = 2;
 
+bool hasFreshLoad(Base::Instant now, const Backend &backend)
+{
+    return backend.loadKnown && now - backend.loadAt < MaxLoadReportAge;
+}
+
 /// Whether the server has reported within the last moments that its queue is long.
 bool reportsLongQueue(Base::Instant now, const Backend &backend)
 {
-    return backend.loadKnown && now - backend.loadAt < MaxLoadReportAge
+    return hasFreshLoad(now, backend)
            && backend.load.waiting >= LongQueuePerSlot * std::max(1U, backend.record.slots);
 }
 
@@ -120,6 +125,18 @@
     return steady + (backend.slowness - steady) * std::exp2(-age / SlownessHalfLifeMs);
 }
 
+/// Whether a server with these goes before another one.
+bool goesBefore(Availability availability, double cost, Availability otherAvailability, double otherCost)
+{
+    return availability != otherAvailability ? availability > otherAvailability : cost < otherCost;
+}
+
+/// `spread` is in [0, 1).
+double spreadCost(double costMs, double distanceMs, double spread)
+{
+    return costMs * (1.0 + TieSpread * spread) + distanceMs;
+}
+
 void addErrorSample(Base::Instant now, Backend &backend, double sample)
 {
     const auto rate = decayedErrorRate(now, backend);
@@ -301,13 +318,9 @@
             || !hasRoom(now, *backend, connectionShare)
             || std::find(excluded.begin(), excluded.end(), backend) != excluded.end())
             continue;
-        const auto distance =
-            backend->record.dataCentre == dataCentre_
-                ? 0.0
-                : OtherDataCentreMs + OtherDataCentreShare * Base::toMilliseconds(latencyTarget);
-        const auto estimate =
-            placementCostMs(now, *backend, meanLatency) * (1.0 + TieSpread * random_.unit()) + distance;
-        if (availability > bestAvailability || estimate < bestEstimate) {
+        const auto estimate = spreadCost(placementCostMs(now, *backend, meanLatency),
+                                         distanceMs(*backend, latencyTarget), random_.unit());
+        if (!found || goesBefore(availability, estimate, bestAvailability, bestEstimate)) {
             found = backend;
             bestEstimate = estimate;
             bestAvailability = availability;
@@ -316,11 +329,80 @@
     return found;
 }
 
+double BackendTable::distanceMs(const Backend &backend, Base::Duration latencyTarget) const
+{
+    return backend.record.dataCentre == dataCentre_
+               ? 0.0
+               : OtherDataCentreMs + OtherDataCentreShare * Base::toMilliseconds(latencyTarget);
+}
+
+ServerStanding BackendTable::standingOf(Base::Instant now, const BackendPointer &backend,
+                                        std::uint32_t connectionShare, Base::Duration meanLatency,
+                                        Base::Duration latencyTarget) const
+{
+    ServerStanding standing;
+    standing.server = backend;
+    standing.availability = backend->availability(now);
+    standing.latencyMs = latencyEstimateMs(now, *backend, meanLatency);
+    standing.distanceMs = distanceMs(*backend, latencyTarget);
+    standing.costMs = spreadCost(placementCostMs(now, *backend, meanLatency), standing.distanceMs, 0.0);
+    standing.slowness = decayedSlowness(now, *backend);
+    standing.errorRate = decayedErrorRate(now, *backend);
+    standing.open = static_cast<std::uint32_t>(backend->openSince.size());
+    standing.limit = attemptLimit(now, *backend, connectionShare);
+    standing.slotLimit = slotLimit(*backend, connectionShare);
+    standing.isLimitLearned =
+        backend->history && backend->history->concurrency.limit(standing.slotLimit) < standing.slotLimit;
+    standing.reportsLongQueue = reportsLongQueue(now, *backend);
+    if (hasFreshLoad(now, *backend))
+        standing.load = backend->load;
+    standing.isStalled = isStalled(now, *backend, meanLatency);
+    standing.isCold = backend->isCold(now);
+    standing.coldPerSecond = coldLimit(now, *backend);
+    standing.isResuming = backend->resuming && now >= backend->pausedUntil;
+    standing.pausedFor = std::max(Base::Duration::zero(), backend->pausedUntil - now);
+    standing.avoidedFor = std::max(Base::Duration::zero(), backend->avoidUntil - now);
+    if (backend->lastUse)
+        standing.leavesIn = *backend->lastUse - now;
+    standing.obstacle = backend->obstacleAfterPause(now);
+    if (standing.obstacle == Obstacle::None && standing.availability == Availability::None)
+        standing.obstacle = Obstacle::Paused;
+    if (standing.obstacle == Obstacle::None && !hasRoom(now, *backend, connectionShare))
+        standing.obstacle = Obstacle::Full;
+    if (standing.obstacle == Obstacle::None && standing.coldPerSecond && !coldUnits_->has(now, *backend))
+        standing.obstacle = Obstacle::NoUnit;
+    return standing;
+}
+
+std::vector<ServerStanding> BackendTable::standings(Base::Instant now, std::string_view service,
+                                                    std::uint32_t connectionShare, Base::Duration meanLatency,
+                                                    Base::Duration latencyTarget) const
+{
+    std::vector<ServerStanding> all;
+    for (const auto &backend : serversOf(service))
+        all.push_back(standingOf(now, backend, connectionShare, meanLatency, latencyTarget));
+    std::stable_sort(all.begin(), all.end(), [](const ServerStanding &left, const ServerStanding &right) {
+        const auto isFree = [](const ServerStanding &one) { return one.obstacle == Obstacle::None; };
+        return isFree(left) != isFree(right)
+                   ? isFree(left)
+                   : goesBefore(left.availability, left.costMs, right.availability, right.costMs);
+    });
+    double mostOfBest = std::numeric_limits<double>::max();
+    for (auto &standing : all) {
+        if (standing.obstacle != Obstacle::None || standing.availability != all.front().availability)
+            break;
+        mostOfBest =
+            std::min(mostOfBest, spreadCost(standing.costMs - standing.distanceMs, standing.distanceMs, 1.0));
+        standing.mayBeChosen = standing.costMs <= mostOfBest;
+    }
+    return all;
+}
+
 double BackendTable::latencyEstimateMs(Base::Instant now, const Backend &backend, Base::Duration meanLatency)
 {
     const auto mean = Base::toMilliseconds(meanLatency) * decayedSlowness(now, backend);
     const auto loadAge = now - backend.loadAt;
-    const bool loadIsFresh = backend.loadKnown && loadAge < MaxLoadReportAge;
+    const bool loadIsFresh = hasFreshLoad(now, backend);
     const double own = static_cast<double>(backend.openSince.size());
     // The reported work completes over time; it is assumed to halve with every mean latency.
     const double reported = static_cast<double>(backend.load.running + backend.load.waiting)
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -3,6 +3,7 @@
 #include "LibBase/RandomSource.h"
 #include "LibForward/Backend.h"
 #include "LibForward/ColdUnits.h"
+#include "LibForward/ServerStanding.h"
 
 #include <map>
 #include <optional>
@@ -11,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace Forward {
 
@@ -69,6 +71,12 @@
                           std::span<const BackendPointer> excluded, std::uint32_t connectionShare,
                           Base::Duration meanLatency, Base::Duration latencyTarget);
 
+    /// All servers of the service in the order in which choose() tries them, then those that it cannot
+    /// choose. Spends no unit and changes nothing.
+    std::vector<ServerStanding> standings(Base::Instant now, std::string_view service,
+                                          std::uint32_t connectionShare, Base::Duration meanLatency,
+                                          Base::Duration latencyTarget) const;
+
     /// Number of servers that accept work.
     std::size_t eligibleCount(Base::Instant now, std::string_view service) const;
     /// Whether a server that accepts work is not among `tried`.
@@ -135,6 +143,9 @@
     BackendPointer best(Base::Instant now, std::string_view service, std::span<const BackendPointer> excluded,
                         std::uint32_t connectionShare, Base::Duration meanLatency,
                         Base::Duration latencyTarget);
+    double distanceMs(const Backend &backend, Base::Duration latencyTarget) const;
+    ServerStanding standingOf(Base::Instant now, const BackendPointer &backend, std::uint32_t connectionShare,
+                              Base::Duration meanLatency, Base::Duration latencyTarget) const;
     /// Requests per second that the server tolerates from all gateways together; empty if it has no bound.
     std::optional<double> coldLimit(Base::Instant now, const Backend &backend) const;
     std::span<const BackendPointer> serversOf(std::string_view service) const;
--- a/Libraries/LibForward/ColdUnits.h
+++ b/Libraries/LibForward/ColdUnits.h
@@ -17,6 +17,9 @@
     /// in stock; then nothing may be sent there now.
     virtual std::optional<Base::Instant> take(Base::Instant now, const Backend &server) = 0;
 
+    /// Whether take() would find a unit. Spends nothing and notes no demand.
+    virtual bool has(Base::Instant now, const Backend &server) const = 0;
+
     /// Gives a unit back whose attempt did not count at the server; `validUntil` is what take() returned.
     virtual void giveBack(Base::Instant now, const Backend &server, Base::Instant validUntil) = 0;
 };
--- a/Libraries/LibForward/ForwardCore.cpp
+++ b/Libraries/LibForward/ForwardCore.cpp
@@ -69,10 +69,10 @@
         budget.setMaxTokens(maxExtraTokens());
 }
 
-ExchangeId ForwardCore::begin(Base::Instant now, RequestFacts facts)
+/// Still without legs.
+ForwardCore::Exchange ForwardCore::makeExchange(Base::Instant now, RequestFacts facts)
 {
-    const auto id = ++lastId_;
-    auto &exchange = exchanges_[id];
+    Exchange exchange;
     exchange.facts = std::move(facts);
     const auto &route = *exchange.facts.route;
     exchange.arrivedAt = now;
@@ -80,12 +80,26 @@
     const auto &delay = exchange.facts.callerDelay;
     exchange.answerBy = now + std::max(route.latencyTarget - delay.network, Base::Duration::zero());
     exchange.answerEarlyBy = std::max(now, exchange.answerBy - delay.lookUp);
-    if (route.gather) {
-        for (const auto &shard : route.gather->shards)
-            exchange.legs.emplace_back().service = shard;
-    } else {
-        exchange.legs.emplace_back().service = pickTarget(route);
+    return exchange;
+}
+
+/// `target` is ignored for a gather.
+void ForwardCore::addLegs(Exchange &exchange, std::string_view target)
+{
+    if (!exchange.isGather()) {
+        exchange.legs.emplace_back().service = target;
+        return;
     }
+    for (const auto &shard : exchange.facts.route->gather->shards)
+        exchange.legs.emplace_back().service = shard;
+}
+
+ExchangeId ForwardCore::begin(Base::Instant now, RequestFacts facts)
+{
+    const auto id = ++lastId_;
+    auto &exchange = exchanges_[id];
+    exchange = makeExchange(now, std::move(facts));
+    addLegs(exchange, exchange.isGather() ? std::string_view() : pickTarget(*exchange.facts.route));
     for (const auto &leg : exchange.legs)
         budgetOf(leg.service).earn(extraTokensPerRequest());
     followTenants(exchange.facts.table);
@@ -96,7 +110,7 @@
         finish(now, id, exchange, std::move(*refusal));
         return id;
     }
-    const auto before = sharesFairly() ? claimsWaiting(now) : ClaimsByService();
+    const auto before = sharesFairly() ? claimsWaiting(now, meanAllowance_) : ClaimsByService();
     for (std::size_t index = 0; index < exchange.legs.size(); ++index)
         dispatch(now, id, exchange, index);
     if (sharesFairly())
@@ -113,17 +127,25 @@
     if (route.targets.size() == 1)
         return route.targets.front().service;
     auto &credits = splitCredits_[route.name];
-    double total = 0.0;
-    for (const auto &target : route.targets)
-        total += target.weight;
     if (credits.size() != route.targets.size()) {
+        double total = 0.0;
+        for (const auto &target : route.targets)
+            total += target.weight;
         credits.clear();
         for (std::size_t index = 0; index < route.targets.size(); ++index)
             credits.push_back(random_.unit() * total / 2);
     }
+    return route.targets[nextTarget(route, credits)].service;
+}
+
+/// Takes the turn of the target that is next, and returns its index. There is a credit for each target.
+std::size_t ForwardCore::nextTarget(const Route::RouteRule &route, std::vector<double> &credits)
+{
+    double total = 0.0;
     std::size_t best = 0;
     bool found = false;
     for (std::size_t index = 0; index < route.targets.size(); ++index) {
+        total += route.targets[index].weight;
         credits[index] += route.targets[index].weight;
         // A weight of 0 disables a service, even if it has credit left.
         if (route.targets[index].weight > 0.0 && (!found || credits[index] > credits[best])) {
@@ -132,57 +154,89 @@
         }
     }
     credits[best] -= total;
-    return route.targets[best].service;
+    return best;
 }
 
-/// Refuses a request that cannot succeed, at once and while nothing of it has run. If all servers of some
-/// services are silent, a request that needs them would hang until its deadline and load the other services
-/// in vain. One request per ProbeInterval is admitted to detect their recovery.
-std::optional<Outcome> ForwardCore::refuseUnservable(ExchangeId id, Exchange &exchange)
+ForwardCore::ServiceCounts ForwardCore::countServices(const Exchange &exchange, bool isRoomShared) const
 {
     const auto silence = silenceLimit(exchange.facts.route->name);
-    std::size_t silent = 0;
     const auto latest = exchange.latestStart();
-    std::size_t reachable = 0;
-    std::size_t pausing = 0;
-    std::size_t inTime = 0;
-    const auto waiting =
-        sharesFairly() ? std::unordered_map<std::string_view, std::size_t>() : waitingAhead(exchange);
+    ServiceCounts counts;
+    const auto waiting = isRoomShared ? Counts() : waitingAhead(exchange);
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(exchange.arrivedAt, leg.service) == 0) {
-            pausing += backends_.resumesAt(exchange.arrivedAt, leg.service) ? 1 : 0;
+            counts.pausing += backends_.resumesAt(exchange.arrivedAt, leg.service) ? 1 : 0;
             continue;
         }
-        ++reachable;
-        silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
+        ++counts.reachable;
+        counts.silent += backends_.isSilent(exchange.arrivedAt, leg.service, silence) ? 1 : 0;
         const auto ahead = waiting.find(leg.service);
         const bool mayStart =
             ahead == waiting.end()
             || exchange.arrivedAt + expectedWait(exchange, leg.service, ahead->second) < latest;
-        inTime += mayStart ? 1 : 0;
+        counts.inTime += mayStart ? 1 : 0;
     }
+    return counts;
+}
+
+/// If all servers of some services are silent, a request that needs them would hang until its deadline and
+/// load the other services in vain. One request per ProbeInterval is admitted to detect their recovery.
+bool ForwardCore::needsProbe(const Exchange &exchange, const ServiceCounts &counts) const
+{
+    return static_cast<double>(counts.reachable - counts.silent) < exchange.legsNeeded();
+}
+
+/// A request that cannot succeed is refused at once and while nothing of it has run.
+std::optional<Refusal> ForwardCore::findUnservable(const Exchange &exchange,
+                                                   const ServiceCounts &counts) const
+{
     const auto needed = exchange.legsNeeded();
-    if (static_cast<double>(reachable) < needed && static_cast<double>(reachable + pausing) >= needed)
-        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
-                             "too many of the required services have only servers that asked for a pause");
-    if (static_cast<double>(reachable) < needed)
-        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
-                             backends_.isLoaded()
-                                 ? "too few of the required services have a server that accepts work"
-                                 : "the list of servers is not known yet");
-    if (static_cast<double>(reachable - silent) < needed && !probeIsDue(exchange))
-        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::NoEligibleReplica,
-                             "too many of the required services have only unresponsive servers");
-    const bool waitsTooLong =
-        sharesFairly() ? refuseFairly(id, exchange) : static_cast<double>(inTime) < needed;
-    if (waitsTooLong)
-        return failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::Overloaded,
-                             "the queued work would delay this request past its time limit");
+    const bool isReachable = static_cast<double>(counts.reachable) >= needed;
+    if (!isReachable && static_cast<double>(counts.reachable + counts.pausing) >= needed)
+        return Refusal {Base::ErrorKind::Overloaded,
+                        "too many of the required services have only servers that asked for a pause"};
+    if (!isReachable)
+        return Refusal {Base::ErrorKind::NoEligibleReplica,
+                        backends_.isLoaded()
+                            ? "too few of the required services have a server that accepts work"
+                            : "the list of servers is not known yet"};
+    if (needsProbe(exchange, counts) && !isProbeDue(exchange))
+        return Refusal {Base::ErrorKind::NoEligibleReplica,
+                        "too many of the required services have only unresponsive servers"};
     return std::nullopt;
 }
 
-/// Refuses a request that this gateway could not answer before its planned stop.
-std::optional<Outcome> ForwardCore::refuseUnfinishable(const Exchange &exchange)
+/// Whether the turn of a new request would come too late. In `view`, what waits includes no leg of it, and it
+/// has been counted as demand.
+std::optional<Refusal> ForwardCore::findLateTurn(ExchangeId id, const Exchange &exchange,
+                                                 const ServiceCounts &counts, const SharingView &view) const
+{
+    const bool isLate = view.sharesFairly()
+                            ? !waiting_.empty() && waitsPastLimit(exchange.arrivedAt, id, exchange, view)
+                            : static_cast<double>(counts.inTime) < exchange.legsNeeded();
+    if (!isLate)
+        return std::nullopt;
+    return Refusal {Base::ErrorKind::Overloaded,
+                    "the queued work would delay this request past its time limit"};
+}
+
+std::optional<Outcome> ForwardCore::refuseUnservable(ExchangeId id, Exchange &exchange)
+{
+    const auto counts = countServices(exchange, sharesFairly());
+    auto refusal = findUnservable(exchange, counts);
+    if (!refusal) {
+        if (needsProbe(exchange, counts))
+            nextProbes_[exchange.facts.route->name] = exchange.arrivedAt + ProbeInterval;
+        refusal = sharesFairly() ? refuseFairly(id, exchange, counts)
+                                 : findLateTurn(id, exchange, counts, sharing({}));
+    }
+    if (!refusal)
+        return std::nullopt;
+    return failedOutcome(exchange.arrivedAt, exchange, refusal->error, std::string(refusal->cause));
+}
+
+/// A request that this gateway could not answer before its planned stop is refused.
+std::optional<Refusal> ForwardCore::findUnfinishable(const Exchange &exchange) const
 {
     if (stopTime_ == Base::Instant::max())
         return std::nullopt;
@@ -191,20 +245,24 @@
     const auto expected = expectedDuration(route, times == routeTimes_.end() ? nullptr : &times->second);
     if (std::min(exchange.arrivedAt + expected, exchange.deadline) <= stopTime_)
         return std::nullopt;
-    auto outcome = failedOutcome(exchange.arrivedAt, exchange, Base::ErrorKind::ShuttingDown,
-                                 "gateway stops before this request would be done");
+    return Refusal {Base::ErrorKind::ShuttingDown, "gateway stops before this request would be done"};
+}
+
+std::optional<Outcome> ForwardCore::refuseUnfinishable(const Exchange &exchange)
+{
+    const auto refusal = findUnfinishable(exchange);
+    if (!refusal)
+        return std::nullopt;
+    auto outcome = failedOutcome(exchange.arrivedAt, exchange, refusal->error, std::string(refusal->cause));
     outcome.retryAfter = RetryElsewhereDelay;
     return outcome;
 }
 
-/// Returns whether this request should probe silent servers, and if so starts a new probe interval.
-bool ForwardCore::probeIsDue(const Exchange &exchange)
+/// Whether this request should probe silent servers.
+bool ForwardCore::isProbeDue(const Exchange &exchange) const
 {
-    auto &next = nextProbes_[exchange.facts.route->name];
-    if (exchange.arrivedAt < next)
-        return false;
-    next = exchange.arrivedAt + ProbeInterval;
-    return true;
+    const auto next = nextProbes_.find(exchange.facts.route->name);
+    return next == nextProbes_.end() || exchange.arrivedAt >= next->second;
 }
 
 /// Removes and returns an attempt that has ended; empty if it was aborted before.
@@ -499,6 +557,13 @@
     }
 }
 
+/// As timesOf() would tell.
+Base::Duration ForwardCore::expectedLatency(const Route::RouteRule &route) const
+{
+    const auto times = routeTimes_.find(route.name);
+    return times == routeTimes_.end() ? RouteTimes(route.latencyTarget).mean() : times->second.mean();
+}
+
 RouteTimes &ForwardCore::timesOf(const Route::RouteRule &route)
 {
     return routeTimes_.try_emplace(route.name, route.latencyTarget).first->second;
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -5,6 +5,7 @@
 #include "LibEdge/BackendConnection.h"
 #include "LibForward/BackendTable.h"
 #include "LibForward/CallerDelay.h"
+#include "LibForward/Explanation.h"
 #include "LibForward/FairQueue.h"
 #include "LibForward/RouteTimes.h"
 #include "LibQuery/ExtraLoadBudget.h"
@@ -169,6 +170,8 @@
     void setGatewayCount(std::size_t count);
 
     ExchangeId begin(Base::Instant now, RequestFacts facts);
+    /// What begin() would do with such a request. Changes nothing and spends nothing.
+    Explanation explain(Base::Instant now, const RequestFacts &facts) const;
     void replyArrived(Base::Instant now, AttemptId attempt, AttemptReply reply);
     void attemptFailed(Base::Instant now, AttemptId attempt, Edge::ExchangeFailure failure);
     /// The caller disconnected: nothing more is sent for it, and open attempts are aborted unless they end
@@ -266,16 +269,46 @@
     };
 
     using ClaimsByService = std::map<std::string_view, std::vector<RoomClaim>>;
+    using FairQueues = std::map<std::string, FairQueue, std::less<>>;
+
+    /// Counts of the services that a new request needs.
+    struct ServiceCounts
+    {
+        std::size_t reachable = 0; ///< Have a server that accepts work.
+        std::size_t pausing = 0; ///< Are not reachable, and have servers that asked for a pause.
+        std::size_t silent = 0; ///< Are reachable, and all of their servers leave attempts unanswered.
+        std::size_t inTime = 0; ///< Would take the request in time, if room is not shared by tenant.
+    };
+
+    /// What a decision about the sharing of room depends on.
+    struct SharingView
+    {
+        double meanAllowance = 0.0; ///< As meanAllowance_.
+        const FairQueues &queues;
+        const ClaimsByService &waiting; ///< Empty unless room is shared by tenant.
+
+        bool sharesFairly() const { return meanAllowance > 0.0; }
+    };
+
+    using Counts = std::unordered_map<std::string_view, std::size_t>; ///< By service.
 
     std::optional<Attempt> takeAttempt(AttemptId id);
     Exchange *endAttempt(const Attempt &attempt);
     Base::Duration silenceLimit(const std::string &routeName) const;
     Base::Duration meanLatency(const std::string &routeName) const;
-    bool probeIsDue(const Exchange &exchange);
+    Base::Duration expectedLatency(const Route::RouteRule &route) const;
+    static Exchange makeExchange(Base::Instant now, RequestFacts facts);
+    static void addLegs(Exchange &exchange, std::string_view target);
+    bool isProbeDue(const Exchange &exchange) const;
     std::string_view pickTarget(const Route::RouteRule &route);
+    static std::size_t nextTarget(const Route::RouteRule &route, std::vector<double> &credits);
+    ServiceCounts countServices(const Exchange &exchange, bool isRoomShared) const;
+    bool needsProbe(const Exchange &exchange, const ServiceCounts &counts) const;
+    std::optional<Refusal> findUnservable(const Exchange &exchange, const ServiceCounts &counts) const;
+    std::optional<Refusal> findUnfinishable(const Exchange &exchange) const;
     std::optional<Outcome> refuseUnservable(ExchangeId id, Exchange &exchange);
     std::optional<Outcome> refuseUnfinishable(const Exchange &exchange);
-    std::unordered_map<std::string_view, std::size_t> waitingAhead(const Exchange &exchange) const;
+    Counts waitingAhead(const Exchange &exchange) const;
     Base::Duration expectedWait(const Exchange &exchange, std::string_view service, std::size_t ahead) const;
     bool dispatch(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
     bool sendExtra(Base::Instant now, ExchangeId id, Exchange &exchange, std::size_t legIndex);
@@ -284,19 +317,31 @@
     void dispatchWaiting(Base::Instant now);
     void concludeDispatched(Base::Instant now, ExchangeId id, std::size_t legIndex);
     bool sharesFairly() const { return meanAllowance_ > 0.0; }
-    bool refuseFairly(ExchangeId id, Exchange &exchange);
+    std::optional<Refusal> findLateTurn(ExchangeId id, const Exchange &exchange, const ServiceCounts &counts,
+                                        const SharingView &view) const;
+    std::optional<Refusal> refuseFairly(ExchangeId id, Exchange &exchange, const ServiceCounts &counts);
     void followTenants(const std::shared_ptr<const Route::RouteTable> &table);
-    RoomClaim claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange);
-    ClaimsByService claimsWaiting(Base::Instant now);
+    static double meanAllowanceOf(const Route::Configuration &configuration);
+    SharingView sharing(const ClaimsByService &waiting) const
+    {
+        return {meanAllowance_, fairQueues_, waiting};
+    }
+    RoomClaim claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange, double meanAllowance) const;
+    ClaimsByService claimsWaiting(Base::Instant now, double meanAllowance) const;
     FairQueue &fairQueueOf(std::string_view service);
+    static const FairQueue &queueIn(const FairQueues &queues, std::string_view service);
     Base::Duration fairWait(Base::Instant now, const Exchange &exchange, std::string_view service,
-                            const RoomClaim &claim, std::span<const RoomClaim> waiting);
+                            const RoomClaim &claim, std::span<const RoomClaim> waiting,
+                            const FairQueue &queue) const;
     bool waitsPastLimit(Base::Instant now, ExchangeId id, const Exchange &exchange,
-                        const ClaimsByService &waiting);
+                        const SharingView &view) const;
+    LegExplanation explainLeg(const Exchange &exchange, std::string_view service, const Counts &ahead,
+                              const SharingView &view) const;
     void shareRoom(Base::Instant now, ExchangeId id, Exchange &exchange, const ClaimsByService &before);
     void makeRoom(Base::Instant now, ExchangeId id, const Exchange &exchange, const ClaimsByService &waiting);
     void dispatchFairly(Base::Instant now);
     bool canMeetTarget(Base::Instant now, const Exchange &exchange) const;
+    static bool canMeetTarget(Base::Instant now, const Exchange &exchange, Base::Duration latency);
     bool isQueued(ExchangeId id, std::size_t legIndex) const;
     bool beginRecovery(Base::Instant now, const Exchange &exchange, Leg &leg);
     bool mayRetry(Base::Instant now, const Exchange &exchange, const Leg &leg) const;
@@ -334,7 +379,7 @@
     std::shared_ptr<const Route::RouteTable> latestTable_; ///< Whose tenants share the room.
     /// Requests per second, of the tenants that have an allowance; 0 if there are no tenants at all.
     double meanAllowance_ = 0.0;
-    std::map<std::string, FairQueue, std::less<>> fairQueues_; ///< By service; empty without tenants.
+    FairQueues fairQueues_; ///< By service; empty without tenants.
     std::unordered_map<std::string, RouteTimes> routeTimes_; ///< By route name.
     std::unordered_map<std::string, Query::ExtraLoadBudget> budgets_; ///< By service.
     std::unordered_map<std::string, std::vector<double>> splitCredits_; ///< By route name.
--- a/Libraries/LibForward/ForwardCorePlacing.cpp
+++ b/Libraries/LibForward/ForwardCorePlacing.cpp
@@ -57,9 +57,9 @@
 }
 
 /// Number of waiting legs per service that are at least as urgent as the exchange.
-std::unordered_map<std::string_view, std::size_t> ForwardCore::waitingAhead(const Exchange &exchange) const
+ForwardCore::Counts ForwardCore::waitingAhead(const Exchange &exchange) const
 {
-    std::unordered_map<std::string_view, std::size_t> counts;
+    Counts counts;
     for (const auto &waiting : waiting_) {
         const auto &other = exchanges_.at(waiting.exchange);
         if (other.facts.rank() <= exchange.facts.rank())
@@ -115,7 +115,12 @@
 /// Returns whether a first attempt sent now is expected to be answered within the latency target.
 bool ForwardCore::canMeetTarget(Base::Instant now, const Exchange &exchange) const
 {
-    return now + meanLatency(exchange.facts.route->name) <= exchange.answerBy;
+    return canMeetTarget(now, exchange, meanLatency(exchange.facts.route->name));
+}
+
+bool ForwardCore::canMeetTarget(Base::Instant now, const Exchange &exchange, Base::Duration latency)
+{
+    return now + latency <= exchange.answerBy;
 }
 
 /// Dispatches waiting legs when there is more work than slots. Legs are ordered by rank, then by whether they
--- a/Libraries/LibForward/ForwardCoreSharing.cpp
+++ b/Libraries/LibForward/ForwardCoreSharing.cpp
@@ -14,20 +14,27 @@
 
 } // namespace
 
-/// Takes over the tenants of the table of a new request. Without tenants nothing is kept.
-void ForwardCore::followTenants(const std::shared_ptr<const Route::RouteTable> &table)
+/// Requests per second, of the tenants that have an allowance; 0 if there are no tenants at all.
+double ForwardCore::meanAllowanceOf(const Route::Configuration &configuration)
 {
-    if (latestTable_ == table)
-        return;
-    latestTable_ = table;
-    const auto &tenants = table->configuration().tenants;
+    const auto &tenants = configuration.tenants;
     double sum = 0.0;
     double count = 0.0;
     for (const auto &tenant : tenants) {
         sum += tenant.requestsPerSecond;
         count += tenant.requestsPerSecond > 0.0 ? 1.0 : 0.0;
     }
-    meanAllowance_ = tenants.empty() ? 0.0 : count > 0.0 ? sum / count : 1.0;
+    return tenants.empty() ? 0.0 : count > 0.0 ? sum / count : 1.0;
+}
+
+/// Takes over the tenants of the table of a new request. Without tenants nothing is kept.
+void ForwardCore::followTenants(const std::shared_ptr<const Route::RouteTable> &table)
+{
+    if (latestTable_ == table)
+        return;
+    latestTable_ = table;
+    const auto &tenants = table->configuration().tenants;
+    meanAllowance_ = meanAllowanceOf(table->configuration());
     if (tenants.empty())
         fairQueues_.clear();
     for (auto &[service, queue] : fairQueues_)
@@ -44,7 +51,16 @@
     return queue;
 }
 
-RoomClaim ForwardCore::claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange)
+/// A queue that does not exist yet owes nothing to anybody.
+const FairQueue &ForwardCore::queueIn(const FairQueues &queues, std::string_view service)
+{
+    static const FairQueue Empty;
+    const auto found = queues.find(service);
+    return found == queues.end() ? Empty : found->second;
+}
+
+RoomClaim ForwardCore::claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange,
+                               double meanAllowance) const
 {
     RoomClaim claim;
     claim.rank = exchange.facts.rank();
@@ -52,10 +68,11 @@
         claim.tenant = tenant->name;
         // A tenant without an allowance counts as an average one.
         if (tenant->requestsPerSecond > 0.0)
-            claim.weight = tenant->requestsPerSecond / meanAllowance_;
+            claim.weight = tenant->requestsPerSecond / meanAllowance;
     }
-    claim.costMs = std::max(MinCostMs, Base::toMilliseconds(timesOf(*exchange.facts.route).mean()));
-    claim.late = !canMeetTarget(now, exchange);
+    const auto mean = expectedLatency(*exchange.facts.route);
+    claim.costMs = std::max(MinCostMs, Base::toMilliseconds(mean));
+    claim.late = !canMeetTarget(now, exchange, mean);
     claim.nothingSent = exchange.sends == 0;
     claim.deadline = exchange.deadline;
     claim.id = id;
@@ -63,61 +80,68 @@
 }
 
 /// Claims of the waiting legs. They refer to names in the tables of their exchanges.
-ForwardCore::ClaimsByService ForwardCore::claimsWaiting(Base::Instant now)
+ForwardCore::ClaimsByService ForwardCore::claimsWaiting(Base::Instant now, double meanAllowance) const
 {
     ClaimsByService claims;
     for (const auto &waiting : waiting_) {
         const auto &exchange = exchanges_.at(waiting.exchange);
-        claims[exchange.legs[waiting.leg].service].push_back(claimOf(now, waiting.exchange, exchange));
+        claims[exchange.legs[waiting.leg].service].push_back(
+            claimOf(now, waiting.exchange, exchange, meanAllowance));
     }
     return claims;
 }
 
 /// Estimated time until the claim's fair turn.
 Base::Duration ForwardCore::fairWait(Base::Instant now, const Exchange &exchange, std::string_view service,
-                                     const RoomClaim &claim, std::span<const RoomClaim> waiting)
+                                     const RoomClaim &claim, std::span<const RoomClaim> waiting,
+                                     const FairQueue &queue) const
 {
-    const auto mean = timesOf(*exchange.facts.route).mean();
+    const auto mean = expectedLatency(*exchange.facts.route);
     const auto rate = backends_.attemptsPerMillisecond(
         now, service, connectionShare(exchange.facts.table->configuration(), service), mean);
     if (rate <= 0.0)
         return exchange.deadline - now;
     const auto room = rate * std::max(MinCostMs, Base::toMilliseconds(mean));
-    const auto waitMs = fairQueueOf(service).costAheadMs(claim, waiting) / room;
+    const auto waitMs = queue.costAheadMs(claim, waiting) / room;
     return Base::Duration(static_cast<Base::Duration::rep>(waitMs * 1000.0));
 }
 
 /// Whether too many legs of a request of which nothing was sent would get their turn past its time limit.
 bool ForwardCore::waitsPastLimit(Base::Instant now, ExchangeId id, const Exchange &exchange,
-                                 const ClaimsByService &waiting)
+                                 const SharingView &view) const
 {
-    const auto claim = claimOf(now, id, exchange);
+    const auto claim = claimOf(now, id, exchange, view.meanAllowance);
     std::size_t inTime = 0;
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(now, leg.service) == 0)
             continue;
-        const auto found = waiting.find(leg.service);
-        const bool mayStart =
-            found == waiting.end()
-            || now + fairWait(now, exchange, leg.service, claim, found->second) < exchange.latestStart();
+        const auto found = view.waiting.find(leg.service);
+        const bool mayStart = found == view.waiting.end()
+                              || now
+                                         + fairWait(now, exchange, leg.service, claim, found->second,
+                                                    queueIn(view.queues, leg.service))
+                                     < exchange.latestStart();
         inTime += mayStart ? 1 : 0;
     }
     return static_cast<double>(inTime) < exchange.legsNeeded();
 }
 
-/// Returns whether a new request must be refused, because its fair turn would come too late. What others have
-/// waiting beyond their share does not count against it.
-bool ForwardCore::refuseFairly(ExchangeId id, Exchange &exchange)
+/// Counts a new request as demand, and returns why it must be refused if its fair turn would come too late.
+/// What others have waiting beyond their share does not count against it.
+std::optional<Refusal> ForwardCore::refuseFairly(ExchangeId id, Exchange &exchange,
+                                                 const ServiceCounts &counts)
 {
     const auto now = exchange.arrivedAt;
-    const auto claim = claimOf(now, id, exchange);
+    timesOf(*exchange.facts.route); // From now on, its latency is known.
+    const auto claim = claimOf(now, id, exchange, meanAllowance_);
     for (const auto &leg : exchange.legs)
         fairQueueOf(leg.service).recordArrival(now, claim);
     if (waiting_.empty())
-        return false;
-    const auto waiting = claimsWaiting(now);
-    if (!waitsPastLimit(now, id, exchange, waiting))
-        return false;
+        return std::nullopt;
+    const auto waiting = claimsWaiting(now, meanAllowance_);
+    const auto refusal = findLateTurn(id, exchange, counts, sharing(waiting));
+    if (!refusal)
+        return std::nullopt;
     exchange.sharing.result = SharingRecord::Result::Refused;
     exchange.sharing.tenant = claim.tenant;
     exchange.sharing.aboveShare =
@@ -125,7 +149,7 @@
             const auto found = waiting.find(leg.service);
             return found != waiting.end() && fairQueueOf(leg.service).isAboveShare(claim, found->second);
         });
-    return true;
+    return refusal;
 }
 
 /// Charges what a new request has sent at once, and sees to those that its waiting legs delay. `before` is
@@ -133,7 +157,7 @@
 void ForwardCore::shareRoom(Base::Instant now, ExchangeId id, Exchange &exchange,
                             const ClaimsByService &before)
 {
-    const auto claim = claimOf(now, id, exchange);
+    const auto claim = claimOf(now, id, exchange, meanAllowance_);
     bool waits = false;
     for (const auto &leg : exchange.legs) {
         const auto found = before.find(leg.service);
@@ -150,7 +174,7 @@
         return;
     exchange.sharing.result = SharingRecord::Result::Waited;
     exchange.sharing.tenant = claim.tenant;
-    makeRoom(now, id, exchange, claimsWaiting(now));
+    makeRoom(now, id, exchange, claimsWaiting(now, meanAllowance_));
 }
 
 /// Refuses the last request in the order of the tenant that is furthest above its share, if it would get its
@@ -159,7 +183,7 @@
 void ForwardCore::makeRoom(Base::Instant now, ExchangeId id, const Exchange &exchange,
                            const ClaimsByService &waiting)
 {
-    const auto claim = claimOf(now, id, exchange);
+    const auto claim = claimOf(now, id, exchange, meanAllowance_);
     for (const auto &leg : exchange.legs) {
         if (leg.state != LegState::Waiting)
             continue;
@@ -168,7 +192,7 @@
         if (!index || claims[*index].id == id)
             continue;
         const auto last = exchanges_.find(claims[*index].id);
-        if (!waitsPastLimit(now, last->first, last->second, waiting))
+        if (!waitsPastLimit(now, last->first, last->second, sharing(waiting)))
             continue;
         const bool forOther = claims[*index].tenant != claim.tenant;
         auto &record = last->second.sharing;
@@ -198,7 +222,7 @@
         if (tables.empty() || tables.back() != exchange.facts.table)
             tables.push_back(exchange.facts.table);
         auto &queue = queues[exchange.legs[waiting.leg].service];
-        queue.claims.push_back(claimOf(now, waiting.exchange, exchange));
+        queue.claims.push_back(claimOf(now, waiting.exchange, exchange, meanAllowance_));
         queue.legs.push_back(waiting);
     }
     for (auto &[service, queue] : queues) {
--- a/Services/Gateway/AllowanceClient.h
+++ b/Services/Gateway/AllowanceClient.h
@@ -45,6 +45,7 @@
 
     // UnitSource
     std::optional<Base::Instant> take(Base::Instant now, std::string_view key) override;
+    bool has(Base::Instant now, std::string_view key) const override { return stock_.has(now, key); }
     void giveBack(Base::Instant now, std::string_view key, Base::Instant validUntil) override;
 
     /// Periodic maintenance: drops what has no use and updates gauges.
--- a/Services/Gateway/ColdServerUnits.cpp
+++ b/Services/Gateway/ColdServerUnits.cpp
@@ -22,6 +22,11 @@
     return validUntil;
 }
 
+bool ColdServerUnits::has(Base::Instant now, const Forward::Backend &server) const
+{
+    return source_.has(now, keyOf(server));
+}
+
 void ColdServerUnits::giveBack(Base::Instant now, const Forward::Backend &server, Base::Instant validUntil)
 {
     source_.giveBack(now, keyOf(server), validUntil);
--- a/Services/Gateway/ColdServerUnits.h
+++ b/Services/Gateway/ColdServerUnits.h
@@ -15,6 +15,7 @@
     }
 
     std::optional<Base::Instant> take(Base::Instant now, const Forward::Backend &server) override;
+    bool has(Base::Instant now, const Forward::Backend &server) const override;
     void giveBack(Base::Instant now, const Forward::Backend &server, Base::Instant validUntil) override;
 
     /// Returns whether a unit has been missing since the last call, so that work may wait for it.
--- a/Tests/LibAllowance/TestAllowanceStock.cpp
+++ b/Tests/LibAllowance/TestAllowanceStock.cpp
@@ -245,3 +245,41 @@
     answer(Start + milliseconds(200), Start + milliseconds(202), 1);
     EXPECT_TRUE(stock_.takeArrival());
 }
+
+// An operator's question must name what a request would meet, and take nothing.
+TEST_F(StockTest, ForeseesWhatTakeAnswers)
+{
+    const auto foresee = [this](Base::Instant now) {
+        return stock_.foresee(now, "Ta", now + milliseconds(100));
+    };
+    EXPECT_EQ(foresee(Start), Kind::Waiting);
+    EXPECT_FALSE(stock_.has(Start, "Ta"));
+    EXPECT_EQ(stock_.keys(), 0U);
+    EXPECT_FALSE(stock_.nextCall(Start).has_value());
+    // The units of two requests that have left stay in stock.
+    EXPECT_EQ(take(Start).kind, Kind::Waiting);
+    const auto second = take(Start).waiter;
+    const auto third = take(Start).waiter;
+    const auto call = stock_.nextCall(Start);
+    ASSERT_TRUE(call.has_value());
+    stock_.abandon(second);
+    stock_.abandon(third);
+    stock_.callAnswered(Start, call->sequence, {{{3, 1000, 200, 300, 50.0}}, {}});
+    ASSERT_EQ(stock_.takeDecisions().size(), 1U);
+    for (int count = 0; count < 5; ++count)
+        EXPECT_EQ(foresee(Start), Kind::Granted);
+    EXPECT_TRUE(stock_.has(Start, "Ta"));
+    EXPECT_EQ(foresee(Start + seconds(1)), Kind::Waiting);
+    EXPECT_FALSE(stock_.has(Start + seconds(1), "Ta"));
+    EXPECT_EQ(take(Start).kind, Kind::Granted);
+    EXPECT_EQ(take(Start).kind, Kind::Granted);
+    EXPECT_EQ(foresee(Start), Kind::Waiting);
+    EXPECT_EQ(take(Start).kind, Kind::Waiting);
+    // A denial holds for 200 ms.
+    answer(Start + milliseconds(10), Start + milliseconds(10), 0);
+    ASSERT_EQ(stock_.takeDecisions().size(), 1U);
+    EXPECT_EQ(foresee(Start + milliseconds(20)), Kind::OverLimit);
+    EXPECT_EQ(take(Start + milliseconds(20)).kind, Kind::OverLimit);
+    EXPECT_EQ(stock_.foresee(Start, "Tb", Start), Kind::Unavailable);
+    EXPECT_EQ(stock_.take(Start, "Tb", Start).kind, Kind::Unavailable);
+}
--- a/Tests/LibForward/TestColdServers.cpp
+++ b/Tests/LibForward/TestColdServers.cpp
@@ -21,6 +21,8 @@
         return now + milliseconds(50);
     }
 
+    bool has(Base::Instant, const Forward::Backend &) const override { return stock > 0; }
+
     void giveBack(Base::Instant, const Forward::Backend &, Base::Instant) override
     {
         ++stock;
--- a/Tests/Services/TestColdServerUnits.cpp
+++ b/Tests/Services/TestColdServerUnits.cpp
@@ -19,6 +19,8 @@
         return stock-- > 0 ? std::optional(now + Base::milliseconds(50)) : std::nullopt;
     }
 
+    bool has(Base::Instant, std::string_view) const override { return stock > 0; }
+
     void giveBack(Base::Instant, std::string_view key, Base::Instant) override
     {
         givenBack.emplace_back(key);
