Let operators ask a running gateway what it would do with a request

Change: POST /v1/explain at the metrics address of a gateway, for whoever names the cluster key; without it the body is not kept. The caller's key comes from a file or the standard input, and is in no answer, error, log or metric. One line request_explained each time.

--- a/Libraries/LibSettings/KeyFile.h
+++ b/Libraries/LibSettings/KeyFile.h
@@ -3,6 +3,7 @@
 #include "LibBase/Error.h"
 
 #include <string>
+#include <string_view>
 
 namespace Settings {
 
@@ -10,4 +11,7 @@
 /// because flags and variables of a process can be read by others on its VM.
 Base::Result<std::string> readKeyFile(const std::string &path);
 
+/// The same for a secret of any length up to 4095 bytes; "-" is the standard input. `flag` is for the error.
+Base::Result<std::string> readSecret(std::string_view flag, const std::string &path);
+
 } // namespace Settings
--- a/Libraries/LibSettings/Rule.cpp
+++ b/Libraries/LibSettings/Rule.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr std::size_t LongestName = 64;
+constexpr std::size_t LongestHost = 255;
+constexpr std::size_t LongestPath = 4096;
 constexpr std::uint64_t MostMilliseconds = 600'000;
 constexpr std::uint64_t MostThreads = 4096;
 
@@ -84,6 +86,29 @@
     return std::find(Accepted.begin(), Accepted.end(), value) != Accepted.end();
 }
 
+/// Whether the value has 1 to `longest` visible ASCII characters.
+bool isVisible(std::string_view value, std::size_t longest)
+{
+    return !value.empty() && value.size() <= longest
+           && std::all_of(value.begin(), value.end(),
+                          [](char character) { return character > ' ' && character <= '~'; });
+}
+
+bool isHostName(std::string_view value)
+{
+    return isVisible(value, LongestHost) && value.find('/') == std::string_view::npos;
+}
+
+bool isRequestPath(std::string_view value)
+{
+    return isVisible(value, LongestPath) && value.front() == '/';
+}
+
+bool isOutputFormat(std::string_view value)
+{
+    return value == "text" || value == "json";
+}
+
 } // namespace
 
 constinit const Rule Text {"a text that is not empty", [](std::string_view value) { return !value.empty(); }};
@@ -101,5 +126,10 @@
 constinit const Rule Threads {"a whole number from 1 to 4096",
                               [](std::string_view value) { return isWithin(value, 1, MostThreads); }};
 constinit const Rule LogLevelName {"debug, info, warning or error", isLogLevel};
+constinit const Rule HostName {"a host as in a Host header, of 1 to 255 visible ASCII characters",
+                               isHostName};
+constinit const Rule RequestPath {"a path that starts with '/', of 1 to 4096 visible ASCII characters",
+                                  isRequestPath};
+constinit const Rule OutputFormat {"text or json", isOutputFormat};
 
 } // namespace Settings
--- a/Libraries/LibSettings/Rule.h
+++ b/Libraries/LibSettings/Rule.h
@@ -21,5 +21,8 @@
 extern const Rule Milliseconds;
 extern const Rule Threads;
 extern const Rule LogLevelName;
+extern const Rule HostName; ///< As in a Host header.
+extern const Rule RequestPath; ///< With a query or without.
+extern const Rule OutputFormat;
 
 } // namespace Settings
--- a/Services/Cli/CommandTable.cpp
+++ b/Services/Cli/CommandTable.cpp
@@ -87,6 +87,23 @@
          Json}};
 }
 
+Command explainCommand()
+{
+    return {"explain",
+            "[(REQUEST FILE...)]",
+            "Shows what the logs of gateways and registries say about one request; with --gateway, what a "
+            "running gateway would do now with a request, without sending anything.",
+            {{"gateway", &Settings::Address, "Metrics address of a running gateway."},
+             {"key-file", &Settings::Text, "File with the deployment's cluster key; needed with --gateway."},
+             {"host", &Settings::HostName, "Host of the request."},
+             {"path", &Settings::RequestPath, "Path of the request."},
+             {"caller-key-file", &Settings::Text,
+              "File with the caller's key, \"-\" for standard input; without it the request has no key."},
+             {"size", &Settings::Number, "Bytes of the request's body; 0 without it."},
+             {"format", &Settings::OutputFormat, "text or json.", "text"},
+             Timeout}};
+}
+
 std::vector<Command> buildTable()
 {
     return {
@@ -97,10 +114,7 @@
          "",
          "Keeps the routes and the list of servers for the gateways.",
          {SettingsFile, MetricsPort}},
-        {"explain",
-         "REQUEST FILE...",
-         "Shows what the logs of gateways and registries say about one request.",
-         {}},
+        explainCommand(),
         {"check-settings", "FILE", "Reports all mistakes of a settings file of a gateway or registry.", {}},
         {"validate", "FILE...", "Reports all mistakes of documents.", {Json}},
         {"diff",
--- a/Services/Cli/ExplainCommand.cpp
+++ b/Services/Cli/ExplainCommand.cpp
@@ -1,5 +1,6 @@
 #include "Services/Cli/ExplainCommand.h"
 
+#include "Services/Cli/ExplainQuestionCommand.h"
 #include "Services/Cli/ServiceCommands.h"
 
 #include <algorithm>
@@ -84,6 +85,13 @@
 
 int runExplain(const Settings::CommandLine &line)
 {
+    if (line.argument("REQUEST").empty())
+        return runExplainQuestion(line);
+    if (const auto &gateway = line.text("gateway"); !gateway.empty()) {
+        fmt::print(stderr, "--gateway: \"{}\" is not accepted together with REQUEST; accepted: one of them\n",
+                   gateway);
+        return ExitUsage;
+    }
     std::vector<std::ifstream> files;
     std::vector<NamedLog> logs;
     const auto &paths = line.argument("FILE");
--- a/Services/Cli/ExplainCommand.h
+++ b/Services/Cli/ExplainCommand.h
@@ -21,7 +21,7 @@
 std::size_t explainRequest(const std::string &requestId, const std::vector<NamedLog> &logs,
                            std::ostream &output);
 
-/// Returns the exit code of the program.
+/// Explains from logs, or by a running gateway. Returns the exit code of the program.
 int runExplain(const Settings::CommandLine &line);
 
 } // namespace Services
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -142,31 +142,76 @@
 
 void Forwarder::handle(Edge::RequestMessage request, const Edge::CallerExchange &caller)
 {
+    std::vector<std::string_view> keys;
+    if (authenticator_.isActive()) {
+        for (const auto &[name, value] : request.headers) {
+            if (Edge::equalsIgnoringCase(name, adapter_.headers().callerKey))
+                keys.emplace_back(value);
+        }
+    }
+    const auto judgement = judge(request.header("Host"), request.path(), keys);
+    if (judgement.refusal)
+        return refuse(request, caller, judgement.refusal->error, judgement.refusal->cause);
+    admit(request, caller, *judgement.route, judgement.tenant);
+}
+
+/// `keys` holds every key that the request names.
+Forwarder::Judgement Forwarder::judge(std::string_view host, std::string_view path,
+                                      std::span<const std::string_view> keys) const
+{
+    const auto refused = [](Base::ErrorKind error, std::string_view cause) {
+        return Judgement {nullptr, nullptr, Forward::Refusal {error, cause}};
+    };
     if (refusingNewRequests_)
-        return refuse(request, caller, Base::ErrorKind::ShuttingDown, "gateway is shutting down");
+        return refused(Base::ErrorKind::ShuttingDown, "gateway is shutting down");
     if (!table_ || !hasServers())
-        return refuse(request, caller, Base::ErrorKind::ControlUnavailable,
-                      table_ ? "the list of servers is not known yet" : "no configuration is known yet");
-    const auto *route = table_->find(request.header("Host"), request.path());
-    if (route == nullptr)
-        return refuse(request, caller, Base::ErrorKind::NotFound, "no route matches");
-    const auto verdict = authenticate(request, *route);
+        return refused(Base::ErrorKind::ControlUnavailable,
+                       table_ ? "the list of servers is not known yet" : "no configuration is known yet");
+    Judgement judgement;
+    judgement.route = table_->find(host, path);
+    if (judgement.route == nullptr)
+        return refused(Base::ErrorKind::NotFound, "no route matches");
+    if (!authenticator_.isActive())
+        return judgement;
+    const auto verdict = authenticator_.check(clock_.now(), *judgement.route, keys);
+    judgement.tenant = verdict.tenant;
     if (verdict.refusal)
-        return refuse(request, caller, *verdict.refusal, verdict.cause);
-    admit(request, caller, *route, verdict.tenant);
+        judgement.refusal = Forward::Refusal {*verdict.refusal, verdict.cause};
+    return judgement;
 }
 
-Tenant::Authenticator::Verdict Forwarder::authenticate(const Edge::RequestMessage &request,
-                                                       const Route::RouteRule &route) const
+RequestExplanation Forwarder::explain(const ExplainQuestion &question) const
 {
-    if (!authenticator_.isActive())
-        return {};
+    const auto now = clock_.now();
     std::vector<std::string_view> keys;
-    for (const auto &[name, value] : request.headers) {
-        if (Edge::equalsIgnoringCase(name, adapter_.headers().callerKey))
-            keys.emplace_back(value);
-    }
-    return authenticator_.check(clock_.now(), route, keys);
+    if (question.key)
+        keys.emplace_back(*question.key);
+    const auto path = std::string_view(question.path).substr(0, question.path.find('?'));
+    const auto judgement = judge(question.host, path, keys);
+    RequestExplanation explanation;
+    explanation.table = table_;
+    explanation.serverListAge = now - serversReadAt_;
+    explanation.route = judgement.route;
+    explanation.tenant = judgement.tenant;
+    // The listener refuses such a body before the request counts.
+    if (table_ && question.size > table_->configuration().limits.maxBodyBytes)
+        explanation.refusal = Forward::Refusal {Base::ErrorKind::RequestTooLarge,
+                                                "the body exceeds the limit of the configuration"};
+    if (!explanation.refusal)
+        explanation.refusal = judgement.refusal;
+    if (judgement.route == nullptr)
+        return explanation;
+    explanation.unit = foreseeUnit(now, judgement, question);
+    if (!explanation.refusal && explanation.unit && *explanation.unit != Allowance::Taking::Kind::Granted
+        && *explanation.unit != Allowance::Taking::Kind::Waiting)
+        explanation.refusal = unitRefusal(*explanation.unit);
+    auto callerDelay = Forward::estimateCallerDelay(std::nullopt, false);
+    callerDelay.network += answerLag_.allowance();
+    explanation.placing =
+        core_.explain(now, {table_, judgement.route, std::nullopt, callerDelay, judgement.tenant});
+    if (!explanation.refusal)
+        explanation.refusal = explanation.placing->refusal;
+    return explanation;
 }
 
 /// Hands a request that may be served to the core.
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -11,6 +11,7 @@
 #include "Services/Gateway/AllowanceClient.h"
 #include "Services/Gateway/BackendPool.h"
 #include "Services/Gateway/GatewayMetrics.h"
+#include "Services/Gateway/RequestExplanation.h"
 
 #include <memory>
 #include <random>
@@ -32,6 +33,9 @@
     /// Whether a request with this head would be forwarded with its body.
     bool usesBody(const Edge::RequestMessage &head) const;
 
+    /// What would be done now with such a request. Sends nothing and spends nothing.
+    RequestExplanation explain(const ExplainQuestion &question) const;
+
     /// Sets the route table for requests that arrive from now on.
     void setRoutes(std::shared_ptr<const Route::RouteTable> table);
     const std::shared_ptr<const Route::RouteTable> &routes() const { return table_; }
@@ -72,6 +76,14 @@
     bool hasServers() const { return core_.backends().isLoaded(); }
 
 private:
+    /// Whose a request is, or why it is refused before it needs anything.
+    struct Judgement
+    {
+        const Route::RouteRule *route = nullptr; ///< Of the table in force.
+        const Route::TenantRule *tenant = nullptr;
+        std::optional<Forward::Refusal> refusal;
+    };
+
     /// Unit of a request that is being served; its key is empty if the request needs none.
     struct HeldUnit
     {
@@ -115,8 +127,8 @@
 
     void admit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                const Route::RouteRule &route, const Route::TenantRule *tenant);
-    Tenant::Authenticator::Verdict authenticate(const Edge::RequestMessage &request,
-                                                const Route::RouteRule &route) const;
+    Judgement judge(std::string_view host, std::string_view path,
+                    std::span<const std::string_view> keys) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
     void applyColdLimits();
@@ -126,6 +138,11 @@
     // ForwarderAllowance.cpp
     bool obtainUnit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                     const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held);
+    bool needsUnit(const Route::TenantRule *tenant) const;
+    Base::Instant unitPatienceEnd(Base::Instant now, const Route::RouteRule &route, std::size_t size) const;
+    std::optional<Allowance::Taking::Kind> foreseeUnit(Base::Instant now, const Judgement &judgement,
+                                                       const ExplainQuestion &question) const;
+    static Forward::Refusal unitRefusal(Allowance::Taking::Kind kind);
     std::optional<UnitWaiter> takeUnitWaiter(Allowance::WaiterId waiter);
     void unitDecided(Allowance::WaiterId waiter, Allowance::Taking taking);
     void giveBackUnit(const HeldUnit &held);
--- a/Services/Gateway/ForwarderAllowance.cpp
+++ b/Services/Gateway/ForwarderAllowance.cpp
@@ -41,12 +41,44 @@
         });
 }
 
+bool Forwarder::needsUnit(const Route::TenantRule *tenant) const
+{
+    return tenant != nullptr && tenant->requestsPerSecond > 0.0 && allowances_ != nullptr;
+}
+
+/// Until when a request of `size` bytes may wait for a unit.
+Base::Instant Forwarder::unitPatienceEnd(Base::Instant now, const Route::RouteRule &route,
+                                         std::size_t size) const
+{
+    const bool mayWait = bytesWaitingForUnits_ + size <= MaxWaitingBytes;
+    return mayWait ? now + std::min(route.latencyTarget / TargetPerUnitWait, MaxUnitWait) : now;
+}
+
+/// Empty if the request needs no unit.
+std::optional<Allowance::Taking::Kind> Forwarder::foreseeUnit(Base::Instant now, const Judgement &judgement,
+                                                              const ExplainQuestion &question) const
+{
+    if (!needsUnit(judgement.tenant))
+        return std::nullopt;
+    const auto size = sizeof(Edge::RequestMessage) + question.path.size() + question.size;
+    return allowances_->stock().foresee(now, Allowance::tenantKey(judgement.tenant->name),
+                                        unitPatienceEnd(now, *judgement.route, size));
+}
+
+/// Of a request without a unit.
+Forward::Refusal Forwarder::unitRefusal(Allowance::Taking::Kind kind)
+{
+    if (kind == Kind::OverLimit)
+        return {Base::ErrorKind::TenantOverLimit, "the tenant's allowance is used up"};
+    return {Base::ErrorKind::ControlUnavailable, "no leader divides the allowances"};
+}
+
 /// Returns false if the request was refused or waits; a request that waits comes back through handle(), so
 /// that what has changed meanwhile holds for it.
 bool Forwarder::obtainUnit(Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                            const Route::RouteRule &route, const Route::TenantRule *tenant, HeldUnit &held)
 {
-    if (tenant == nullptr || tenant->requestsPerSecond <= 0.0 || allowances_ == nullptr)
+    if (!needsUnit(tenant))
         return true;
     const auto key = Allowance::tenantKey(tenant->name);
     if (resumed_ && resumed_->unit.key == key) {
@@ -54,10 +86,8 @@
         return true;
     }
     const auto now = clock_.now();
-    const auto patience = std::min(route.latencyTarget / TargetPerUnitWait, MaxUnitWait);
     const auto size = sizeOf(request);
-    const bool mayWait = bytesWaitingForUnits_ + size <= MaxWaitingBytes;
-    auto taking = allowances_->take(now, key, mayWait ? now + patience : now);
+    auto taking = allowances_->take(now, key, unitPatienceEnd(now, route, size));
     if (taking.kind == Kind::Granted) {
         held.unit = std::move(taking.unit);
         return true;
@@ -118,7 +148,7 @@
 {
     const auto now = clock_.now();
     const bool overLimit = taking.kind == Kind::OverLimit;
-    const auto error = overLimit ? Base::ErrorKind::TenantOverLimit : Base::ErrorKind::ControlUnavailable;
+    const auto [error, cause] = unitRefusal(taking.kind);
     const auto retryAfter = overLimit
                                 ? taking.retryAfter
                                 : LeaderRetryAfter + Base::Duration(random_.below(LeaderRetryAfter.count()));
@@ -133,17 +163,16 @@
     caller.respond(response);
     metrics_.requestAnswered(details.route, std::string(Base::errorName(error)), details.waited);
     // A tenant far above its limit must not use up the lines about failures.
-    events_.write(
-        now, overLimit ? Importance::Routine : Importance::Notable, "request_answered",
-        {{"request", requestId},
-         {"route", details.route},
-         {"tenant", details.tenant},
-         {"outcome", Base::errorName(error)},
-         {"status", response.status},
-         {"ms", Base::toMilliseconds(details.waited)},
-         {"retry_after_ms", Base::toMilliseconds(retryAfter)},
-         {"configuration_version", table_ ? table_->version() : 0},
-         {"cause", overLimit ? "the tenant's allowance is used up" : "no leader divides the allowances"}});
+    events_.write(now, overLimit ? Importance::Routine : Importance::Notable, "request_answered",
+                  {{"request", requestId},
+                   {"route", details.route},
+                   {"tenant", details.tenant},
+                   {"outcome", Base::errorName(error)},
+                   {"status", response.status},
+                   {"ms", Base::toMilliseconds(details.waited)},
+                   {"retry_after_ms", Base::toMilliseconds(retryAfter)},
+                   {"configuration_version", table_ ? table_->version() : 0},
+                   {"cause", cause}});
 }
 
 /// Before endAll() ends the requests that the core knows.
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -45,6 +45,9 @@
 /// Lower bound, so that a briefly incomplete directory does not make the rest take all connections.
 constexpr std::size_t MinGatewayCount = 5;
 
+/// Where operators ask what would be done with a request.
+constexpr std::string_view ExplainPath = "/v1/explain";
+
 Edge::ResponseMessage emptyResponse(int status)
 {
     Edge::ResponseMessage response;
@@ -143,9 +146,10 @@
         server = std::move(*created);
         return {};
     };
-    auto metricsServer = serveMetrics(
-        loop_, metrics_.registry(), settings_.listenIp, metricsPort, [this] { return describeStatus(); },
-        *guard_);
+    auto metricsServer = serveMetrics(loop_, metrics_.registry(), settings_.listenIp, metricsPort,
+                                      [this] { return describeStatus(); }, *guard_,
+                                      {std::string(ExplainPath), settings_.clusterKey,
+                                       [this](std::string_view question) { return explain(question); }});
     if (!metricsServer)
         return tl::unexpected(metricsServer.error());
     metricsServer_ = std::move(*metricsServer);
@@ -466,6 +470,24 @@
             {"cold_servers", forwarder_->coldServers(clock_.now())}};
 }
 
+Base::Result<nlohmann::json> GatewayProcess::explain(std::string_view text)
+{
+    const auto question = parseExplainQuestion(text);
+    if (!question)
+        return tl::unexpected(question.error());
+    const auto explanation = forwarder_->explain(*question);
+    events_.write(clock_.now(), Importance::Notable, "request_explained",
+                  {{"host", question->host},
+                   {"path", question->path.substr(0, question->path.find('?'))},
+                   {"route", explanation.route != nullptr ? explanation.route->name : std::string()},
+                   {"tenant", explanation.tenant != nullptr ? explanation.tenant->name : std::string()},
+                   {"verdict", verdictOf(explanation)}});
+    auto answer = describeExplanation(explanation, *question);
+    answer["node"] = settings_.nodeId;
+    answer["data_centre"] = settings_.dataCentre;
+    return answer;
+}
+
 void GatewayProcess::beginLeaving()
 {
     if (leavingSince_)
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -60,6 +60,7 @@
     void tick();
     void reloadSettings(bool force);
     nlohmann::json describeStatus() const;
+    Base::Result<nlohmann::json> explain(std::string_view question);
     void beginLeaving();
     void continueLeaving(Base::Instant now);
     Wire::GatewayState state() const;
--- a/Tests/LibForward/TestExplanation.cpp
+++ b/Tests/LibForward/TestExplanation.cpp
@@ -183,6 +183,33 @@
     EXPECT_EQ(expectSentTo("s0-b").servers[1].obstacle, Obstacle::NotReady);
 }
 
+TEST_F(ExplanationTest, NamesTheServerThatIsFull)
+{
+    for (int count = 0; count < 3; ++count)
+        begin("/s/x");
+    const bool isFirstFull = sends[0].backend->openSince.size() == 2;
+    const auto &full = isFirstFull ? sends[0].backend : sends[1].backend;
+    const auto leg = expectSentTo(full->record.id == "s0-a" ? "s0-b" : "s0-a");
+    EXPECT_EQ(leg.servers[1].obstacle, Obstacle::Full);
+    EXPECT_EQ(leg.freeAttempts, 1U);
+}
+
+TEST_F(ExplanationTest, NamesALearnedLimit)
+{
+    sendTo("s0-a");
+    const auto server = sends.back().backend;
+    server->history.reset(new Forward::ServerHistory);
+    for (int step = 0; step < 600; ++step) {
+        const double latency = step < 200 ? 1.0 : 3.0;
+        server->history->concurrency.record(now + step * milliseconds(10), latency, 2, 2);
+    }
+    const auto leg = expectSentTo("s0-b");
+    EXPECT_EQ(leg.servers[1].obstacle, Obstacle::Full);
+    EXPECT_TRUE(leg.servers[1].isLimitLearned);
+    EXPECT_EQ(leg.servers[1].limit, 1U);
+    EXPECT_EQ(leg.servers[1].slotLimit, 2U);
+}
+
 // Two servers with two slots each, all taken.
 TEST_F(ExplanationTest, SaysThatARequestWouldWait)
 {
--- a/Tests/LibSettings/TestKeyFile.cpp
+++ b/Tests/LibSettings/TestKeyFile.cpp
@@ -3,6 +3,8 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <iostream>
+#include <sstream>
 
 namespace {
 
@@ -32,3 +34,19 @@
     std::filesystem::remove(path);
     EXPECT_FALSE(Settings::readKeyFile(path).has_value());
 }
+
+// Callers' keys may be short, and reach the program by a file or the standard input only.
+TEST(KeyFile, ReadsSecretsOfAnyLength)
+{
+    const auto path = writeKey(" k1\n");
+    EXPECT_EQ(Settings::readSecret("--caller-key-file", path).value_or(""), "k1");
+    std::filesystem::remove(path);
+    const auto missing = Settings::readSecret("--caller-key-file", path);
+    ASSERT_FALSE(missing.has_value());
+    EXPECT_TRUE(missing.error().detail.starts_with("--caller-key-file: ")) << missing.error().detail;
+    std::istringstream input("k2\n");
+    auto *before = std::cin.rdbuf(input.rdbuf());
+    EXPECT_EQ(Settings::readSecret("--caller-key-file", "-").value_or(""), "k2");
+    std::cin.rdbuf(before);
+    std::cin.clear();
+}
--- a/Tests/Services/TestTenantAllowances.cpp
+++ b/Tests/Services/TestTenantAllowances.cpp
@@ -331,3 +331,37 @@
     EXPECT_EQ(locked(run), 3);
     EXPECT_GT(locked(calls), 0);
 }
+
+// Explaining a request asks no leader, spends no unit and sends nothing.
+TEST_F(TenantAllowancesTest, ExplainingSpendsNothing)
+{
+    start(1.0, 2.0);
+    const auto explain = [this] {
+        std::optional<Services::RequestExplanation> explanation;
+        onLoop([&] { explanation = forwarder->explain({"h", "/x?q", "key", 10}); });
+        return *explanation;
+    };
+    for (int count = 0; count < 5; ++count) {
+        const auto before = explain();
+        EXPECT_EQ(Services::verdictOf(before), "asks_leader");
+        EXPECT_EQ(before.unit, Allowance::Taking::Kind::Waiting);
+        ASSERT_NE(before.tenant, nullptr);
+        EXPECT_EQ(before.tenant->name, "acme");
+    }
+    EXPECT_EQ(locked(calls), 0);
+    onLoop([this] { EXPECT_EQ(client->stock().keys(), 0U); });
+    EXPECT_EQ(statusOf(ask()), "200");
+    EXPECT_EQ(statusOf(ask()), "200");
+    EXPECT_EQ(statusOf(ask()), "429");
+    const auto usedUp = explain();
+    // The denial may have ended meanwhile on a busy machine.
+    if (usedUp.unit == Allowance::Taking::Kind::OverLimit) {
+        ASSERT_TRUE(usedUp.refusal.has_value());
+        EXPECT_EQ(usedUp.refusal->error, Base::ErrorKind::TenantOverLimit);
+        EXPECT_EQ(usedUp.refusal->cause, "the tenant's allowance is used up");
+        EXPECT_TRUE(usedUp.placing.has_value());
+    } else {
+        EXPECT_EQ(usedUp.unit, Allowance::Taking::Kind::Waiting);
+    }
+    EXPECT_EQ(locked(run), 2);
+}
