--- a/Tests/Services/TestRegistryAllowances.cpp
+++ b/Tests/Services/TestRegistryAllowances.cpp
@@ -51,7 +51,8 @@
     // Without a registry the tests cannot go on, so a failure here ends them.
     void SetUp() override
     {
-        const auto port = 20000 + ::getpid() * 4 % 20000;
+        // Below the ports that the kernel hands out to outgoing connections.
+        const auto port = 20000 + ::getpid() % 3000 * 4;
         address = fmt::format("127.0.0.1:{}", port);
         writeSettings("0.1");
         Edge::Loop::holdSignals({SIGTERM, SIGINT, SIGHUP});
