Teach the soak tenants, keys and allowances

Cause: the soak knew none of what the two new customers ask for.

Change: requests name the key of a limited tenant, of an unlimited one or of nobody, and a forged tenant. Checked at the end: an unknown key never ran, servers were told the right tenant and got no key, and what the limited tenant both sent and had run within any 2 s stays below its limit and tolerance.

--- a/Tests/Soak/Cluster.cpp
+++ b/Tests/Soak/Cluster.cpp
@@ -65,11 +65,15 @@
 extra_load_ratio = 0.2
 extra_load_slack = 60
 lost_vms_tolerated = 1
+allowance_window_s = "{15}"
+allowance_overage = "{16}"
+allowance_slack = "{17}"
 )",
                         vm, network_, vm + 1 + OuterOffset, vm + 1, address(vm, CallerPort),
                         address(vm, ReadinessPort), address(vm, LookupPort), outerAddress(vm, OperatorPort),
                         RegistryPeerPort, operatorAddress(0), operatorAddress(1), operatorAddress(2),
-                        firstStart_, isRegistry(vm) ? dataDirectory(vm) : "", listAddress_);
+                        firstStart_, isRegistry(vm) ? dataDirectory(vm) : "", listAddress_, AllowanceWindowS,
+                        AllowanceOverage, AllowanceSlack);
 }
 
 void Cluster::startAll()
--- a/Tests/Soak/Cluster.h
+++ b/Tests/Soak/Cluster.h
@@ -15,6 +15,10 @@
 public:
     static constexpr int Registries = 3;
     static constexpr int Gateways = 4;
+    /// By how much the allowance of a tenant may be exceeded, and in which windows that counts.
+    static constexpr int AllowanceWindowS = 2;
+    static constexpr double AllowanceOverage = 0.1;
+    static constexpr int AllowanceSlack = 5;
 
     /// `network` is the beginning of an address, for example "127.65.3."; logs and disks go to `directory`.
     Cluster(std::string network, std::string directory, std::string listAddress);
--- a/Tests/Soak/SoakRun.cpp
+++ b/Tests/Soak/SoakRun.cpp
@@ -1,9 +1,11 @@
 #include "Soak/SoakRun.h"
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
+#include <string_view>
 #include <unistd.h>
 
 namespace Soak {
@@ -14,6 +16,12 @@
 constexpr const char *PlainService = "plain";
 constexpr std::size_t MinimumParts = 3;
 constexpr std::uint64_t Attempts = 2;
+/// Of the callers of SoakRun::Caller; the last key belongs to nobody.
+constexpr std::array<std::string_view, 3> Tenants {"limited", "unlimited", ""};
+constexpr std::array<std::string_view, 3> Keys {"key-of-limited", "key-of-unlimited", "key-of-nobody"};
+/// Of the limited tenant. It sends more than that, so that a broken bound shows.
+constexpr int LimitPerSecond = 10;
+constexpr int LimitBurst = 6;
 /// Bound of the pages for a read after an acknowledgement.
 constexpr Base::Duration ReadBound = Base::seconds(3);
 /// What callers of this run allow; also the timeout of its routes.
@@ -118,6 +126,13 @@
                                {"routeType", kind},   {"timeoutMs", DeadlineMs}, {"targetLatencyMs", 200},
                                {"attempts", Attempts}};
     };
+    const auto tenant = [](std::size_t index, int rate, int burst) {
+        return nlohmann::json {{"name", Tenants[index]},
+                               {"apiKeys", {Keys[index]}},
+                               {"priority", 1},
+                               {"ratePerS", rate},
+                               {"burst", burst}};
+    };
     auto gather = route("/g/", "safe");
     gather["gather"] = Shards;
     gather["topK"] = 2;
@@ -126,7 +141,10 @@
     safe["service"] = PlainService;
     auto once = route("/o/", "unsafe");
     once["service"] = PlainService;
-    return nlohmann::json({{"version", version}, {"routes", {gather, safe, once}}, {"services", services}})
+    return nlohmann::json({{"version", version},
+                           {"routes", {gather, safe, once}},
+                           {"services", services},
+                           {"tenants", {tenant(0, LimitPerSecond, LimitBurst), tenant(1, 0, 0)}}})
         .dump();
 }
 
@@ -136,7 +154,9 @@
     bool ready = false;
     while (!ready && clock_.now() < end) {
         const std::string request =
-            "GET /s/ready HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: ready\r\n\r\n";
+            fmt::format("GET /s/ready HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: ready\r\n"
+                        "X-Api-Key: {}\r\n\r\n",
+                        Keys[static_cast<std::size_t>(Caller::Unlimited)]);
         calls_.start(cluster_.callerAddress(0), request, ReadinessPatience,
                      [&ready](const Edge::ResponseMessage *response) {
                          ready = ready || (response != nullptr && response->status == 200);
@@ -197,30 +217,41 @@
 void SoakRun::sendRequest()
 {
     static constexpr const char *Paths[] = {"/g/", "/s/", "/o/"};
-    const auto kind = static_cast<Kind>(random_.below(3));
+    Request sent;
+    sent.kind = static_cast<Kind>(random_.below(3));
+    const auto draw = random_.below(20);
+    sent.caller = draw == 0 ? Caller::Unknown : draw < 10 ? Caller::Limited : Caller::Unlimited;
+    sent.sentAt = clock_.now();
     const auto requestId = fmt::format("r{}-{}", seed_, nextRequest_++);
-    kinds_[requestId] = kind;
+    requests_[requestId] = sent;
     const auto request =
         fmt::format("GET {}{} HTTP/1.1\r\nHost: soak.example\r\nX-Daisyroute-Request-Id: {}\r\n"
-                    "X-Daisyroute-Deadline-Ms: {}\r\n\r\n",
-                    Paths[static_cast<int>(kind)], requestId, requestId, DeadlineMs);
+                    "X-Daisyroute-Deadline-Ms: {}\r\nX-Api-Key: {}\r\nX-Daisyroute-Tenant: forged\r\n\r\n",
+                    Paths[static_cast<int>(sent.kind)], requestId, requestId, DeadlineMs,
+                    Keys[static_cast<std::size_t>(sent.caller)]);
     const auto gateway = static_cast<int>(random_.below(Cluster::Gateways));
     calls_.start(cluster_.callerAddress(gateway), request, CallerPatience,
-                 [this, kind, requestId](const Edge::ResponseMessage *response) {
+                 [this, sent, requestId](const Edge::ResponseMessage *response) {
                      if (response == nullptr)
                          ++failed_;
                      else
-                         checkAnswer(kind, requestId, *response);
+                         checkAnswer(sent, requestId, *response);
                  });
 }
 
-void SoakRun::checkAnswer(Kind kind, const std::string &requestId, const Edge::ResponseMessage &response)
+void SoakRun::checkAnswer(const Request &sent, const std::string &requestId,
+                          const Edge::ResponseMessage &response)
 {
     if (response.status == 503 || response.status == 429) {
         ++refused_;
         ++refusedOnce_[requestId];
         return;
     }
+    if (response.status == 401 && sent.caller == Caller::Unknown) {
+        ++refused_;
+        ++refusedOnce_[requestId];
+        return;
+    }
     if (response.status != 200) {
         ++failed_;
         if (response.status / 100 == 4)
@@ -230,7 +261,7 @@
     ++served_;
     if (response.header("X-Daisyroute-Request-Id") != requestId)
         report(fmt::format("request {} got the answer to another one", requestId));
-    if (kind == Kind::Gather)
+    if (sent.kind == Kind::Gather)
         return checkGather(requestId, response);
     if (response.body != StandInPlatform::bodyOf(PlainService, requestId)
         || response.header("X-Daisyroute-Server-Stamp") != StandInPlatform::proofOf(PlainService, requestId))
@@ -389,16 +420,55 @@
     if (served_ - servedBefore < 10)
         report(fmt::format("only {} of 20 requests were served after the recovery", served_ - servedBefore));
     for (const auto &[requestId, seen] : platform_.seen()) {
-        const auto kind = kinds_.find(requestId);
-        if (kind == kinds_.end())
+        const auto sent = requests_.find(requestId);
+        if (sent == requests_.end())
             continue;
+        checkTenant(sent->second, requestId, seen);
+        const bool isOnce = sent->second.kind == Kind::Once;
         for (const auto &[service, servers] : seen.ranOn) {
-            if (servers.size() > (kind->second == Kind::Once ? 1 : Attempts))
+            if (servers.size() > (isOnce ? 1 : Attempts))
                 report(fmt::format("request {} ran on {} servers of {}", requestId, servers.size(), service));
         }
-        if (kind->second == Kind::Once && refusedOnce_.contains(requestId))
+        if (isOnce && refusedOnce_.contains(requestId))
             report(fmt::format("request {} was refused as not run, and ran", requestId));
     }
+    checkAllowance();
+}
+
+void SoakRun::checkTenant(const Request &sent, const std::string &requestId, const RequestSeen &seen)
+{
+    const std::string expected(Tenants[static_cast<std::size_t>(sent.caller)]);
+    if (sent.caller == Caller::Unknown)
+        report(fmt::format("request {} ran with a key that nobody holds", requestId));
+    else if (seen.tenants != std::set<std::string> {expected})
+        report(fmt::format("request {} of {} reached servers in the name of {}", requestId, expected,
+                           fmt::join(seen.tenants, ", ")));
+    if (seen.cameWithKey)
+        report(fmt::format("a server got the key of request {}", requestId));
+}
+
+/// Counts what was both sent by the limited tenant and run within one window.
+void SoakRun::checkAllowance()
+{
+    std::vector<std::pair<Base::Instant, Base::Instant>> runs; // Sent, ran.
+    for (const auto &[requestId, seen] : platform_.seen()) {
+        const auto sent = requests_.find(requestId);
+        if (sent != requests_.end() && sent->second.caller == Caller::Limited)
+            runs.emplace_back(sent->second.sentAt, seen.firstRanAt);
+    }
+    const double most =
+        (LimitPerSecond * Cluster::AllowanceWindowS + LimitBurst) * (1.0 + Cluster::AllowanceOverage)
+        + Cluster::AllowanceSlack;
+    for (const auto &first : runs) {
+        const auto begin = first.first;
+        const auto end = begin + Base::seconds(Cluster::AllowanceWindowS);
+        const auto count = std::count_if(runs.begin(), runs.end(), [begin, end](const auto &run) {
+            return run.first >= begin && run.second <= end;
+        });
+        if (static_cast<double>(count) > most)
+            return report(fmt::format("{} requests of the limited tenant ran in {} s, allowed {}", count,
+                                      Cluster::AllowanceWindowS, most));
+    }
 }
 
 } // namespace Soak
--- a/Tests/Soak/SoakRun.h
+++ b/Tests/Soak/SoakRun.h
@@ -30,6 +30,16 @@
 private:
     enum class Kind : std::uint8_t { Gather, Safe, Once };
 
+    /// Whose key a request names.
+    enum class Caller : std::uint8_t { Limited, Unlimited, Unknown, Count };
+
+    struct Request
+    {
+        Kind kind = Kind::Gather;
+        Caller caller = Caller::Unlimited;
+        Base::Instant sentAt;
+    };
+
     struct Change
     {
         std::uint64_t version = 0;
@@ -41,7 +51,8 @@
     void sendVersion(std::uint64_t version, int tries);
     void readVersion();
     void sendRequest();
-    void checkAnswer(Kind kind, const std::string &requestId, const Edge::ResponseMessage &response);
+    void checkAnswer(const Request &sent, const std::string &requestId,
+                     const Edge::ResponseMessage &response);
     void checkGather(const std::string &requestId, const Edge::ResponseMessage &response);
     void injectFault();
     void injectProcessFault(Base::Duration length);
@@ -51,6 +62,8 @@
     void injectNetworkFault(Base::Duration length);
     void repair();
     void checkAtEnd();
+    void checkTenant(const Request &sent, const std::string &requestId, const RequestSeen &seen);
+    void checkAllowance();
     void report(const std::string &what);
     std::string configuration(std::uint64_t version) const;
     void runFor(Base::Duration duration);
@@ -68,7 +81,7 @@
     std::vector<Change> acknowledged_;
     std::vector<std::pair<Base::Instant, std::function<void()>>> scheduled_; ///< Ends of faults.
     std::map<std::string, int> refusedOnce_; ///< Ids of at-most-once requests that were refused as not run.
-    std::map<std::string, Kind> kinds_;
+    std::map<std::string, Request> requests_;
     std::uint64_t nextVersion_ = 1;
     std::uint64_t nextRequest_ = 1;
     std::uint64_t finalVersion_ = 0;
--- a/Tests/Soak/StandInPlatform.cpp
+++ b/Tests/Soak/StandInPlatform.cpp
@@ -112,8 +112,12 @@
     }
     auto &seen = seen_[requestId];
     seen.ranOn[server.service].insert(server.id);
-    if (seen.target.empty())
+    if (seen.target.empty()) {
         seen.target = request.target;
+        seen.firstRanAt = clock_.now();
+    }
+    seen.tenants.emplace(request.header("X-Daisyroute-Tenant"));
+    seen.cameWithKey = seen.cameWithKey || !request.header("X-Api-Key").empty();
     if (server.faults.loses)
         return;
     response.headers.emplace_back("X-Daisyroute-Server-Stamp", proofOf(server.service, requestId));
--- a/Tests/Soak/StandInPlatform.h
+++ b/Tests/Soak/StandInPlatform.h
@@ -19,6 +19,9 @@
 {
     std::map<std::string, std::set<std::string>> ranOn; ///< Ids of servers that ran it, by service.
     std::string target; ///< Path as the first server saw it.
+    Base::Instant firstRanAt;
+    std::set<std::string> tenants; ///< As the servers were told.
+    bool cameWithKey = false; ///< A server got the caller's key.
 };
 
 /// Faults that a stand-in server shows while they are set.
