--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -15,18 +15,19 @@
     /// Returns the membership to propose next: a caught-up learner that may vote becomes a voter while there
     /// are fewer than `voterTarget`, and beyond that only as far as the number of voters stays odd. An even
     /// number bears no more losses than one less, and has no majority when it is cut into halves. The learner
-    /// that is left over stands by. An
-    /// incarnation whose node has lost its data directory since is removed, voter or not. A learner gets its
-    /// vote only after the earlier incarnations of its node are removed: with both as voters, the loss of
+    /// that is left over stands by.
+    ///
+    /// An incarnation whose node has lost its data directory since is removed, voter or not. A learner gets
+    /// its vote only after the earlier incarnations of its node are removed: with both as voters, the loss of
     /// that disk once more would leave two voters that can never answer again. The removal costs no copy of
     /// the log, because the removed incarnation holds none any more.
     static std::optional<Wire::RaftMembership> next(const Consensus::RaftStatus &status,
                                                     std::size_t voterTarget);
 
     /// Returns the membership without one member that has been silent for `silenceLimit`. A voter is removed
-    /// only while at least `voterTarget` voters are responsive; until then a caught-up learner gets a vote
-    /// first. Fewer voters need fewer confirmations, so a
-    /// node that never returns must not count towards the majority.
+    /// only while at least `voterTarget` voters are responsive; while there are fewer, a caught-up learner
+    /// gets a vote instead. Fewer voters need fewer confirmations, so a node that never returns must not
+    /// count towards the majority.
     static std::optional<Wire::RaftMembership>
     withoutGone(const Consensus::RaftStatus &status, std::size_t voterTarget, Base::Duration silenceLimit);
 
