Count voters by one function

The planner counted voters by the loop that Registry::voterCount already had. It moves beside RaftStatus, where the planner, the formation and its watch call it. No behaviour changes.

Checks: TestLibControl, TestLibRegistry.

--- a/Libraries/LibConsensus/RaftNode.h
+++ b/Libraries/LibConsensus/RaftNode.h
@@ -6,6 +6,7 @@
 #include "LibConsensus/LogStore.h"
 #include "LibWire/RaftMessages.h"
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 #include <string>
@@ -61,6 +62,12 @@
     std::vector<MemberStatus> members;
 };
 
+inline std::size_t voterCount(const RaftStatus &status)
+{
+    return static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
+                                                  [](const auto &member) { return member.member.voter; }));
+}
+
 /// Raft state machine of one node. It does no I/O except through the store, and callers pass the time.
 class RaftNode
 {
--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -75,11 +75,8 @@
 std::optional<Wire::RaftMembership> MembershipPlanner::next(const Consensus::RaftStatus &status,
                                                             std::size_t voterTarget)
 {
-    const auto voters =
-        static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
-                                               [](const auto &member) { return member.member.voter; }));
     const auto ready = readyLearners(status);
-    if (shouldPromote(voters, voterTarget, ready.size()))
+    if (shouldPromote(Consensus::voterCount(status), voterTarget, ready.size()))
         return withVoter(status, ready.front());
     for (std::size_t position = 0; position < status.members.size(); ++position) {
         if (isSuperseded(status, position))
--- a/Libraries/LibRegistry/Formation.cpp
+++ b/Libraries/LibRegistry/Formation.cpp
@@ -20,15 +20,9 @@
     return facts.seeds < SeedsNamed ? std::min(target, std::max<std::size_t>(1, facts.seeds)) : target;
 }
 
-std::size_t voterCount(const Consensus::RaftStatus &status)
-{
-    return static_cast<std::size_t>(std::count_if(status.members.begin(), status.members.end(),
-                                                  [](const auto &member) { return member.member.voter; }));
-}
-
 bool isForming(const Consensus::RaftStatus &status, std::uint64_t heldVersion, std::size_t votersToForm)
 {
-    return heldVersion == 0 && voterCount(status) < votersToForm;
+    return heldVersion == 0 && Consensus::voterCount(status) < votersToForm;
 }
 
 } // namespace Registry
--- a/Libraries/LibRegistry/Formation.h
+++ b/Libraries/LibRegistry/Formation.h
@@ -19,8 +19,6 @@
 /// must survive the tolerated losses.
 std::size_t votersToForm(const FormationFacts &facts);
 
-std::size_t voterCount(const Consensus::RaftStatus &status);
-
 /// Whether the cluster is too small to accept a configuration. A cluster that holds one was large enough
 /// once, and goes on while a lost member is replaced.
 bool isForming(const Consensus::RaftStatus &status, std::uint64_t heldVersion, std::size_t votersToForm);
--- a/Libraries/LibRegistry/FormationWatch.cpp
+++ b/Libraries/LibRegistry/FormationWatch.cpp
@@ -46,7 +46,7 @@
 FormationWatch::State FormationWatch::observe(Base::Instant now, const Consensus::RaftStatus &status,
                                               const Facts &facts)
 {
-    if (voterCount(status) >= facts.votersNeeded) {
+    if (Consensus::voterCount(status) >= facts.votersNeeded) {
         reset();
         return state_ = State::Complete;
     }
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -189,7 +189,7 @@
     for (const auto &seed : settings_.seeds)
         seeds.push_back(settings_.registryPeerAddress(seed));
     const auto state = formation_.observe(now, status, {votersToForm(), seeds, settings_.catchUpTime});
-    const auto voters = Registry::voterCount(status);
+    const auto voters = Consensus::voterCount(status);
     if (state == Registry::FormationWatch::State::Starting || voters >= targetVoterCount()
         || std::exchange(warnedOfFewVoters_, true))
         return;
