Build refusals of a gateway in one place

refuse(), refuseUnit() and responseFor() each wrote status, request id and Retry-After, and refuseUnit() had the format of formatSeconds() again. refusalOf() does it for all three; headers and their order are the same.

--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -283,26 +283,35 @@
     return timeUntilReady(now);
 }
 
-void Forwarder::refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
-                       Base::ErrorKind error, std::string_view cause)
+Edge::ResponseMessage Forwarder::refusalOf(const std::string &requestId, Base::ErrorKind error,
+                                           std::optional<Base::Duration> retryAfter) const
 {
-    const auto now = clock_.now();
-    const auto &names = adapter_.headers();
     Edge::ResponseMessage response;
     response.status = Base::errorAnswer(error).httpStatus;
-    const std::string requestId(request.header(names.requestId));
     if (!requestId.empty())
-        response.headers.emplace_back(names.requestId, requestId);
-    if (response.status == 503)
-        response.headers.emplace_back("Retry-After", formatSeconds(retryAfter(now, error)));
-    caller.respond(response);
+        response.headers.emplace_back(adapter_.headers().requestId, requestId);
+    if (retryAfter)
+        response.headers.emplace_back("Retry-After", formatSeconds(*retryAfter));
+    return response;
+}
+
+void Forwarder::refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
+                       Base::ErrorKind error, std::string_view cause)
+{
+    const auto now = clock_.now();
+    const auto status = Base::errorAnswer(error).httpStatus;
+    const std::string requestId(request.header(adapter_.headers().requestId));
+    std::optional<Base::Duration> mayReturnIn;
+    if (status == 503)
+        mayReturnIn = retryAfter(now, error);
+    caller.respond(refusalOf(requestId, error, mayReturnIn));
     metrics_.requestAnswered("none", std::string(Base::errorName(error)), {});
     events_.write(now, Importance::Notable, "request_answered",
                   {{"request", requestId},
                    {"host", request.header("Host")},
                    {"path", request.path()},
                    {"outcome", Base::errorName(error)},
-                   {"status", response.status},
+                   {"status", status},
                    {"configuration_version", table_ ? table_->version() : 0},
                    {"cause", cause}});
 }
@@ -499,22 +508,17 @@
 
 Edge::ResponseMessage Forwarder::responseFor(const PendingRequest &pending, Forward::Outcome &outcome) const
 {
-    const auto &names = adapter_.headers();
     if (outcome.kind == Forward::Outcome::Kind::Relay)
         return std::move(outcome.response);
+    if (outcome.kind != Forward::Outcome::Kind::Gathered)
+        return refusalOf(pending.requestId, outcome.error, outcome.retryAfter);
+    const auto &names = adapter_.headers();
     Edge::ResponseMessage response;
     if (!pending.requestId.empty())
         response.headers.emplace_back(names.requestId, pending.requestId);
-    if (outcome.kind == Forward::Outcome::Kind::Gathered) {
-        response.body = std::move(outcome.response.body);
-        response.headers.emplace_back(names.partProofs,
-                                      fmt::format("{}", fmt::join(outcome.partProofs, ", ")));
-        response.headers.emplace_back(names.missingParts, std::to_string(outcome.missingParts));
-        return response;
-    }
-    response.status = Base::errorAnswer(outcome.error).httpStatus;
-    if (outcome.retryAfter)
-        response.headers.emplace_back("Retry-After", formatSeconds(*outcome.retryAfter));
+    response.body = std::move(outcome.response.body);
+    response.headers.emplace_back(names.partProofs, fmt::format("{}", fmt::join(outcome.partProofs, ", ")));
+    response.headers.emplace_back(names.missingParts, std::to_string(outcome.missingParts));
     return response;
 }
 
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -129,6 +129,9 @@
                const Route::RouteRule &route, const Route::TenantRule *tenant);
     Judgement judge(std::string_view host, std::string_view path,
                     std::span<const std::string_view> keys) const;
+    /// `requestId` is the caller's; it is empty if the request has none.
+    Edge::ResponseMessage refusalOf(const std::string &requestId, Base::ErrorKind error,
+                                    std::optional<Base::Duration> retryAfter) const;
     void refuse(const Edge::RequestMessage &request, const Edge::CallerExchange &caller,
                 Base::ErrorKind error, std::string_view cause);
     void applyColdLimits();
--- a/Services/Gateway/ForwarderAllowance.cpp
+++ b/Services/Gateway/ForwarderAllowance.cpp
@@ -4,7 +4,6 @@
 #include "Services/Gateway/Forwarder.h"
 
 #include <algorithm>
-#include <fmt/format.h>
 
 namespace Services {
 
@@ -159,15 +158,8 @@
     const auto retryAfter = overLimit
                                 ? taking.retryAfter
                                 : LeaderRetryAfter + Base::Duration(random_.below(LeaderRetryAfter.count()));
-    const auto &names = adapter_.headers();
-    Edge::ResponseMessage response;
-    response.status = Base::errorAnswer(error).httpStatus;
-    const std::string requestId(request.header(names.requestId));
-    if (!requestId.empty())
-        response.headers.emplace_back(names.requestId, requestId);
-    response.headers.emplace_back("Retry-After",
-                                  fmt::format("{:.3f}", Base::toMilliseconds(retryAfter) / 1000.0));
-    caller.respond(response);
+    const std::string requestId(request.header(adapter_.headers().requestId));
+    caller.respond(refusalOf(requestId, error, retryAfter));
     metrics_.requestAnswered(details.route, std::string(Base::errorName(error)), details.waited);
     // A tenant far above its limit must not use up the lines about failures.
     events_.write(now, overLimit ? Importance::Routine : Importance::Notable, "request_answered",
@@ -175,7 +167,7 @@
                    {"route", details.route},
                    {"tenant", details.tenant},
                    {"outcome", Base::errorName(error)},
-                   {"status", response.status},
+                   {"status", Base::errorAnswer(error).httpStatus},
                    {"ms", Base::toMilliseconds(details.waited)},
                    {"retry_after_ms", Base::toMilliseconds(retryAfter)},
                    {"configuration_version", table_ ? table_->version() : 0},
