Name the path of explained requests once, and two leftovers

The path of the door stood at the gateway and at the command. GatewayProcess::leaderAddress() had no caller. Three settings in seconds wrote out what duration() does; server_drain_ms stays, as dividing it first rounds differently.

--- a/Services/Cli/ExplainQuestionCommand.cpp
+++ b/Services/Cli/ExplainQuestionCommand.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-constexpr std::string_view ExplainPath = "/v1/explain";
-
 struct NeededSetting
 {
     std::string_view name;
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -104,16 +104,13 @@
     settings.serverListCallsPerSecond = table.number("server_list_calls_per_second", {0.1, 1e6, 1.0});
     settings.processorShare = table.number("processor_share", {0.001, 1024.0, 1.0});
     settings.linkMegabits = table.number("link_megabits", {0.001, 1e6, 1000.0});
-    settings.lookupMaxAge = Base::Duration(
-        static_cast<Base::Duration::rep>(table.number("lookup_max_age_s", {0.0, 3600.0, 2.0}) * 1e6));
-    settings.shutdownGrace = Base::Duration(
-        static_cast<Base::Duration::rep>(table.number("shutdown_grace_s", {0.0, 3600.0, 6.0}) * 1e6));
+    settings.lookupMaxAge = duration(table.number("lookup_max_age_s", {0.0, 3600.0, 2.0}));
+    settings.shutdownGrace = duration(table.number("shutdown_grace_s", {0.0, 3600.0, 6.0}));
     settings.extraLoadRatio = table.number("extra_load_ratio", {0.0, 10.0, 0.0});
     settings.extraLoadSlack = table.number("extra_load_slack", {0.0, 1e9, 0.0});
     settings.serverDrain = Base::Duration(
         static_cast<Base::Duration::rep>(table.number("server_drain_ms", {0.0, 3600e3, 3000.0}) * 1e3));
-    settings.catchUpTime = Base::Duration(
-        static_cast<Base::Duration::rep>(table.number("catch_up_s", {0.0, 3600.0, 4.0}) * 1e6));
+    settings.catchUpTime = duration(table.number("catch_up_s", {0.0, 3600.0, 4.0}));
     settings.lostVmsTolerated = table.integer("lost_vms_tolerated", {0, 100, 1});
     const bool keyRemovalIsBounded = flagText(table, "key_removal_is_bounded");
     settings.keyRemovalBound = duration(numberText(table, "key_removal_bound_ms", {0.0, 3600e3, 0.0}) / 1e3);
--- a/Services/Gateway/ExplainQuestion.h
+++ b/Services/Gateway/ExplainQuestion.h
@@ -9,6 +9,9 @@
 
 namespace Services {
 
+/// Where operators ask a gateway what would be done with a request.
+constexpr std::string_view ExplainPath = "/v1/explain";
+
 /// A request that an operator wants explained. Its key is neither kept nor shown.
 struct ExplainQuestion
 {
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -44,9 +44,6 @@
 /// Lower bound, so that a briefly incomplete directory does not make the rest take all connections.
 constexpr std::size_t MinGatewayCount = 5;
 
-/// Where operators ask what would be done with a request.
-constexpr std::string_view ExplainPath = "/v1/explain";
-
 Edge::ResponseMessage emptyResponse(int status)
 {
     Edge::ResponseMessage response;
--- a/Services/Gateway/GatewayProcess.h
+++ b/Services/Gateway/GatewayProcess.h
@@ -68,8 +68,6 @@
     void continueLeaving(Base::Instant now);
     Wire::GatewayState state() const;
     bool isReady() const;
-    /// Peer address of the registries' leader as far as known; empty until a registry has named one.
-    const std::string &leaderAddress() const { return leaderAddress_; }
     Forward::ForwardOptions forwardOptions() const;
 
     std::string settingsPath_;
