Hash digests of keys by one function

LibRoute and LibTenant each took the first bytes of a digest as its hash. No behaviour changes.

Checks: TestLibRoute, TestLibTenant, TestPlatform.

--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -63,21 +63,10 @@
            && std::all_of(text.begin(), text.end(), isVisible);
 }
 
-/// The first bytes of a cryptographic digest are as good a hash as any.
-struct DigestHash
-{
-    std::size_t operator()(const KeyDigest &digest) const
-    {
-        std::size_t hash = 0;
-        std::copy_n(digest.begin(), sizeof(hash), reinterpret_cast<std::uint8_t *>(&hash));
-        return hash;
-    }
-};
-
 void checkTenants(const Configuration &configuration, std::vector<std::string> &mistakes)
 {
     std::set<std::string_view> names;
-    std::unordered_map<KeyDigest, const TenantRule *, DigestHash> holders;
+    std::unordered_map<KeyDigest, const TenantRule *, KeyDigestHash> holders;
     const auto emptyKey = digestOfKey({});
     for (const auto &tenant : configuration.tenants) {
         if (!isHeaderValue(tenant.name))
--- a/Libraries/LibRoute/KeyDigest.h
+++ b/Libraries/LibRoute/KeyDigest.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
+#include <cstring>
 #include <string_view>
 
 namespace Route {
@@ -11,4 +13,15 @@
 
 KeyDigest digestOfKey(std::string_view key);
 
+/// The first bytes of a cryptographic digest are as good a hash as any.
+struct KeyDigestHash
+{
+    std::size_t operator()(const KeyDigest &digest) const
+    {
+        std::size_t hash = 0;
+        std::memcpy(&hash, digest.data(), sizeof(hash));
+        return hash;
+    }
+};
+
 } // namespace Route
--- a/Libraries/LibTenant/KeyTable.cpp
+++ b/Libraries/LibTenant/KeyTable.cpp
@@ -1,17 +1,9 @@
 #include "LibTenant/KeyTable.h"
 
-#include <cstring>
 #include <openssl/crypto.h>
 
 namespace Tenant {
 
-std::size_t KeyTable::Hash::operator()(const Route::KeyDigest &key) const
-{
-    std::size_t hash = 0;
-    std::memcpy(&hash, key.data(), sizeof(hash));
-    return hash;
-}
-
 bool KeyTable::ConstantTimeEqual::operator()(const Route::KeyDigest &left,
                                              const Route::KeyDigest &right) const
 {
--- a/Libraries/LibTenant/KeyTable.h
+++ b/Libraries/LibTenant/KeyTable.h
@@ -20,18 +20,12 @@
     std::optional<std::size_t> find(const Route::KeyDigest &key) const;
 
 private:
-    /// The first bytes of a cryptographic digest are as good a hash as any.
-    struct Hash
-    {
-        std::size_t operator()(const Route::KeyDigest &key) const;
-    };
-
     struct ConstantTimeEqual
     {
         bool operator()(const Route::KeyDigest &left, const Route::KeyDigest &right) const;
     };
 
-    std::unordered_map<Route::KeyDigest, std::uint32_t, Hash, ConstantTimeEqual> holders_;
+    std::unordered_map<Route::KeyDigest, std::uint32_t, Route::KeyDigestHash, ConstantTimeEqual> holders_;
 };
 
 } // namespace Tenant
