Read answers of processes by shared functions

ExplanationText wrote fieldOf(), listOf() and textOf() beside the ones of StatusReport and CallerCommands. What is printed of answers that are objects is the same; a part that is none reads as missing, as in ExplanationText, where StatusReport threw.

Checks: tests of explain, status and the commands.

--- a/Services/Cli/CallerCommands.cpp
+++ b/Services/Cli/CallerCommands.cpp
@@ -1,6 +1,7 @@
 #include "Services/Cli/CallerCommands.h"
 
 #include "Services/Cli/CommandOutput.h"
+#include "Services/Cli/JsonFields.h"
 #include "Services/Cli/ServiceCommands.h"
 
 #include <fmt/format.h>
@@ -64,11 +65,6 @@
     return body;
 }
 
-std::string textOf(const nlohmann::json &value)
-{
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
 void printQueryAnswer(const nlohmann::json &answer)
 {
     fmt::print("request {} index version {} revision {} {}\n",
--- a/Services/Cli/ExplanationText.cpp
+++ b/Services/Cli/ExplanationText.cpp
@@ -1,5 +1,7 @@
 #include "Services/Cli/ExplanationText.h"
 
+#include "Services/Cli/JsonFields.h"
+
 #include <array>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -12,17 +14,6 @@
 
 using nlohmann::json;
 
-json fieldOf(const json &object, const char *key)
-{
-    return object.is_object() ? object.value(key, json()) : json();
-}
-
-std::string textOf(const json &object, const char *key)
-{
-    const auto value = fieldOf(object, key);
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
 bool isOn(const json &object, const char *key)
 {
     const auto value = fieldOf(object, key);
@@ -35,12 +26,6 @@
     return value.is_number() ? value.get<double>() : 0.0;
 }
 
-json listOf(const json &object, const char *key)
-{
-    const auto value = fieldOf(object, key);
-    return value.is_array() ? value : json::array();
-}
-
 std::string routeLine(const json &explanation)
 {
     const auto route = fieldOf(explanation, "route");
--- a/Services/Cli/StatusReport.cpp
+++ b/Services/Cli/StatusReport.cpp
@@ -1,5 +1,7 @@
 #include "Services/Cli/StatusReport.h"
 
+#include "Services/Cli/JsonFields.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -9,18 +11,6 @@
 
 using nlohmann::json;
 
-json listOf(const json &status, const char *key)
-{
-    const auto list = status.value(key, json());
-    return list.is_array() ? list : json::array();
-}
-
-std::string textOf(const json &object, const char *key)
-{
-    const auto value = object.value(key, json());
-    return value.is_string() ? value.get<std::string>() : value.dump();
-}
-
 std::size_t unassignedShares(const json &status)
 {
     const auto shares = listOf(status, "shares");
@@ -54,7 +44,7 @@
 {
     std::string names;
     for (const auto &name : listOf(status, "evacuated_data_centres"))
-        names += (names.empty() ? "" : ",") + (name.is_string() ? name.get<std::string>() : name.dump());
+        names += (names.empty() ? "" : ",") + textOf(name);
     return names.empty() ? "none" : names;
 }
 
