Look up waiting claims by one function, and count limited servers only where limits are learned

Four places found the claims of a service or none. A service is among them only with claims, so an empty span is the same as none. limitedCount() went over all servers at each tick of a gateway for a gauge that is 0 unless learn_server_limits is set; ForwardCore::limitedServers() asks that first, as coldServers() stands beside it.

Checks: TestLibForward, tests of tenants and explanations in TestServices.

--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <variant>
@@ -198,6 +199,8 @@
     std::size_t exchangesInFlight() const { return exchanges_.size(); }
     std::size_t legsWaiting() const { return waiting_.size(); }
     const BackendTable &backends() const { return backends_; }
+    /// As BackendTable::limitedCount(); not counted unless limits are learned.
+    std::size_t limitedServers() const { return options_.learnServerLimits ? backends_.limitedCount() : 0; }
     /// As BackendTable::coldCount().
     std::size_t coldServers(Base::Instant now) { return backends_.coldCount(now); }
     /// Services whose room is shared by tenant; 0 unless the configuration has tenants.
@@ -337,6 +340,7 @@
     }
     RoomClaim claimOf(Base::Instant now, ExchangeId id, const Exchange &exchange, double meanAllowance) const;
     ClaimsByService claimsWaiting(Base::Instant now, double meanAllowance) const;
+    static std::span<const RoomClaim> claimsAt(const ClaimsByService &claims, std::string_view service);
     FairQueue &fairQueueOf(std::string_view service);
     static const FairQueue &queueIn(const FairQueues &queues, std::string_view service);
     Base::Duration fairWait(Base::Instant now, const Exchange &exchange, std::string_view service,
--- a/Libraries/LibForward/ForwardCoreExplain.cpp
+++ b/Libraries/LibForward/ForwardCoreExplain.cpp
@@ -32,9 +32,7 @@
     if (view.sharesFairly()) {
         const auto claim = claimOf(now, lastId_ + 1, exchange, view.meanAllowance);
         const auto &queue = queueIn(view.queues, service);
-        const auto found = view.waiting.find(service);
-        const auto others =
-            found == view.waiting.end() ? std::span<const RoomClaim>() : std::span(found->second);
+        const auto others = claimsAt(view.waiting, service);
         explained.expectedWait = fairWait(now, exchange, service, claim, others, queue);
         explained.aboveShare = queue.isAboveShare(claim, others);
     } else {
--- a/Libraries/LibForward/ForwardCoreSharing.cpp
+++ b/Libraries/LibForward/ForwardCoreSharing.cpp
@@ -91,6 +91,13 @@
     return claims;
 }
 
+/// Empty if nothing waits for the service.
+std::span<const RoomClaim> ForwardCore::claimsAt(const ClaimsByService &claims, std::string_view service)
+{
+    const auto found = claims.find(service);
+    return found == claims.end() ? std::span<const RoomClaim>() : found->second;
+}
+
 /// Estimated time until the claim's fair turn.
 Base::Duration ForwardCore::fairWait(Base::Instant now, const Exchange &exchange, std::string_view service,
                                      const RoomClaim &claim, std::span<const RoomClaim> waiting,
@@ -115,13 +122,11 @@
     for (const auto &leg : exchange.legs) {
         if (backends_.eligibleCount(now, leg.service) == 0)
             continue;
-        const auto found = view.waiting.find(leg.service);
-        const bool mayStart = found == view.waiting.end()
-                              || now
-                                         + fairWait(now, exchange, leg.service, claim, found->second,
-                                                    queueIn(view.queues, leg.service))
-                                     < exchange.latestStart();
-        inTime += mayStart ? 1 : 0;
+        const auto others = claimsAt(view.waiting, leg.service);
+        const auto wait = [&] {
+            return fairWait(now, exchange, leg.service, claim, others, queueIn(view.queues, leg.service));
+        };
+        inTime += others.empty() || now + wait() < exchange.latestStart() ? 1 : 0;
     }
     return static_cast<double>(inTime) < exchange.legsNeeded();
 }
@@ -146,8 +151,8 @@
     exchange.sharing.tenant = claim.tenant;
     exchange.sharing.aboveShare =
         std::any_of(exchange.legs.begin(), exchange.legs.end(), [&](const Leg &leg) {
-            const auto found = waiting.find(leg.service);
-            return found != waiting.end() && fairQueueOf(leg.service).isAboveShare(claim, found->second);
+            const auto others = claimsAt(waiting, leg.service);
+            return !others.empty() && fairQueueOf(leg.service).isAboveShare(claim, others);
         });
     return refusal;
 }
@@ -160,8 +165,7 @@
     const auto claim = claimOf(now, id, exchange, meanAllowance_);
     bool waits = false;
     for (const auto &leg : exchange.legs) {
-        const auto found = before.find(leg.service);
-        const auto others = found == before.end() ? std::span<const RoomClaim>() : found->second;
+        const auto others = claimsAt(before, leg.service);
         if (leg.state == LegState::Open)
             fairQueueOf(leg.service).recordSent(claim, others);
         if (leg.state != LegState::Waiting)
--- a/Services/Gateway/Forwarder.cpp
+++ b/Services/Gateway/Forwarder.cpp
@@ -607,7 +607,7 @@
                       static_cast<double>(core_.backends().size()));
     metrics_.setGauge("daisyroute_backend_servers_limited",
                       "Backend servers that were found to take fewer attempts than their slots.",
-                      static_cast<double>(core_.backends().limitedCount()));
+                      static_cast<double>(core_.limitedServers()));
     metrics_.setGauge("daisyroute_cold_servers", "Backend servers that are warming up.",
                       static_cast<double>(coldServers(now)));
     metrics_.setGauge("daisyroute_evacuated_servers", "Backend servers in evacuated data centres.",
