--- a/Tests/LibRegistry/TestGatewayNaming.cpp
+++ b/Tests/LibRegistry/TestGatewayNaming.cpp
@@ -63,6 +63,15 @@
     return result;
 }
 
+void expectAnswersByClass(const Gateways &all, Rule rule)
+{
+    GatewayNaming naming(rule);
+    naming.setGateways(all, Preferred);
+    for (int answer = 0; answer < 20; ++answer)
+        EXPECT_EQ(copyOf(naming.nextAnswer()), Registry::selectGateways(all, Preferred));
+    EXPECT_EQ(naming.gatewaysInUse(), Registry::selectGateways(all, Preferred).size());
+}
+
 } // namespace
 
 // With nothing hot, and with the setting off, callers must get the same list as before there were shares.
@@ -70,11 +79,7 @@
 {
     for (const auto &all : {gateways(5, 64), gateways(0, 12), gateways(30, 0), Gateways()}) {
         for (const auto rule : {Rule::ByClass, Rule::ByShare}) {
-            GatewayNaming naming(rule);
-            naming.setGateways(all, Preferred);
-            for (int answer = 0; answer < 20; ++answer)
-                EXPECT_EQ(copyOf(naming.nextAnswer()), Registry::selectGateways(all, Preferred));
-            EXPECT_EQ(naming.gatewaysInUse(), Registry::selectGateways(all, Preferred).size());
+            expectAnswersByClass(all, rule);
         }
     }
 }
@@ -83,11 +88,7 @@
 {
     auto all = gateways(5, 64);
     all[0].callerShare = 4;
-    GatewayNaming naming(Rule::ByClass);
-    naming.setGateways(all, Preferred);
-    for (int answer = 0; answer < 20; ++answer)
-        EXPECT_EQ(copyOf(naming.nextAnswer()), Registry::selectGateways(all, Preferred));
-    EXPECT_EQ(naming.gatewaysInUse(), Registry::selectGateways(all, Preferred).size());
+    expectAnswersByClass(all, Rule::ByClass);
 }
 
 // The share must hold over the answers, and a standby of the same data centre must make up for what is left
