--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,7 +1,6 @@
-"""A server asks for a pause; entries of the platform's list are unreadable for a while. The pause must hold."""
+"""The last tenant is taken out of the configuration; requests without a valid key must not run afterwards."""
 
 import asyncio
-import json
 import os
 import sys
 import time
@@ -10,61 +9,61 @@
 sys.path.insert(0, os.path.join(FOLDER, "..", "harness-2"))
 import deployment  # noqa: E402
 
-PAUSE_S = 20
+REVOKE_MS = 5000
+KEY = "key-of-the-tenant"
+NEVER_HELD = "key-that-no-config-held"
 
 
 async def case(site, trouble):
-    paused = await site.add_server("alpha")
-    await site.add_server("alpha")
-    others = [await site.add_server("beta"), await site.add_server("beta")]
-    asked, arrivals = [], []
+    ran = []
 
-    async def ask_for_pause(server, request, request_id, writer):
-        if not asked:
-            asked.append(time.monotonic())
-            site.record.tell(f"server {server.id} answers 503 with Retry-After: {PAUSE_S}")
-            return server.not_run(503, request_id, [("Retry-After", str(PAUSE_S))])
-        if 0.5 < time.monotonic() - asked[0] < PAUSE_S:
-            arrivals.append(request_id)
+    async def note(server, request, request_id, writer):
+        ran.append((request_id, request.header("X-Api-Key"), request.header("X-Daisyroute-Tenant")))
         return NotImplemented
 
-    paused.act = ask_for_pause
+    for _ in range(2):
+        (await site.add_server("alpha")).act = note
     await site.start_all()
-    await site.put_config([deployment.single("route-a", "/a/", "alpha"), deployment.single("route-b", "/b/", "beta")],
-                          [deployment.service("alpha"), deployment.service("beta")])
+    routes, services = [deployment.single("route-a", "/a/", "alpha")], [deployment.service("alpha")]
+    tenant = {"name": "newsroom", "apiKeys": [KEY]}
+    await site.put_config(routes, services, tenants=[tenant])
     await site.wait_ready()
     gateway = site.gateways[0]
-    for _ in range(200):
-        if asked:
-            break
-        await site.request(gateway, "/a/page")
-    else:
-        raise deployment.CannotRun("the server got no request")
-
-    async def send_until(moment):
-        while time.monotonic() < moment:
-            await site.request(gateway, "/a/page")
-            await asyncio.sleep(0.05)
 
-    await send_until(asked[0] + 2.0)
-    before = len(arrivals)
+    async def send(headers):
+        return await site.request(gateway, "/a/page", headers=headers)
 
-    def spoil(entries):
-        # Another writer has stored the slots of the paused server, and in turn of another one, as a text.
-        bad = {paused.id, others[site.list_reads % 2].id}
-        entries = [dict(e, slots=str(e["slots"])) if e["id"] in bad else e for e in entries]
-        return json.dumps({"instances": entries, "nextPageToken": None})
+    # Before: the key is served, the others are rejected.
+    for _ in range(40):
+        _, answer, _ = await send([("X-Api-Key", KEY)])
+        if answer is not None and answer.status == 200:
+            break
+        await asyncio.sleep(0.1)
+    else:
+        raise deployment.CannotRun("the key is not served while it is held")
+    _, answer, _ = await send([("X-Api-Key", NEVER_HELD)])
+    if answer is None or answer.status != 401:
+        raise deployment.CannotRun("an unknown key is not rejected while the tenant is there")
 
-    if trouble:
-        site.spoil_list = spoil
-        site.record("the list holds unreadable entries from now on")
-    await send_until(asked[0] + 6.0)
-    site.spoil_list = None
-    site.record("all entries of the list can be read again")
-    await send_until(asked[0] + PAUSE_S - 0.5)
-    site.record.tell(f"requests at the server between half a second after its answer and the end of the {PAUSE_S} s: "
-                     f"{len(arrivals)}, of these {before} before the list was touched")
-    return len(arrivals) <= 2
+    acknowledged = await site.put_config(routes, services, tenants=[] if trouble else [tenant])
+    await asyncio.sleep(max(0.0, acknowledged + (REVOKE_MS + 1000) / 1000.0 - time.monotonic()))
+    ran.clear()
+    requests = {}
+    for _ in range(5):
+        for name, headers in (("removed key", [("X-Api-Key", KEY)]), ("key never held", [("X-Api-Key", NEVER_HELD)]),
+                              ("no key", []), ("no key, a tenant's name", [("X-Daisyroute-Tenant", "newsroom")])):
+            if name == "removed key" and not trouble:
+                continue
+            request_id, answer, _ = await send(headers)
+            requests[request_id] = (name, answer.status if answer else None)
+    ids = {request_id for request_id, _, _ in ran}
+    for name in dict.fromkeys(name for name, _ in requests.values()):
+        sent = [request_id for request_id, (other, _) in requests.items() if other == name]
+        site.record.tell(f"{name}: {sum(r in ids for r in sent)} of {len(sent)} ran, answers "
+                         f"{[requests[r][1] for r in sent]}")
+    site.record.tell(f"servers were handed a key {sum(key is not None for _, key, _ in ran)} times and a tenant's name "
+                     f"that the client wrote {sum(tenant is not None for _, _, tenant in ran)} times")
+    return not ran
 
 
-deployment.play(FOLDER, case)
+deployment.play(FOLDER, case, strict="true", revoke_ms=str(REVOKE_MS))
--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -130,6 +130,7 @@
         self.address = None
         self.act = None
         self.runs = []
+        self.writers = set()
 
     async def start(self, ip):
         self.listener = await asyncio.start_server(self.serve, ip, 0, limit=1 << 20)
@@ -139,7 +140,16 @@
         return {"id": self.id, "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
                 "slots": self.slots, "state": self.state, "warmupLeftMs": 0}
 
+    def end(self):
+        """The server is gone, with what it has at work."""
+        self.site.record(f"server {self.id} ends")
+        self.listed = False
+        self.listener.close()
+        for writer in self.writers:
+            writer.transport.abort()
+
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_message(reader)
@@ -151,6 +161,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def answer(self, request, writer):
