--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -409,6 +409,8 @@
 
     async def run():
         site = Site(folder, **options)
+        # Ended from outside, the case still ends its processes.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             await site.start_platform()
             return await case(site, trouble)
@@ -418,5 +420,8 @@
         finally:
             site.stop_all()
 
-    held = asyncio.run(run())
+    try:
+        held = asyncio.run(run())
+    except asyncio.CancelledError:
+        held = None
     sys.exit(2 if held is None else 0 if held else 1)
