--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -8,12 +8,14 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "bin", "daisyroute")
@@ -52,6 +54,12 @@
 """
 
 
+# run.sh makes 0, 1 and 2 of these; an interpreter that fails by itself exits with 1.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
+SHOWN = ("x-api-key", "x-daisyroute-tenant")  # Headers that a record names.
+QUEUE = 12  # Requests that wait at a server for a slot; the sheets have the same.
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
@@ -65,7 +73,7 @@
 
     def __call__(self, text):
         line = f"{time.monotonic() - self.start:8.3f} {text}"
-        print(line, file=self.file, flush=True)
+        print(line, file=self.file)
 
     def tell(self, text):
         self(text)
@@ -126,6 +134,9 @@
         self.id = "i-%08x" % site.random.getrandbits(32)
         self.state = "ready"
         self.slots = 2
+        self.running = 0
+        self.waiting = 0
+        self.slot = asyncio.Semaphore(self.slots)
         self.listed = True
         self.address = None
         self.act = None
@@ -158,6 +169,9 @@
                     return
                 writer.write(answer)
                 await writer.drain()
+                # A server that leaves says so, and closes.
+                if b"\r\nConnection: close\r\n" in answer:
+                    return
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
@@ -170,7 +184,8 @@
             return text_of(200, [("X-Daisyroute-Instance-Id", self.id)])
         request_id = request.header("X-Daisyroute-Request-Id")
         target = request.header("X-Daisyroute-Target-Instance")
-        self.site.record(f"server {self.id} {self.service} gets {request.first} id={request_id}")
+        told = [f"{name}: {value}" for name, value in request.headers if name.lower() in SHOWN]
+        self.site.record(f"server {self.id} {self.service} gets {request.first} id={request_id} {told if told else ''}")
         if target is not None and target != self.id:
             return self.not_run(421, request_id)
         if request_id is None:
@@ -182,14 +197,40 @@
         return await self.run(request, request_id)
 
     def not_run(self, status, request_id, headers=()):
-        return text_of(status, [("X-Daisyroute-Request-Id", request_id), ("X-Daisyroute-Not-Executed", "1"), *headers])
+        self.site.record(f"server {self.id} answers {status}, not run, id={request_id} {list(headers) if headers else ''}")
+        return text_of(status, [("X-Daisyroute-Request-Id", request_id), ("X-Daisyroute-Not-Executed", "1"), self.load(),
+                                *headers])
+
+    def load(self):
+        return "X-Daisyroute-Server-Load", f"{self.running},{self.waiting},{self.slots}"
 
     async def run(self, request, request_id, headers=()):
-        self.runs.append((time.monotonic(), request_id))
-        self.site.record(f"server {self.id} {self.service} runs id={request_id}")
-        await asyncio.sleep(self.work_ms / 1000.0)
-        return text_of(200, [("X-Daisyroute-Request-Id", request_id),
-                             ("X-Daisyroute-Server-Stamp", self.stamp(request_id)), *headers], self.body(request_id))
+        """Runs a request in a slot, after it has waited for one; what is too much, or too late for a slot, is not run."""
+        deadline = time.monotonic() + float(request.header("X-Daisyroute-Deadline-Ms") or 60000) / 1000.0
+        if self.waiting >= QUEUE:
+            return self.not_run(503, request_id)
+        self.waiting += 1
+        try:
+            async with asyncio.timeout_at(asyncio.get_running_loop().time() + deadline - time.monotonic()):
+                await self.slot.acquire()
+        except TimeoutError:
+            return self.not_run(503, request_id)
+        finally:
+            self.waiting -= 1
+        self.running += 1
+        try:
+            self.runs.append((time.monotonic(), request_id))
+            self.site.record(f"server {self.id} {self.service} runs id={request_id}")
+            left = deadline - time.monotonic()
+            await asyncio.sleep(max(0.0, min(self.work_ms / 1000.0, left)))
+        finally:
+            self.running -= 1
+            self.slot.release()
+        status = 200 if left >= self.work_ms / 1000.0 else 504
+        self.site.record(f"server {self.id} {self.service} answers {status} id={request_id}")
+        return text_of(status, [("X-Daisyroute-Request-Id", request_id),
+                                ("X-Daisyroute-Server-Stamp", self.stamp(request_id)), self.load(), *headers],
+                       self.body(request_id) if status == 200 else b"")
 
     def stamp(self, request_id):
         return f"{self.id}.{request_id}"
@@ -213,7 +254,10 @@
         self.first_start = True
         self.spoil_list = None
         self.list_reads = 0
+        self.list_told = None
         self.version = 0
+        self.known = []  # Caller addresses of the last look-up.
+        self.known_until = 0.0
         self.data = {}
 
     # Addresses. Each machine has one of its own; all listen on the same ports, as on the platform.
@@ -257,6 +301,9 @@
                 body = json.dumps({"instances": entries, "nextPageToken": None})
                 if self.spoil_list:
                     body = self.spoil_list(entries)
+                if body != self.list_told:
+                    self.record(f"platform's list from now on: {body}")
+                self.list_told = body
                 writer.write(text_of(200, [("Content-Type", "application/json")], body.encode()))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -317,10 +364,8 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
-        if os.environ.get("KEEP") is None:
-            subprocess.run(["rm", "-rf", self.folder], check=False)
-        else:
-            print("kept", self.folder)
+        self.record("all processes have ended")
+        shutil.rmtree(self.folder, ignore_errors=True)
 
     # Calls
 
@@ -347,6 +392,7 @@
         config = {"version": self.version, "routes": routes, "services": services,
                   "limits": limits or {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                                        "idleTimeoutMs": 15000}, **more}
+        self.record(f"operator sends config {self.version}: {shortened(config)}")
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             to = machine if machine is not None else self.random.choice(self.registries)
@@ -357,6 +403,7 @@
                 return time.monotonic()
             if answer is not None and answer.status in (400, 409, 412, 413, 422):
                 raise CannotRun(f"config {self.version} is refused with {answer.status}")
+            self.record(f"config {self.version} gets {answer.status if answer else 'no answer'} from machine {to}")
             await asyncio.sleep(0.1)
         raise CannotRun("the config is not acknowledged")
 
@@ -372,14 +419,38 @@
                 await asyncio.sleep(0.1)
         self.record("all gateways are ready")
 
-    async def request(self, machine, path, deadline_ms=2000, headers=(), method="GET", body=b"", host="shop.example"):
-        """One client attempt; returns (id, answer or None, seconds)."""
+    async def look_up(self):
+        """Asks the directory, as clients do: up to three nodes, a second each; without an answer the last one is kept."""
+        if time.monotonic() < self.known_until:
+            return
+        for machine in self.random.sample(self.gateways, min(3, len(self.gateways))):
+            answer = await self.call(self.address(machine, "directory"), "GET",
+                                     "/v1/lookup?name=shop.example&region=region&zone=zone-a", timeout=1.0)
+            if answer is None or answer.status != 200:
+                self.record(f"look-up at machine {machine}: {answer.status if answer else 'no answer'}")
+                continue
+            told = json.loads(answer.body)
+            self.known, self.known_until = told["addrs"], time.monotonic() + min(5.0, told["ttl_s"])
+            self.record(f"look-up at machine {machine}: {told}")
+            return
+
+    async def request(self, path, deadline_ms=2000, headers=(), method="GET", body=b"", host="shop.example", leaves_s=None):
+        """One client attempt at a gateway that the directory named; returns (id, answer or None, seconds).
+
+        `leaves_s`: how long the client waits if that is less than its deadline.
+        """
+        await self.look_up()
+        if not self.known:
+            raise CannotRun("the directory names no gateway")
+        address = self.random.choice(self.known)
         request_id = "%016x" % self.random.getrandbits(64)
-        self.record(f"client sends {method} {path[:60]} id={request_id} to machine {machine}")
+        told = [f"{name}: {value}" for name, value in headers]
+        self.record(f"client sends {method} {path} id={request_id} to {address} {told if told else ''}")
         begun = time.monotonic()
-        answer = await self.call(self.address(machine, "front"), method, path,
+        answer = await self.call(address, method, path,
                                  [("Host", host), ("X-Daisyroute-Request-Id", request_id),
-                                  ("X-Daisyroute-Deadline-Ms", str(deadline_ms)), *headers], body, deadline_ms / 1000.0)
+                                  ("X-Daisyroute-Deadline-Ms", str(deadline_ms)), *headers], body,
+                                 deadline_ms / 1000.0 if leaves_s is None else leaves_s)
         took = time.monotonic() - begun
         self.record(f"client gets {answer.status if answer else 'no answer'} id={request_id} after {took * 1000:.0f} ms")
         return request_id, answer, took
@@ -388,6 +459,13 @@
         return [machine for machine, process in self.processes.items() if process.poll() is not None]
 
 
+def shortened(config):
+    """A config as a record names it: whole, but for the routes behind the third."""
+    routes = config["routes"]
+    more = f" and {len(routes) - 3} more routes" if len(routes) > 3 else ""
+    return json.dumps(dict(config, routes=routes[:3])) + more
+
+
 def service(name, connections=28):
     return {"name": name, "healthPath": "/health", "maxConnections": connections, "protocol": "h1", "tls": False}
 
@@ -417,6 +495,9 @@
         except CannotRun as reason:
             site.record.tell(f"cannot run: {reason}")
             return None
+        except Exception:  # A fault of the script says nothing about the rule.
+            site.record.tell(f"cannot run: {traceback.format_exc()}")
+            return None
         finally:
             site.stop_all()
 
@@ -424,4 +505,4 @@
         held = asyncio.run(run())
     except asyncio.CancelledError:
         held = None
-    sys.exit(2 if held is None else 0 if held else 1)
+    sys.exit(COULD_NOT_RUN if held is None else HELD if held else BROKEN)
