--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -141,7 +141,7 @@
         self.address = None
         self.act = None
         self.runs = []
-        self.writers = set()
+        self.writers = {}  # Of open connections, with the tasks that serve them.
 
     async def start(self, ip):
         self.listener = await asyncio.start_server(self.serve, ip, 0, limit=1 << 20)
@@ -156,11 +156,12 @@
         self.site.record(f"server {self.id} ends")
         self.listed = False
         self.listener.close()
-        for writer in self.writers:
+        for writer, task in list(self.writers.items()):
             writer.transport.abort()
+            task.cancel()
 
     async def serve(self, reader, writer):
-        self.writers.add(writer)
+        self.writers[writer] = asyncio.current_task()
         try:
             while True:
                 request = await read_message(reader)
@@ -175,7 +176,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
             pass
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             writer.close()
 
     async def answer(self, request, writer):
