Let nobody in when a configuration takes away the last tenant

Cause: Route::Configuration held the tenants as a plain list, so an empty list and a missing one were the same, and whoever asks whether requests need keys asked whether the list was empty.

Ruled out: the way of the configuration to the gateways, the confirmation of keys, the cache of the key table.

Change: the list of tenants is optional; needsKeys() says whether there is one, tenantRules() is empty in both cases.

Tests: with the old rules put back, PlatformProtocol.EmptyListOfTenantsLetsNobodyIn, .NullLiftsNoRestriction, TenantRequestsTest.WithoutAnyTenantLeftOnlyPublicRoutesAreServed and NodeSettings.BoundThatIsAskedForMustBeStated fail; with the change TestPlatform (32), TestLibTenant (15), TestServices (70), TestLibForward (178) and TestLibRoute (3) pass.

--- a/Libraries/LibForward/ForwardCoreExplain.cpp
+++ b/Libraries/LibForward/ForwardCoreExplain.cpp
@@ -77,7 +77,7 @@
         for (const auto &leg : exchange.legs) {
             auto &queue =
                 queues.try_emplace(std::string(leg.service), queueIn(fairQueues_, leg.service)).first->second;
-            queue.setTenantCount(configuration.tenants.size());
+            queue.setTenantCount(configuration.tenantRules().size());
             queue.recordArrival(now, claim);
         }
         waiting = claimsWaiting(now, meanAllowance);
--- a/Libraries/LibForward/ForwardCoreSharing.cpp
+++ b/Libraries/LibForward/ForwardCoreSharing.cpp
@@ -17,7 +17,7 @@
 /// Requests per second, of the tenants that have an allowance; 0 if there are no tenants at all.
 double ForwardCore::meanAllowanceOf(const Route::Configuration &configuration)
 {
-    const auto &tenants = configuration.tenants;
+    const auto tenants = configuration.tenantRules();
     double sum = 0.0;
     double count = 0.0;
     for (const auto &tenant : tenants) {
@@ -33,7 +33,7 @@
     if (latestTable_ == table)
         return;
     latestTable_ = table;
-    const auto &tenants = table->configuration().tenants;
+    const auto tenants = table->configuration().tenantRules();
     meanAllowance_ = meanAllowanceOf(table->configuration());
     if (tenants.empty())
         fairQueues_.clear();
@@ -47,7 +47,7 @@
     if (found != fairQueues_.end())
         return found->second;
     auto &queue = fairQueues_[std::string(service)];
-    queue.setTenantCount(latestTable_->configuration().tenants.size());
+    queue.setTenantCount(latestTable_->configuration().tenantRules().size());
     return queue;
 }
 
--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -68,7 +68,7 @@
     std::set<std::string_view> names;
     std::unordered_map<KeyDigest, const TenantRule *, KeyDigestHash> holders;
     const auto emptyKey = digestOfKey({});
-    for (const auto &tenant : configuration.tenants) {
+    for (const auto &tenant : configuration.tenantRules()) {
         if (!isHeaderValue(tenant.name))
             mistakes.emplace_back("tenants: a name is empty or holds characters that a header may not hold");
         else if (!names.insert(tenant.name).second)
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -94,10 +94,19 @@
     std::uint64_t version = 0;
     std::vector<RouteRule> routes;
     std::map<std::string, ServiceRule, std::less<>> services;
-    std::vector<TenantRule> tenants; ///< If there are any, requests need a key, except on public routes.
+    /// Requests need a key, except on public routes, if the configuration has a list of tenants. An empty
+    /// list holds no key, so it lets nobody in; only without a list are all requests let in.
+    std::optional<std::vector<TenantRule>> tenants;
     CallerLimits limits;
     std::uint64_t servicesDigest = 0; ///< Of the text that `services` was decoded from.
     std::uint64_t tenantsDigest = 0; ///< Of the text that `tenants` was decoded from.
+
+    bool needsKeys() const { return tenants.has_value(); }
+    /// Empty also if there is no list of tenants.
+    std::span<const TenantRule> tenantRules() const
+    {
+        return tenants ? std::span<const TenantRule>(*tenants) : std::span<const TenantRule>();
+    }
 };
 
 /// The parts of a configuration that differ from one that was valid.
--- a/Libraries/LibTenant/Authenticator.cpp
+++ b/Libraries/LibTenant/Authenticator.cpp
@@ -21,11 +21,11 @@
 {
     const auto &next = table->configuration();
     const bool sameTenants = table_ && table_->configuration().tenantsDigest == next.tenantsDigest
-                             && table_->configuration().tenants.size() == next.tenants.size();
-    if (next.tenants.empty())
+                             && table_->configuration().tenantRules().size() == next.tenantRules().size();
+    if (!next.needsKeys())
         keys_.reset();
     else if (!keys_ || !sameTenants)
-        keys_ = std::make_shared<const KeyTable>(next.tenants);
+        keys_ = std::make_shared<const KeyTable>(next.tenantRules());
     currency_.hold(next.version);
     table_ = std::move(table);
 }
@@ -51,7 +51,7 @@
         return {nullptr, Base::ErrorKind::ConfigurationNotCurrent, "configuration was not confirmed in time"};
     if (keys.size() == 1) {
         if (const auto tenant = keys_->find(Route::digestOfKey(keys.front())))
-            return {&table_->configuration().tenants[*tenant], std::nullopt, {}};
+            return {&table_->configuration().tenantRules()[*tenant], std::nullopt, {}};
     }
     if (!mayRejectKeys(now))
         return {nullptr, Base::ErrorKind::ConfigurationNotCurrent,
--- a/Libraries/LibTenant/Authenticator.h
+++ b/Libraries/LibTenant/Authenticator.h
@@ -41,7 +41,7 @@
     const ConfigurationCurrency &currency() const { return currency_; }
 
     /// Whether requests of this configuration need keys at all.
-    bool isActive() const { return table_ && !table_->configuration().tenants.empty(); }
+    bool isActive() const { return table_ && table_->configuration().needsKeys(); }
     /// Whether confirmations are needed: keys expire unless they are confirmed.
     bool needsConfirmations() const { return isActive() && keyRemovalBound_ > Base::Duration::zero(); }
     /// Whether a key of the configuration in force may be served.
@@ -60,7 +60,7 @@
 
     Base::Duration keyRemovalBound_;
     std::shared_ptr<const Route::RouteTable> table_;
-    std::shared_ptr<const KeyTable> keys_; ///< Null while no tenant is known.
+    std::shared_ptr<const KeyTable> keys_; ///< Null while requests need no keys.
     ConfigurationCurrency currency_;
 };
 
--- a/Services/Common/NodeSettings.cpp
+++ b/Services/Common/NodeSettings.cpp
@@ -116,6 +116,9 @@
     settings.keyRemovalBound = duration(numberText(table, "key_removal_bound_ms", {0.0, 3600e3, 0.0}) / 1e3);
     if (!keyRemovalIsBounded)
         settings.keyRemovalBound = Base::Duration::zero();
+    else if (settings.keyRemovalBound <= Base::Duration::zero())
+        table.reportKey("key_removal_bound_ms",
+                        "a number above 0 as text, because key_removal_is_bounded is \"true\"");
     settings.allowanceWindow = duration(numberText(table, "allowance_window_s", {0.0, 3600.0, 0.0}));
     settings.allowanceOverage = numberText(table, "allowance_overage", {0.0, 10.0, 0.0});
     settings.allowanceSlack = numberText(table, "allowance_slack", {0.0, 1e9, 0.0});
--- a/Services/Gateway/ForwardedHead.cpp
+++ b/Services/Gateway/ForwardedHead.cpp
@@ -7,7 +7,7 @@
 std::string forwardedHead(const Edge::RequestMessage &request, const Adapter::HeaderNames &names,
                           const Route::Configuration &configuration, const Route::TenantRule *tenant)
 {
-    const bool hasTenants = !configuration.tenants.empty();
+    const bool needsKeys = configuration.needsKeys();
     const auto options = request.header("Connection");
     auto head = fmt::format("{} {} HTTP/1.1\r\n", request.method, request.target);
     for (const auto &[name, value] : request.headers) {
@@ -15,7 +15,7 @@
             || Edge::equalsIgnoringCase(name, "Expect") || Edge::equalsIgnoringCase(name, names.deadline)
             || Edge::equalsIgnoringCase(name, names.targetServer))
             continue;
-        if (hasTenants
+        if (needsKeys
             && (Edge::equalsIgnoringCase(name, names.callerKey)
                 || Edge::equalsIgnoringCase(name, names.tenant)))
             continue;
--- a/Services/Registry/RegistryAllowances.cpp
+++ b/Services/Registry/RegistryAllowances.cpp
@@ -117,7 +117,7 @@
     if (!allowanceConfiguration_)
         return;
     Allowance::TermsByRule terms;
-    for (const auto &tenant : allowanceConfiguration_->tenants) {
+    for (const auto &tenant : allowanceConfiguration_->tenantRules()) {
         if (tenant.requestsPerSecond > 0.0)
             terms.emplace(Allowance::tenantKey(tenant.name),
                           Allowance::termsFor({tenant.requestsPerSecond, tenant.burst}, tolerances.tenants));
--- a/Tests/LibForward/TenantLoad.h
+++ b/Tests/LibForward/TenantLoad.h
@@ -56,11 +56,12 @@
     void useTenants()
     {
         auto configuration = makeTable()->configuration();
+        auto &tenants = configuration.tenants.emplace();
         for (std::size_t index = 0; index < Tenants; ++index) {
             Route::TenantRule tenant;
             tenant.name = fmt::format("t{}", index);
             tenant.requestsPerSecond = 1.6 * usualOf(index, Capacity);
-            configuration.tenants.push_back(std::move(tenant));
+            tenants.push_back(std::move(tenant));
         }
         auto second = configuration.routes[1];
         second.name = "second";
@@ -76,7 +77,7 @@
         Forward::RequestFacts facts {
             table, table->find("h", path), milliseconds(1000), {.network = milliseconds(10)}};
         if (tenantsKnown && tenant < Tenants)
-            facts.tenant = &table->configuration().tenants[tenant];
+            facts.tenant = &table->configuration().tenantRules()[tenant];
         const auto id = core->begin(now, facts);
         collect();
         return id;
--- a/Tests/LibForward/TestExplanation.cpp
+++ b/Tests/LibForward/TestExplanation.cpp
@@ -345,13 +345,14 @@
         configuration.routes[1].targets = {{"s0", 1.0}, {"s1", 1.0}};
         configuration.routes[2].rank = 1;
         if (hasTenants) {
+            auto &tenants = configuration.tenants.emplace();
             for (int index = 0; index < 3; ++index) {
                 Route::TenantRule tenant;
                 tenant.name = fmt::format("t{}", index);
                 tenant.requestsPerSecond = 10.0 * index;
                 if (index == 2)
                     tenant.rank = 2;
-                configuration.tenants.push_back(tenant);
+                tenants.push_back(tenant);
             }
         }
         return std::make_shared<const Route::RouteTable>(std::move(configuration));
@@ -379,7 +380,7 @@
     void request(bool explains)
     {
         const auto *path = random_.below(4) == 0 ? "/g/x" : random_.below(3) == 0 ? "/o/x" : "/s/x";
-        const auto &tenants = table->configuration().tenants;
+        const auto tenants = table->configuration().tenantRules();
         const auto tenant = random_.below(tenants.size() + 1);
         auto facts = factsOf(path, tenant < tenants.size() ? &tenants[tenant] : nullptr);
         if (!explains) {
--- a/Tests/LibTenant/TestAuthenticator.cpp
+++ b/Tests/LibTenant/TestAuthenticator.cpp
@@ -24,12 +24,14 @@
     route.prefix = "/open/";
     route.isPublic = true;
     configuration.routes.push_back(route);
+    if (!keysByTenant.empty())
+        configuration.tenants.emplace();
     for (const auto &[name, key] : keysByTenant) {
         Route::TenantRule tenant;
         tenant.name = name;
         if (!key.empty())
             tenant.keys.push_back(Route::digestOfKey(key));
-        configuration.tenants.push_back(tenant);
+        configuration.tenants->push_back(tenant);
         configuration.tenantsDigest =
             31 * configuration.tenantsDigest + std::hash<std::string> {}(name + key);
     }
--- a/Tests/LibTenant/TestConfirmationsExplorer.cpp
+++ b/Tests/LibTenant/TestConfirmationsExplorer.cpp
@@ -36,7 +36,7 @@
     Route::TenantRule tenant;
     tenant.name = "a";
     tenant.keys = {Route::digestOfKey(std::to_string(version))}; // Each version takes the key before away.
-    configuration.tenants.push_back(tenant);
+    configuration.tenants = {tenant};
     configuration.tenantsDigest = version;
     return std::make_shared<const Route::RouteTable>(std::move(configuration));
 }
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -1,3 +1,4 @@
+#include "LibTenant/Authenticator.h"
 #include "platform/JsonText.h"
 #include "platform/PlatformProtocol.h"
 
@@ -137,27 +138,66 @@
         R"([{"name":"a","apiKeys":["first","second"],"priority":1,"ratePerS":17,"burst":2.5},{"name":"b"}])"));
     ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
     EXPECT_TRUE(decoded->routes[0].isPublic);
-    ASSERT_EQ(decoded->tenants.size(), 2U);
-    const auto &tenant = decoded->tenants[0];
+    ASSERT_EQ(decoded->tenantRules().size(), 2U);
+    const auto &tenant = decoded->tenantRules()[0];
     EXPECT_EQ(tenant.name, "a");
     EXPECT_EQ(tenant.keys, (std::vector {Route::digestOfKey("first"), Route::digestOfKey("second")}));
     EXPECT_EQ(tenant.rank, 1U);
     EXPECT_DOUBLE_EQ(tenant.requestsPerSecond, 17.0);
     EXPECT_DOUBLE_EQ(tenant.burst, 2.5);
     // The last key of a tenant may be taken away.
-    EXPECT_TRUE(decoded->tenants[1].keys.empty());
-    EXPECT_FALSE(decoded->tenants[1].rank.has_value());
-    EXPECT_DOUBLE_EQ(decoded->tenants[1].requestsPerSecond, 0.0);
+    EXPECT_TRUE(decoded->tenantRules()[1].keys.empty());
+    EXPECT_FALSE(decoded->tenantRules()[1].rank.has_value());
+    EXPECT_DOUBLE_EQ(decoded->tenantRules()[1].requestsPerSecond, 0.0);
 }
 
 TEST(PlatformProtocol, ConfigurationsWithoutTenantsHaveNone)
 {
-    for (const auto &text : {configuration(ProperRoute), withTenants("[]"), withTenants("null")}) {
-        const auto decoded = decode(text);
+    const auto decoded = decode(configuration(ProperRoute));
+    ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
+    EXPECT_FALSE(decoded->tenants.has_value());
+    EXPECT_FALSE(decoded->routes[0].isPublic);
+    const auto empty = decode(withTenants("[]"));
+    ASSERT_TRUE(empty.has_value()) << empty.error().detail;
+    ASSERT_TRUE(empty->tenants.has_value());
+    EXPECT_TRUE(empty->tenants->empty());
+}
+
+// After the last tenant had been removed, requests with any key and with none were served.
+TEST(PlatformProtocol, EmptyListOfTenantsLetsNobodyIn)
+{
+    const Base::Instant now {Base::seconds(1000)};
+    Tenant::Authenticator authenticator(Base::seconds(5));
+    const auto apply = [&](const std::string &text) {
+        auto decoded = decode(text);
         ASSERT_TRUE(decoded.has_value()) << decoded.error().detail;
-        EXPECT_TRUE(decoded->tenants.empty());
+        decoded->routes[0].isPublic = false;
+        const auto version = decoded->version;
+        authenticator.setTable(std::make_shared<const Route::RouteTable>(std::move(*decoded)));
+        authenticator.confirm(version, now);
+    };
+    const Route::RouteRule closed;
+    const std::vector<std::vector<std::string_view>> requests {{"first"}, {"never-held"}, {}};
+    apply(withTenants(R"([{"name":"a","apiKeys":["first"]}])", "1"));
+    EXPECT_FALSE(authenticator.check(now, closed, requests.front()).refusal.has_value());
+    apply(withTenants("[]", "2"));
+    EXPECT_TRUE(authenticator.needsConfirmations());
+    for (const auto &keys : requests)
+        EXPECT_EQ(authenticator.check(now, closed, keys).refusal, Base::ErrorKind::Unauthorized);
+    apply(configuration(ProperRoute, "3"));
+    for (const auto &keys : requests)
+        EXPECT_FALSE(authenticator.check(now, closed, keys).refusal.has_value());
+}
+
+// Without these fields a restriction is lifted. A field that is there and holds nothing must not lift it.
+TEST(PlatformProtocol, NullLiftsNoRestriction)
+{
+    for (const char *tenants : {"null", " null ", R"([{"name":"a","apiKeys":["k"],"ratePerS":null}])"}) {
+        const auto decoded = decode(withTenants(tenants));
+        ASSERT_FALSE(decoded.has_value()) << tenants;
+        EXPECT_EQ(decoded.error().kind, Base::ErrorKind::DocumentInvalid) << tenants;
     }
-    EXPECT_FALSE(decode(configuration(ProperRoute))->routes[0].isPublic);
+    EXPECT_FALSE(decode(R"({"version":1,"routes":[],"services":[{"name":"s","warmupPerS":null}]})"));
 }
 
 TEST(PlatformProtocol, DecodesTheRateOfColdServers)
@@ -218,12 +258,12 @@
     auto before = decode(withTenants(tenants(-1)));
     ASSERT_TRUE(before.has_value());
     // A mark on what is held shows which tenants were taken over.
-    for (auto &tenant : before->tenants)
+    for (auto &tenant : *before->tenants)
         tenant.burst = 9.0;
     const auto after = decode(withTenants(tenants(5), "8"), &*before);
     ASSERT_TRUE(after.has_value());
-    EXPECT_EQ(after->tenants[5].keys.size(), 2U);
-    EXPECT_EQ(std::count_if(after->tenants.begin(), after->tenants.end(),
+    EXPECT_EQ(after->tenantRules()[5].keys.size(), 2U);
+    EXPECT_EQ(std::count_if(after->tenantRules().begin(), after->tenantRules().end(),
                             [](const auto &tenant) { return tenant.burst != 9.0; }),
               1);
     EXPECT_NE(after->tenantsDigest, before->tenantsDigest);
--- a/Tests/Services/TestExplanationText.cpp
+++ b/Tests/Services/TestExplanationText.cpp
@@ -83,7 +83,7 @@
         explanation.table = table;
         explanation.serverListAge = milliseconds(350);
         explanation.route = table->find("ledger.example", path);
-        explanation.tenant = hasTenant ? table->configuration().tenants.data() : nullptr;
+        explanation.tenant = hasTenant ? table->configuration().tenantRules().data() : nullptr;
         explanation.unit = unit;
         explanation.refusal = refusal;
         if (explanation.route != nullptr)
--- a/Tests/Services/TestNodeSettings.cpp
+++ b/Tests/Services/TestNodeSettings.cpp
@@ -42,6 +42,22 @@
     EXPECT_FALSE(Services::parseNodeSettings(required + "key_removal_is_bounded = \"perhaps\"\n"));
 }
 
+// A bound that is asked for and not stated, or stated as 0, was taken for none: removed keys were served for
+// as long as a gateway was out of touch.
+TEST(NodeSettings, BoundThatIsAskedForMustBeStated)
+{
+    const std::string required = "node = \"vm-1\"\ndata_centre = \"dc-a\"\nip = \"10.0.0.1\"\n"
+                                 "first_peer_port = 7000\ncluster_key = \"k\"\n";
+    for (const char *bound : {"", "key_removal_bound_ms = \"\"\n", "key_removal_bound_ms = \"0\"\n"}) {
+        const auto bounded =
+            Services::parseNodeSettings(required + "key_removal_is_bounded = \"true\"\n" + bound);
+        ASSERT_FALSE(bounded) << bound;
+        EXPECT_NE(bounded.error().detail.find("key_removal_bound_ms"), std::string::npos);
+        for (const char *flag : {"", "key_removal_is_bounded = \"false\"\n"})
+            EXPECT_TRUE(Services::parseNodeSettings(required + flag + bound)) << flag << bound;
+    }
+}
+
 // A registry whose tolerances and times hold until its next restart keeps a bound that the deployment has
 // given up.
 TEST(NodeSettings, RegistryTakesOverWhatMayChangeWhileItRuns)
--- a/Tests/Services/TestTenantRequests.cpp
+++ b/Tests/Services/TestTenantRequests.cpp
@@ -79,7 +79,7 @@
     const FakeAdapter adapter;
     const auto configuration = tenantsConfiguration(hasTenants);
     return Services::forwardedHead(request, adapter.headers(), configuration,
-                                   hasTenant ? &configuration.tenants.front() : nullptr);
+                                   hasTenant ? configuration.tenantRules().data() : nullptr);
 }
 
 /// A gateway's forwarder between callers and two backend servers, all on one loop.
@@ -283,6 +283,33 @@
     EXPECT_TRUE(received.empty());
 }
 
+// The last tenant was removed while callers were connected; servers were handed their keys and the names that
+// they wrote themselves.
+TEST_F(TenantRequestsTest, WithoutAnyTenantLeftOnlyPublicRoutesAreServed)
+{
+    start(true);
+    const auto headers = fmt::format("Key: {}\r\nTenant: forged\r\n", Key);
+    EXPECT_NE(ask("/single/x", headers).find(" 200 "), std::string::npos);
+    loop.post([this] {
+        auto configuration = tenantsConfiguration(true);
+        configuration.version = 4;
+        configuration.tenants->clear();
+        configuration.tenantsDigest = 2;
+        forwarder->setRoutes(std::make_shared<const Route::RouteTable>(std::move(configuration)));
+        forwarder->confirmConfiguration(4, clock.now());
+    });
+    for (const auto *path : {"/single/x", "/gather/x"}) {
+        EXPECT_NE(ask(path, headers).find(" 401 "), std::string::npos);
+        EXPECT_NE(ask(path, "Key: never-held\r\n").find(" 401 "), std::string::npos);
+        EXPECT_NE(ask(path, "").find(" 401 "), std::string::npos);
+    }
+    EXPECT_NE(ask("/open/x", headers).find(" 200 "), std::string::npos);
+    const std::lock_guard lock(mutex);
+    ASSERT_EQ(received.size(), 2U);
+    EXPECT_EQ(received[1].find(Key), std::string::npos);
+    EXPECT_EQ(received[1].find("forged"), std::string::npos);
+}
+
 TEST_F(TenantRequestsTest, UnconfirmedGatewaySendsCallersElsewhere)
 {
     start(true, false);
