Limit the fields of backend responses and count their memory

Cause: a response's head was limited to 64 KiB of text, not in its number of fields, and a field of 4 bytes takes a container of 64. The memory of unfinished responses counted unparsed input and bodies, but no heads.

Change: at most 256 fields, as in a request; heads with their containers and bodies by their capacity are charged. Bodies grow by halves up to the announced length, as the charge for requests already assumed. Trailers, which were appended to the headers, are dropped.

--- a/Libraries/LibEdge/BackendConnection.cpp
+++ b/Libraries/LibEdge/BackendConnection.cpp
@@ -237,7 +237,7 @@
             input_.erase(0, parsed.consumed);
             if (parsed.error)
                 return fail(parsed.error.message(), failureOf(parsed.error));
-            if (!countBuffered(input_.size() + parser_->bodySize()))
+            if (!countBuffered(input_.size() + parser_->heldBytes()))
                 return fail("unfinished responses use up the memory for them",
                             ExchangeFailure::ReplyTooLarge);
             if (!parsed.done) {
--- a/Libraries/LibEdge/MessageParser.cpp
+++ b/Libraries/LibEdge/MessageParser.cpp
@@ -49,6 +49,30 @@
     return {text.data(), text.size()};
 }
 
+/// Grows by halves up to the announced length, so that little is held that no byte has arrived for.
+std::size_t bodyCapacityFor(const std::string &body, std::size_t size, std::size_t announcedLength)
+{
+    const auto capacity = body.capacity();
+    if (size <= capacity)
+        return capacity;
+    const auto grown = std::max(size, capacity + capacity / 2);
+    return announcedLength >= size ? std::min(grown, announcedLength) : grown;
+}
+
+std::size_t appendTo(std::string &body, boost::beast::string_view part, std::size_t announcedLength)
+{
+    const auto capacity = bodyCapacityFor(body, body.size() + part.size(), announcedLength);
+    if (capacity > body.capacity()) {
+        // A text that reserves more for itself doubles.
+        std::string larger;
+        larger.reserve(capacity);
+        larger.append(body);
+        body = std::move(larger);
+    }
+    body.append(part.data(), part.size());
+    return part.size();
+}
+
 } // namespace
 
 RequestParser::RequestParser(const RequestLimits &limits)
@@ -71,26 +95,14 @@
         const auto fields = std::min(limits_.maxHeaderFields, more / ShortestField);
         return heldBytes() + 2 * more + 2 * fields * sizeof(Http::Header);
     }
-    return message_.bodyDropped ? heldBytes() : headBytes_ + bodyCapacityFor(message_.body.size() + more);
-}
-
-/// Grows by halves up to the announced length, so that little is held that no byte has arrived for.
-std::size_t RequestParser::bodyCapacityFor(std::size_t size) const
-{
-    const auto capacity = message_.body.capacity();
-    if (size <= capacity)
-        return capacity;
-    const auto grown = std::max(size, capacity + capacity / 2);
-    return bodyLength_ >= size ? std::min(grown, bodyLength_) : grown;
+    if (message_.bodyDropped)
+        return heldBytes();
+    return headBytes_ + bodyCapacityFor(message_.body, message_.body.size() + more, bodyLength_);
 }
 
 std::size_t RequestParser::appendBody(Text body)
 {
-    if (message_.bodyDropped)
-        return body.size();
-    message_.body.reserve(bodyCapacityFor(message_.body.size() + body.size()));
-    message_.body.append(body.data(), body.size());
-    return body.size();
+    return message_.bodyDropped ? body.size() : appendTo(message_.body, body, bodyLength_);
 }
 
 RequestMessage RequestParser::take()
@@ -172,6 +184,11 @@
     return !error && is_done();
 }
 
+std::size_t ResponseParser::heldBytes() const
+{
+    return message_.headers.capacity() * sizeof(Http::Header) + fieldTextBytes_ + message_.body.capacity();
+}
+
 ResponseMessage ResponseParser::take()
 {
     message_.keepAlive = keep_alive();
@@ -186,21 +203,32 @@
     message_.reason = toText(reason);
 }
 
-void ResponseParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &)
+void ResponseParser::on_field_impl(boost::beast::http::field, Text name, Text value, Error &error)
 {
-    message_.headers.emplace_back(toText(name), toText(value));
+    // A trailer must not be taken for a header (RFC 9110, section 6.5.1).
+    if (is_header_done())
+        return;
+    if (message_.headers.size() >= MaxHeaderFields) {
+        error = boost::beast::http::error::header_limit;
+        return;
+    }
+    const auto &field = message_.headers.emplace_back(toText(name), toText(value));
+    fieldTextBytes_ += textBytes(field.first) + textBytes(field.second);
+}
+
+void ResponseParser::on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &)
+{
+    bodyLength_ = length.value_or(0);
 }
 
 std::size_t ResponseParser::on_body_impl(Text body, Error &)
 {
-    message_.body.append(body.data(), body.size());
-    return body.size();
+    return appendTo(message_.body, body, bodyLength_);
 }
 
 std::size_t ResponseParser::on_chunk_body_impl(std::uint64_t, Text body, Error &)
 {
-    message_.body.append(body.data(), body.size());
-    return body.size();
+    return appendTo(message_.body, body, bodyLength_);
 }
 
 } // namespace Edge
--- a/Libraries/LibEdge/MessageParser.h
+++ b/Libraries/LibEdge/MessageParser.h
@@ -10,6 +10,9 @@
 
 namespace Edge {
 
+/// Each field costs its container as well, so that short ones hold many times their bytes.
+constexpr std::size_t MaxHeaderFields = 256;
+
 /// What delimits a response besides its own headers.
 struct ReplyFraming
 {
@@ -25,8 +28,7 @@
 {
     std::uint32_t maxHeaderBytes = 16384;
     std::uint64_t maxBodyBytes = std::uint64_t {256} * 1024;
-    /// Each field costs its container as well, so that short ones hold many times their bytes.
-    std::size_t maxHeaderFields = 256;
+    std::size_t maxHeaderFields = MaxHeaderFields;
     const BodyFilter *usesBody = nullptr; ///< A body that it does not want is dropped as it arrives.
 };
 
@@ -77,7 +79,6 @@
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, Error &) override;
     void on_finish_impl(Error &) override { }
 
-    std::size_t bodyCapacityFor(std::size_t size) const;
     std::size_t appendBody(Text body);
 
     RequestLimits limits_;
@@ -87,7 +88,7 @@
     bool expectsContinue_ = false;
 };
 
-/// Parses one response; informational responses before it are skipped.
+/// Parses one response; informational responses before it are skipped. Trailers are dropped.
 class ResponseParser final : private boost::beast::http::basic_parser<false>
 {
 public:
@@ -98,8 +99,8 @@
     bool finishAtEnd();
 
     bool hasStarted() const { return got_some(); }
-    /// Bytes of the body received so far.
-    std::size_t bodySize() const { return message_.body.size(); }
+    /// Memory of what has been parsed.
+    std::size_t heldBytes() const;
     /// What has been parsed; whole after feed() reported `done` or finishAtEnd() returned true.
     const ResponseMessage &message() const { return message_; }
     bool isInformational() const { return message_.status < 200; }
@@ -115,13 +116,15 @@
     void on_response_impl(int code, Text reason, int version, Error &) override;
     void on_field_impl(boost::beast::http::field, Text name, Text value, Error &) override;
     void on_header_impl(Error &) override { }
-    void on_body_init_impl(const boost::optional<std::uint64_t> &, Error &) override { }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &length, Error &) override;
     std::size_t on_body_impl(Text body, Error &) override;
     void on_chunk_header_impl(std::uint64_t, Text, Error &) override { }
     std::size_t on_chunk_body_impl(std::uint64_t, Text body, Error &) override;
     void on_finish_impl(Error &) override { }
 
     ResponseMessage message_;
+    std::size_t fieldTextBytes_ = 0; ///< Memory of the texts of all fields.
+    std::size_t bodyLength_ = 0; ///< As announced; 0 if it is not known.
 };
 
 } // namespace Edge
--- a/Tests/HostileCallers/Site.cpp
+++ b/Tests/HostileCallers/Site.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr int PeerPort = 19380;
+constexpr int FaultyServerCount = 4;
 constexpr std::chrono::seconds Patience {20};
 constexpr std::chrono::milliseconds RetryPause {100};
 /// Answer of the backend server at paths that end in "large".
@@ -20,8 +21,13 @@
 
 constexpr std::string_view Configuration = R"({"version": 1,
 "routes": [{"name": "safe", "host": "site.example", "pathPrefix": "/s/", "routeType": "safe",
-            "timeoutMs": 5000, "targetLatencyMs": 1000, "attempts": 2, "service": "plain"}],
-"services": [{"name": "plain", "maxConnections": 64}]})";
+            "timeoutMs": 5000, "targetLatencyMs": 1000, "attempts": 2, "service": "plain"},
+           {"name": "faulty", "host": "site.example", "pathPrefix": "/f/", "routeType": "safe",
+            "timeoutMs": 5000, "targetLatencyMs": 1000, "attempts": 1, "service": "faulty"},
+           {"name": "gather", "host": "site.example", "pathPrefix": "/g/", "routeType": "safe",
+            "timeoutMs": 5000, "targetLatencyMs": 1000, "attempts": 1, "gather": ["plain", "faulty"],
+            "topK": 10, "minCoverage": 0.5}],
+"services": [{"name": "plain", "maxConnections": 64}, {"name": "faulty", "maxConnections": 200}]})";
 
 std::string networkOfThisProcess()
 {
@@ -90,17 +96,33 @@
 {
     const auto serverAddress = network_ + "2:19080";
     server_ = serve(loop_, serverAddress, &answerAsServer);
-    list_ =
-        serve(loop_, network_ + "3:19002",
-              [serverAddress](const Edge::RequestMessage &, const Edge::CallerExchange &exchange) {
-                  Edge::ResponseMessage response;
-                  response.body = fmt::format(
-                      R"({{"instances": [{{"id": "i-1", "service": "plain", "address": "{}", "zone": "dc-a",
-                               "version": "v1", "slots": 64, "state": "ready", "warmupLeftMs": 0}}],
-                               "nextPageToken": null}})",
-                      serverAddress);
-                  exchange.respond(response);
-              });
+    addInstance("plain", serverAddress);
+    list_ = serve(loop_, network_ + "3:19002",
+                  [this](const Edge::RequestMessage &, const Edge::CallerExchange &exchange) {
+                      Edge::ResponseMessage response;
+                      response.body = fmt::format(R"({{"instances": [{}], "nextPageToken": null}})",
+                                                  fmt::join(instances_, ", "));
+                      exchange.respond(response);
+                  });
+}
+
+void Site::addInstance(const std::string &service, const std::string &address)
+{
+    instances_.push_back(
+        fmt::format(R"({{"id": "i-{}", "service": "{}", "address": "{}", "zone": "dc-a", "version": "v1",
+                         "slots": 64, "state": "ready", "warmupLeftMs": 0}})",
+                    instances_.size() + 1, service, address));
+}
+
+FaultyServers &Site::addFaultyServers()
+{
+    std::vector<std::string> addresses;
+    for (int host = 4; host < 4 + FaultyServerCount; ++host)
+        addresses.push_back(fmt::format("{}{}:19080", network_, host));
+    for (const auto &address : addresses)
+        addInstance("faulty", address);
+    faultyServers_ = std::make_unique<FaultyServers>(addresses);
+    return *faultyServers_;
 }
 
 std::unique_ptr<Sessions::Process> Site::start(const std::string &role, int metricsPort) const
--- a/Tests/HostileCallers/Site.h
+++ b/Tests/HostileCallers/Site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "HostileCallers/FaultyServers.h"
 #include "LibEdge/CallerServer.h"
 #include "LibEdge/Loop.h"
 #include "Sessions/Process.h"
@@ -25,6 +26,10 @@
     Site(const Site &) = delete;
     Site &operator=(const Site &) = delete;
 
+    /// Adds backend servers that send without end: behind the route /f/, and as one of the two shards of the
+    /// gather /g/. Call it before startGateway().
+    FaultyServers &addFaultyServers();
+
     /// Starts the gateway and the registry and waits until a request is served.
     bool startGateway();
     /// Starts an entry process, which needs no cluster for its own status.
@@ -47,6 +52,7 @@
 
 private:
     void listen();
+    void addInstance(const std::string &service, const std::string &address);
     std::unique_ptr<Sessions::Process> start(const std::string &role, int metricsPort) const;
     bool submitConfiguration() const;
 
@@ -55,6 +61,8 @@
     Edge::Loop loop_;
     std::unique_ptr<Edge::CallerServer> list_;
     std::unique_ptr<Edge::CallerServer> server_;
+    std::unique_ptr<FaultyServers> faultyServers_;
+    std::vector<std::string> instances_; ///< Entries of the list.
     std::thread thread_; ///< Runs the loop.
     std::unique_ptr<Sessions::Process> registry_;
     std::unique_ptr<Sessions::Process> gateway_;
--- a/Tests/LibEdge/EdgeFixture.h
+++ b/Tests/LibEdge/EdgeFixture.h
@@ -88,11 +88,16 @@
         return response.header("Id") != "stale";
     }
     void replyArrived(Edge::ResponseMessage response) override { reply = std::move(response); }
-    void exchangeFailed(Edge::ExchangeFailure kind, const std::string &) override { failure = kind; }
+    void exchangeFailed(Edge::ExchangeFailure kind, const std::string &text) override
+    {
+        failure = kind;
+        detail = text;
+    }
     void idleConnectionEnded() override { ended = true; }
 
     std::optional<Edge::ResponseMessage> reply;
     std::optional<Edge::ExchangeFailure> failure;
+    std::string detail; ///< Of the failure.
     bool ended = false;
 };
 
--- a/Tests/LibEdge/TestBrokenServers.cpp
+++ b/Tests/LibEdge/TestBrokenServers.cpp
@@ -125,6 +125,60 @@
     EXPECT_TRUE(memory.resize(0, 60));
 }
 
+// Each field costs its container as well, so that a head of short ones held 32 times its bytes.
+TEST(BrokenServers, HeadOfManyShortFieldsIsTooLarge)
+{
+    for (const std::string status : {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 103 Early Hints\r\n"}) {
+        std::string head = status;
+        for (int count = 0; count < 1000; ++count)
+            head += "a:\r\n";
+        Exchange exchange([&](const RawSocket &socket) {
+            socket.receiveUntil("\r\n\r\n");
+            socket.send(head + "\r\n" + response("1", "ok"));
+            socket.receive();
+        });
+        const auto &seen = exchange.send();
+        EXPECT_FALSE(seen.reply.has_value()) << status;
+        EXPECT_EQ(seen.failure, ExchangeFailure::ReplyTooLarge) << status;
+    }
+}
+
+// A trailer must not be taken for a header (RFC 9110, section 6.5.1), nor be kept: trailers have no limit.
+TEST(BrokenServers, TrailersAreDropped)
+{
+    std::string whole = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+    for (int count = 0; count < 1000; ++count)
+        whole += "Id: 2\r\n";
+    Exchange exchange([&](const RawSocket &socket) {
+        socket.receiveUntil("\r\n\r\n");
+        socket.send(whole + "\r\n");
+        socket.receive();
+    });
+    const auto &seen = exchange.send();
+    ASSERT_TRUE(seen.reply.has_value());
+    EXPECT_EQ(seen.reply->body, "ok");
+    EXPECT_EQ(seen.reply->headers.size(), 1U);
+}
+
+// A head whose body does not come counts against the memory of all responses, as a body does.
+TEST(BrokenServers, HeadsCountAgainstTheMemory)
+{
+    std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n";
+    for (int count = 0; count < 50; ++count)
+        head += "Name: " + std::string(1000, 'x') + "\r\n";
+    Exchange exchange(
+        [&](const RawSocket &socket) {
+            socket.receiveUntil("\r\n\r\n");
+            socket.send(head + "\r\n");
+            socket.receive();
+        },
+        40'000);
+    const auto &seen = exchange.send();
+    EXPECT_EQ(seen.failure, ExchangeFailure::ReplyTooLarge);
+    EXPECT_EQ(seen.detail, "unfinished responses use up the memory for them");
+    EXPECT_EQ(exchange.heldBytes(), 0U);
+}
+
 // Small responses come although others hold all of the memory.
 TEST(BrokenServers, SmallResponsesNeedNoMemory)
 {
