Find the list entries behind a stray bracket

Cause: Platform::ListScanner takes an element that a JSON parser takes from its first byte to its last. From the stray bracket on, that is a list up to the bracket that closes the list of servers, so the entries in between were skipped.

--- a/Tests/Platform/TestServerPageDecoder.cpp
+++ b/Tests/Platform/TestServerPageDecoder.cpp
@@ -1,5 +1,6 @@
 #include "platform/PlatformProtocol.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -92,6 +93,33 @@
     }
 }
 
+// One byte too many in an entry hid those behind it: with a bracket in front, the entry reached to the end of
+// the list, and a server that drained there got requests until it ended.
+TEST(ServerPageDecoder, ByteTooManyLeavesTheNeighbours)
+{
+    const auto whole = entry("x");
+    const std::string additions("\"\\{}[]:,\xfe\x00 1e-\n", 15);
+    for (std::size_t at = 0; at <= whole.size(); ++at) {
+        for (const char addition : additions) {
+            auto damaged = whole;
+            damaged.insert(at, 1, addition);
+            // In front, between others, and last.
+            for (const auto &entries : {damaged + "," + entry("a") + "," + entry("b"),
+                                        entry("a") + "," + damaged + "," + entry("b"),
+                                        entry("a") + "," + entry("b") + "," + damaged}) {
+                const auto decoded = Protocol.decodeServerPage(page(entries));
+                ASSERT_TRUE(decoded.has_value()) << entries;
+                EXPECT_EQ(
+                    std::count_if(decoded->servers.begin(), decoded->servers.end(),
+                                  [](const auto &server) { return server.id == "a" || server.id == "b"; }),
+                    2)
+                    << entries;
+                EXPECT_EQ(decoded->nextPage, "p-50") << entries;
+            }
+        }
+    }
+}
+
 // The same for an entry that ends anywhere, for one of binary bytes, and for lists, texts and numbers in its
 // place.
 TEST(ServerPageDecoder, CutOrForeignElementLeavesTheNeighbours)
@@ -142,7 +170,8 @@
 {
     // A scan to the end from each brace takes billions of steps, a linear one some millions.
     constexpr std::size_t DamagedBytes = 400'000;
-    for (const std::string piece : {"{\"a\":", "{\"a\":[", "{},{\"a\":[", "{\"", "[{", "{\"a\":\"b\","}) {
+    for (const std::string piece :
+         {"{\"a\":", "{\"a\":[", "{},{\"a\":[", "{\"", "[{", "{\"a\":\"b\",", "[],"}) {
         std::string damaged;
         while (damaged.size() < DamagedBytes)
             damaged += piece;
