Count a second read of an unchanged server list

Cause: BackendTable removes a server that two reads in a row lack, but gateways are told of a list only when its content changes, so a second read of the same list never counted.

Change: a list that was read again with the same content counts as a read (BackendTable::confirm), if it was read at least 450 ms after the last one that counted.

Evidence: BackendTable.RemovesAServerThatTheSameListLacksTwice fails while confirm() does nothing, as before, and passes now with the other 178 tests of TestLibForward.

--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -11,6 +11,8 @@
 
 /// Consecutive list reads without a server after which it is removed.
 constexpr std::uint32_t AbsentReadsBeforeRemoval = 2;
+/// Reads are further apart than this. The ages that one read arrives with differ by less.
+constexpr Base::Duration MinReadDistance = Base::milliseconds(450);
 /// Minimum of the limit on open attempts at a server; applies if its number of slots is 1 or not known. One
 /// attempt runs while the next is in transit.
 constexpr std::uint32_t MinOpenAttempts = 2;
@@ -148,12 +150,11 @@
 
 void BackendTable::update(Base::Instant now, const Wire::ServerList &list)
 {
-    const auto readAt = now - Base::milliseconds(list.ageMs);
-    std::set<Identity> present;
+    readAt_ = now - Base::milliseconds(list.ageMs);
+    for (const auto &[identity, backend] : backends_)
+        ++backend->absentReads;
     for (const auto &record : list.servers) {
-        const Identity identity {record.id, record.bornAt};
-        present.insert(identity);
-        auto &backend = backends_[identity];
+        auto &backend = backends_[Identity {record.id, record.bornAt}];
         if (!backend)
             backend.reset(new Backend);
         // A server with another address or service is a different one, even with the same id.
@@ -168,18 +169,36 @@
             backend->firstListedAt = now;
         backend->evacuated = evacuated_.contains(record.dataCentre);
         backend->absentReads = 0;
-        backend->warmAt = readAt + Base::milliseconds(record.warmUpLeftMs);
+        backend->warmAt = readAt_ + Base::milliseconds(record.warmUpLeftMs);
         noteCold(now, backend);
     }
-    for (auto next = backends_.begin(); next != backends_.end();) {
-        auto &backend = *next->second;
-        const bool gone =
-            present.find(next->first) == present.end() && ++backend.absentReads >= AbsentReadsBeforeRemoval;
-        if (gone)
-            backend.listed = false;
-        next = gone ? backends_.erase(next) : std::next(next);
-    }
     loaded_ = true;
+    removeAbsent();
+}
+
+void BackendTable::confirm(Base::Instant readAt)
+{
+    if (readAt - readAt_ < MinReadDistance)
+        return;
+    readAt_ = readAt;
+    bool lacksServers = false;
+    for (const auto &[identity, backend] : backends_) {
+        if (backend->absentReads == 0)
+            continue;
+        ++backend->absentReads;
+        lacksServers = true;
+    }
+    if (lacksServers)
+        removeAbsent();
+}
+
+void BackendTable::removeAbsent()
+{
+    std::erase_if(backends_, [](const auto &entry) {
+        auto &backend = *entry.second;
+        backend.listed = backend.listed && backend.absentReads < AbsentReadsBeforeRemoval;
+        return !backend.listed;
+    });
     std::erase_if(cold_, [](const BackendPointer &backend) { return !backend->listed; });
     countEvacuated();
     findDisplaced();
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -39,6 +39,9 @@
     /// because a list that is read page by page may miss one that moved between pages.
     void update(Base::Instant now, const Wire::ServerList &list);
 
+    /// Applies a read at `readAt` that returned the same list as the one given to update() last.
+    void confirm(Base::Instant readAt);
+
     /// Sets the services that the configuration in force names. An entry of another service names no server
     /// that could have taken over an address.
     void setServices(std::set<std::string, std::less<>> services);
@@ -151,12 +154,14 @@
     std::optional<double> coldLimit(Base::Instant now, const Backend &backend) const;
     std::span<const BackendPointer> serversOf(std::string_view service) const;
     void noteCold(Base::Instant now, const BackendPointer &backend);
+    void removeAbsent();
     void countEvacuated();
     void findDisplaced();
     bool displaces(const Backend &newer, const Backend &older) const;
     void index();
 
     std::map<Identity, BackendPointer> backends_;
+    Base::Instant readAt_; ///< Of the latest list that counted for removals.
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     std::set<std::string, std::less<>> services_;
     std::set<std::string, std::less<>> evacuated_; ///< Data centres.
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -159,6 +159,8 @@
 
     void setOptions(const ForwardOptions &options);
     void setServers(Base::Instant now, const Wire::ServerList &list);
+    /// As BackendTable::confirm().
+    void confirmServers(Base::Instant readAt) { backends_.confirm(readAt); }
     /// Sets the services that the configuration in force names.
     void setServices(std::set<std::string, std::less<>> services)
     {
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -46,8 +46,12 @@
     /// Sends what waits for units.
     void unitsArrived();
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
-    /// Updates the age of a server list that was read again with the same content.
-    void setServersReadAt(Base::Instant readAt) { serversReadAt_ = readAt; }
+    /// The server list was read again with the same content.
+    void confirmServers(Base::Instant readAt)
+    {
+        serversReadAt_ = readAt;
+        core_.confirmServers(readAt);
+    }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
     void setKeyRemovalBound(Base::Duration bound) { authenticator_.setKeyRemovalBound(bound); }
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -43,6 +43,22 @@
     EXPECT_EQ(table.eligibleCount(Start, "s"), 0U);
 }
 
+// Gateways are told of a list only when it changes. A server that is missing from two reads of the same list
+// got its usual share for as long as the list stayed as it was. One read may arrive twice, with another age.
+TEST(BackendTable, RemovesAServerThatTheSameListLacksTwice)
+{
+    BackendTable table(1, "dc-a");
+    table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
+    table.confirm(Start + Base::milliseconds(900));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 2U);
+    table.update(Start + Base::milliseconds(1800), listOf({serverRecord("b", "s", 2)}));
+    table.confirm(Start + Base::milliseconds(1900));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 2U);
+    table.confirm(Start + Base::milliseconds(2700));
+    EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
+    EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Target)->record.id, "b");
+}
+
 // A terminated server stays listed for seconds after its address was reassigned. Requests sent to it reach a
 // server of another service and count as load there (csf-waxroute trouble-3: 718 such requests in one day).
 TEST(BackendTable, SelectsNoServerWhoseAddressWasReassigned)
