Remember the pause of a server that the list lacks for a while

Cause: BackendTable forgets a server that two reads lack, with the pause it asked for and the announcement that it leaves; listed again, it began as a new one.

Change: a removed server is remembered until 60 s after its pause, and the same one, listed again, keeps what is known of it. Without a start time in the list its announcement does not hold on, as it may have been started anew.

Units belong to one server, and the fake now counts them so; the comparison of what is foretold and done is unchanged.

--- a/Libraries/LibForward/Backend.h
+++ b/Libraries/LibForward/Backend.h
@@ -37,7 +37,7 @@
 struct Backend : public boost::intrusive_ref_counter<Backend, boost::thread_unsafe_counter>
 {
     Wire::ServerRecord record;
-    Base::Instant firstListedAt;
+    Base::Instant firstListedAt; ///< Since it was last removed.
     Base::Instant warmAt; ///< End of its warm-up.
     bool listed = true; ///< False once it has been removed from the platform's list.
     bool displaced = false; ///< By the latest list, its address belongs to a newer server.
--- a/Libraries/LibForward/BackendTable.cpp
+++ b/Libraries/LibForward/BackendTable.cpp
@@ -11,6 +11,9 @@
 
 /// Consecutive list reads without a server after which it is removed.
 constexpr std::uint32_t AbsentReadsBeforeRemoval = 2;
+/// Time for which a server that was removed is remembered after its pause. Entries of other writers are
+/// damaged for seconds.
+constexpr Base::Duration RemovedMemory = Base::seconds(60);
 /// Reads are further apart than this. The ages that one read arrives with differ by less.
 constexpr Base::Duration MinReadDistance = Base::milliseconds(450);
 /// Minimum of the limit on open attempts at a server; applies if its number of slots is 1 or not known. One
@@ -154,7 +157,10 @@
     for (const auto &[identity, backend] : backends_)
         ++backend->absentReads;
     for (const auto &record : list.servers) {
-        auto &backend = backends_[Identity {record.id, record.bornAt}];
+        const Identity identity {record.id, record.bornAt};
+        auto &backend = backends_[identity];
+        if (!backend)
+            backend = takeRemoved(now, identity);
         if (!backend)
             backend.reset(new Backend);
         // A server with another address or service is a different one, even with the same id.
@@ -163,20 +169,36 @@
             backend.reset(new Backend);
         }
         const bool isNew = backend->record.id.empty();
+        if (isNew || !backend->listed)
+            backend->firstListedAt = now;
         backend->record = record;
         backend->listed = true;
-        if (isNew)
-            backend->firstListedAt = now;
         backend->evacuated = evacuated_.contains(record.dataCentre);
         backend->absentReads = 0;
         backend->warmAt = readAt_ + Base::milliseconds(record.warmUpLeftMs);
         noteCold(now, backend);
     }
     loaded_ = true;
-    removeAbsent();
+    removeAbsent(now);
+}
+
+/// Returns null if no server of this identity was removed lately.
+BackendPointer BackendTable::takeRemoved(Base::Instant now, const Identity &identity)
+{
+    const auto found = removed_.find(identity);
+    if (found == removed_.end())
+        return nullptr;
+    const auto removed = std::move(found->second);
+    removed_.erase(found);
+    if (now >= removed.forgetAt)
+        return nullptr;
+    // One without a start time may have left and been started anew.
+    if (identity.second == 0)
+        removed.backend->lastUse.reset();
+    return removed.backend;
 }
 
-void BackendTable::confirm(Base::Instant readAt)
+void BackendTable::confirm(Base::Instant now, Base::Instant readAt)
 {
     if (readAt - readAt_ < MinReadDistance)
         return;
@@ -189,17 +211,25 @@
         lacksServers = true;
     }
     if (lacksServers)
-        removeAbsent();
+        removeAbsent(now);
 }
 
-void BackendTable::removeAbsent()
+void BackendTable::removeAbsent(Base::Instant now)
 {
-    std::erase_if(backends_, [](const auto &entry) {
-        auto &backend = *entry.second;
-        backend.listed = backend.listed && backend.absentReads < AbsentReadsBeforeRemoval;
-        return !backend.listed;
+    std::erase_if(removed_, [now](const auto &entry) { return now >= entry.second.forgetAt; });
+    std::erase_if(backends_, [&](const auto &entry) {
+        const auto &[identity, backend] = entry;
+        if (backend->absentReads < AbsentReadsBeforeRemoval)
+            return false;
+        backend->listed = false;
+        removed_[identity] = {backend, std::max(now, backend->pausedUntil) + RemovedMemory};
+        return true;
+    });
+    std::erase_if(cold_, [](const BackendPointer &backend) {
+        if (!backend->listed)
+            backend->notedCold = false;
+        return !backend->listed;
     });
-    std::erase_if(cold_, [](const BackendPointer &backend) { return !backend->listed; });
     countEvacuated();
     findDisplaced();
     index();
--- a/Libraries/LibForward/BackendTable.h
+++ b/Libraries/LibForward/BackendTable.h
@@ -36,11 +36,12 @@
     }
 
     /// Applies a new read of the platform's list. A server is removed once two consecutive reads lack it,
-    /// because a list that is read page by page may miss one that moved between pages.
+    /// because a list that is read page by page may miss one that moved between pages. One that is listed
+    /// again later is the same: what it has asked for and announced holds on.
     void update(Base::Instant now, const Wire::ServerList &list);
 
     /// Applies a read at `readAt` that returned the same list as the one given to update() last.
-    void confirm(Base::Instant readAt);
+    void confirm(Base::Instant now, Base::Instant readAt);
 
     /// Sets the services that the configuration in force names. An entry of another service names no server
     /// that could have taken over an address.
@@ -154,13 +155,20 @@
     std::optional<double> coldLimit(Base::Instant now, const Backend &backend) const;
     std::span<const BackendPointer> serversOf(std::string_view service) const;
     void noteCold(Base::Instant now, const BackendPointer &backend);
-    void removeAbsent();
+    void removeAbsent(Base::Instant now);
+    BackendPointer takeRemoved(Base::Instant now, const Identity &identity);
     void countEvacuated();
     void findDisplaced();
     bool displaces(const Backend &newer, const Backend &older) const;
     void index();
 
     std::map<Identity, BackendPointer> backends_;
+    struct Removed
+    {
+        BackendPointer backend;
+        Base::Instant forgetAt;
+    };
+    std::map<Identity, Removed> removed_; ///< Servers that may be listed again.
     Base::Instant readAt_; ///< Of the latest list that counted for removals.
     std::unordered_map<std::string, std::vector<BackendPointer>> byService_;
     std::set<std::string, std::less<>> services_;
--- a/Libraries/LibForward/ForwardCore.h
+++ b/Libraries/LibForward/ForwardCore.h
@@ -160,7 +160,7 @@
     void setOptions(const ForwardOptions &options);
     void setServers(Base::Instant now, const Wire::ServerList &list);
     /// As BackendTable::confirm().
-    void confirmServers(Base::Instant readAt) { backends_.confirm(readAt); }
+    void confirmServers(Base::Instant now, Base::Instant readAt) { backends_.confirm(now, readAt); }
     /// Sets the services that the configuration in force names.
     void setServices(std::set<std::string, std::less<>> services)
     {
--- a/Services/Gateway/Forwarder.h
+++ b/Services/Gateway/Forwarder.h
@@ -47,10 +47,10 @@
     void unitsArrived();
     void setEvacuated(Base::Instant now, std::set<std::string, std::less<>> dataCentres);
     /// The server list was read again with the same content.
-    void confirmServers(Base::Instant readAt)
+    void confirmServers(Base::Instant now, Base::Instant readAt)
     {
         serversReadAt_ = readAt;
-        core_.confirmServers(readAt);
+        core_.confirmServers(now, readAt);
     }
     void setGatewayCount(std::size_t count) { core_.setGatewayCount(count); }
     void setOptions(const Forward::ForwardOptions &options) { core_.setOptions(options); }
--- a/Services/Gateway/GatewayProcess.cpp
+++ b/Services/Gateway/GatewayProcess.cpp
@@ -369,7 +369,7 @@
     }
     if (!serverList_.offer(now, *list, packed.servers)) {
         if (list->digest == serverList_.digest())
-            forwarder_->confirmServers(serverList_.readAt());
+            forwarder_->confirmServers(now, serverList_.readAt());
         return;
     }
     forwarder_->setServers(now, *list);
--- a/Tests/LibForward/TestBackendTable.cpp
+++ b/Tests/LibForward/TestBackendTable.cpp
@@ -49,12 +49,12 @@
 {
     BackendTable table(1, "dc-a");
     table.update(Start, listOf({serverRecord("a", "s", 1), serverRecord("b", "s", 2)}));
-    table.confirm(Start + Base::milliseconds(900));
+    table.confirm(Start + Base::milliseconds(900), Start + Base::milliseconds(900));
     EXPECT_EQ(table.eligibleCount(Start, "s"), 2U);
     table.update(Start + Base::milliseconds(1800), listOf({serverRecord("b", "s", 2)}));
-    table.confirm(Start + Base::milliseconds(1900));
+    table.confirm(Start + Base::milliseconds(1900), Start + Base::milliseconds(1900));
     EXPECT_EQ(table.eligibleCount(Start, "s"), 2U);
-    table.confirm(Start + Base::milliseconds(2700));
+    table.confirm(Start + Base::milliseconds(2700), Start + Base::milliseconds(2700));
     EXPECT_EQ(table.eligibleCount(Start, "s"), 1U);
     EXPECT_EQ(table.choose(Start, "s", {}, Share, Mean, Target)->record.id, "b");
 }
--- a/Tests/LibForward/TestExplanation.cpp
+++ b/Tests/LibForward/TestExplanation.cpp
@@ -10,20 +10,29 @@
 
 namespace {
 
+/// Each server has units of its own, as many as are granted.
 class FakeUnits final : public Forward::ColdUnits
 {
 public:
-    std::optional<Base::Instant> take(Base::Instant now, const Forward::Backend &) override
+    std::optional<Base::Instant> take(Base::Instant now, const Forward::Backend &backend) override
     {
-        if (stock == 0)
+        if (!has(now, backend))
             return std::nullopt;
-        --stock;
+        ++spent[backend.record.id];
         return now + milliseconds(50);
     }
-    bool has(Base::Instant, const Forward::Backend &) const override { return stock > 0; }
-    void giveBack(Base::Instant, const Forward::Backend &, Base::Instant) override { ++stock; }
+    bool has(Base::Instant, const Forward::Backend &backend) const override
+    {
+        const auto found = spent.find(backend.record.id);
+        return (found == spent.end() ? 0 : found->second) < granted;
+    }
+    void giveBack(Base::Instant, const Forward::Backend &backend, Base::Instant) override
+    {
+        --spent[backend.record.id];
+    }
 
-    std::size_t stock = 0;
+    std::size_t granted = 0;
+    std::map<std::string, std::size_t> spent; ///< By server.
 };
 
 class ExplanationTest : public ForwardFixture
@@ -153,9 +162,9 @@
     const auto leg = expectSentTo("s0-b");
     EXPECT_EQ(leg.servers[1].obstacle, Obstacle::NoUnit);
     EXPECT_EQ(leg.servers[1].coldPerSecond, 5.0);
-    units.stock = 1;
+    units.granted = 1;
     EXPECT_EQ(core->explain(now, factsOf("/s/x")).legs[0].servers[1].obstacle, Obstacle::None);
-    EXPECT_EQ(units.stock, 1U);
+    EXPECT_TRUE(units.spent.empty());
     core->setColdLimits({}, nullptr);
 }
 
@@ -317,7 +326,7 @@
         random_ = Base::RandomSource(GetParam());
         table = sessionTable(hasTenants);
         useOptions({"dc-a", GetParam(), 0.2, 1000.0, milliseconds(300), hasTenants});
-        units_.stock = 0;
+        units_ = {};
         core->setColdLimits({{"s0", 5.0}, {"s1", 5.0}}, &units_);
         for (int step = 0; step < 600; ++step) {
             takeStep(explains);
@@ -371,7 +380,7 @@
             core->setEvacuated(now, random_.below(3) == 0 ? std::set<std::string, std::less<>> {"dc-b"}
                                                           : std::set<std::string, std::less<>> {});
         if (kind == 94)
-            units_.stock += 2;
+            ++units_.granted;
         if (kind == 95)
             core->setGatewayCount(1 + random_.below(30));
         collect();
--- a/Tests/LibForward/TestServerNotices.cpp
+++ b/Tests/LibForward/TestServerNotices.cpp
@@ -189,6 +189,65 @@
         EXPECT_EQ(send.backend->record.id, "s0-b");
 }
 
+// The entry of a paused server cannot be read for a while, or moves between the pages. The server got its
+// usual share as soon as it was listed again.
+TEST_F(ServerNotices, PauseOutlivesReadsWithoutTheServer)
+{
+    answerFrom({"s0-a"}, pausing(seconds(20)));
+    auto lacking = list();
+    std::erase_if(lacking.servers, [](const auto &server) { return server.id == "s0-a"; });
+    for (const auto &read : {lacking, lacking, list()}) {
+        advance(seconds(1));
+        core->setServers(now, read);
+    }
+    EXPECT_EQ(serversOf("/s/x"), Ids {"s0-b"});
+    advance(seconds(17));
+    begin("/s/x");
+    if (sends.back().backend->record.id == "s0-b")
+        reply(sends.back().attempt, pausing(seconds(1)));
+    EXPECT_EQ(sends.back().backend->record.id, "s0-a");
+}
+
+// The same holds for what a server has announced, but not for a successor with its id: one at another
+// address, or one that may have been started anew, as the list tells no start times.
+TEST_F(ServerNotices, AnnouncementOutlivesReadsWithoutTheServer)
+{
+    const auto readTwiceWithout = [this] {
+        auto lacking = list();
+        std::erase_if(lacking.servers, [](const auto &server) { return server.id == "s0-a"; });
+        core->setServers(now, lacking);
+        core->setServers(now, lacking);
+    };
+    const auto listWith = [this](std::int64_t bornAt, const std::string &address) {
+        auto changed = list();
+        for (auto &server : changed.servers) {
+            if (server.id != "s0-a")
+                continue;
+            server.bornAt = bornAt;
+            server.address = address;
+        }
+        core->setServers(now, changed);
+    };
+    readTwiceWithout();
+    listWith(1000, "10.0.0.98:80");
+    answerFrom({"s0-a"}, leaving());
+    readTwiceWithout();
+    listWith(1000, "10.0.0.98:80");
+    EXPECT_EQ(serversOf("/s/x"), Ids {"s0-b"});
+    readTwiceWithout();
+    listWith(1000, "10.0.0.99:80");
+    answerFrom({"s0-b"}, pausing(seconds(1)));
+    EXPECT_EQ(serversOf("/s/x"), Ids {"s0-a"});
+
+    readTwiceWithout();
+    listWith(0, "10.0.0.98:80");
+    answerFrom({"s0-a"}, leaving());
+    readTwiceWithout();
+    listWith(0, "10.0.0.98:80");
+    advance(Base::seconds(1));
+    answerFrom({"s0-a"}, success());
+}
+
 // When all copies pause, callers waited until the deadline. The request is refused at once as not run, and
 // the Retry-After leads behind the earliest end, spread so that callers do not return together.
 TEST_F(ServerNotices, RefusedAtOnceWhileAllCopiesPause)
