Cut off a last write that lacks any of its blocks

Cause: an incomplete write was known by zeros up to the end of the file. A batch whose front or middle is missing counted as damage to acknowledged data, for which a registry rejoins as a new member.

A batch that does not hold is the write of the power failure if a sector of it is missing and no batch begins behind it; else it is damage, as before.

--- a/Libraries/LibConsensus/LogCodec.cpp
+++ b/Libraries/LibConsensus/LogCodec.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t LogHeaderBytes = 8 + 8 + ChecksumBytes;
 constexpr std::size_t BatchHeaderBytes = 4 + 4 + ChecksumBytes;
 constexpr std::size_t RecordHeaderBytes = 1 + 8 + 8 + 4;
+/// A disk writes each of these parts of a file whole or not at all.
+constexpr std::size_t SectorBytes = 512;
 
 void putU32(Base::Bytes &out, std::uint32_t value)
 {
@@ -80,19 +82,57 @@
     return body.empty();
 }
 
+bool hasBatchHeader(Base::ByteView file, std::size_t offset)
+{
+    const auto rest = file.subspan(offset);
+    return rest.size() >= BatchHeaderBytes && readU32(rest) == BatchMagic
+           && readU64(rest.subspan(8)) == checksum(rest.first(8), offset);
+}
+
+bool hasBatchBehind(Base::ByteView file, std::size_t offset)
+{
+    for (++offset; offset < file.size(); ++offset) {
+        if (hasBatchHeader(file, offset))
+            return true;
+    }
+    return false;
+}
+
+/// Whether a sector from `offset` on, or the part of the first one behind it, holds only zeros. No batch
+/// does: it begins with the magic number, and payloads are text or compressed.
+bool lacksSector(Base::ByteView file, std::size_t offset)
+{
+    for (auto begin = offset; begin < file.size();) {
+        const auto end = std::min(file.size(), (begin / SectorBytes + 1) * SectorBytes);
+        const bool isLong = end - begin == SectorBytes;
+        if ((isLong || begin == offset) && isZero(file.subspan(begin, end - begin)))
+            return true;
+        begin = end;
+    }
+    return false;
+}
+
+/// Whether the batch at `offset` is the last write, of which a power failure left out some sectors. Each
+/// batch is written after the sync of the one before, so that only the last one can lack any.
+bool isTorn(Base::ByteView file, std::size_t offset)
+{
+    return lacksSector(file, offset) && !hasBatchBehind(file, offset);
+}
+
 enum class BatchState { Valid, Incomplete, Damaged };
 
-/// Classifies the batch at the start of `rest`. An incomplete write leaves the file too short or, after a
-/// power failure, zeros where data was not yet written. Anything else is damage to data that may have been
-/// acknowledged.
-BatchState classifyBatch(Base::ByteView rest, std::uint64_t offset)
+/// Classifies the batch at `offset`. An incomplete write leaves the file too short or, after a power failure,
+/// zeros where data was not yet written, whichever part that is. Anything else is damage to data that may
+/// have been acknowledged.
+BatchState classifyBatch(Base::ByteView file, std::size_t offset)
 {
+    const auto rest = file.subspan(offset);
     if (rest.size() < BatchHeaderBytes || isZero(rest))
         return BatchState::Incomplete;
-    const bool header =
-        readU32(rest) == BatchMagic && readU64(rest.subspan(8)) == checksum(rest.first(8), offset);
-    if (!header)
-        return isZero(rest.subspan(BatchHeaderBytes)) ? BatchState::Incomplete : BatchState::Damaged;
+    if (!hasBatchHeader(file, offset)) {
+        const bool unwritten = isZero(rest.subspan(BatchHeaderBytes)) || isTorn(file, offset);
+        return unwritten ? BatchState::Incomplete : BatchState::Damaged;
+    }
     const std::size_t length = readU32(rest.subspan(4));
     const auto size = BatchHeaderBytes + length + ChecksumBytes;
     if (rest.size() < size)
@@ -100,7 +140,7 @@
     const auto trailer = rest.subspan(BatchHeaderBytes + length, ChecksumBytes);
     if (readU64(trailer) == checksum(rest.subspan(BatchHeaderBytes, length), offset))
         return BatchState::Valid;
-    const bool unwritten = rest.size() == size && isZero(trailer);
+    const bool unwritten = rest.size() == size && (isZero(trailer) || isTorn(file, offset));
     return unwritten ? BatchState::Incomplete : BatchState::Damaged;
 }
 
@@ -139,7 +179,7 @@
     log.validBytes = LogHeaderBytes;
     while (log.validBytes < file.size()) {
         const auto rest = file.subspan(log.validBytes);
-        const auto state = classifyBatch(rest, log.validBytes);
+        const auto state = classifyBatch(file, log.validBytes);
         if (state == BatchState::Incomplete)
             break;
         if (state == BatchState::Damaged)
--- a/Tests/LibConsensus/TestFileLogStore.cpp
+++ b/Tests/LibConsensus/TestFileLogStore.cpp
@@ -2,6 +2,7 @@
 #include "LibConsensus/RaftNode.h"
 #include "LibConsensus/TemporaryDirectory.h"
 
+#include <algorithm>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <iterator>
@@ -120,6 +121,65 @@
     }
 }
 
+// Power is lost while a batch of several blocks is written, and the disk has written any of them. Nothing of
+// it was acknowledged; all registries set their whole logs aside, and nothing was read back any more.
+TEST_F(FileLogStoreTest, TruncatesLastWriteWithMissingBlocks)
+{
+    constexpr std::size_t Block = 4096;
+    auto store = open();
+    append(*store, 1, 3);
+    const auto before = read("log").size();
+    auto large = entry(4);
+    large.payload = Base::toBytes(std::string(3 * Block, 'x'));
+    ASSERT_TRUE(store->append({&large, 1}).has_value());
+    ASSERT_TRUE(store->sync().has_value());
+    store.reset();
+    const auto full = read("log");
+    const auto blocks = (full.size() + Block - 1) / Block;
+    for (unsigned missing = 1; missing < 1U << blocks; ++missing) {
+        auto torn = full;
+        for (std::size_t block = 0; block < blocks; ++block) {
+            const auto begin = std::max(before, block * Block);
+            const auto end = std::min(full.size(), (block + 1) * Block);
+            if ((missing >> block & 1U) != 0)
+                std::fill(torn.begin() + static_cast<std::ptrdiff_t>(begin),
+                          torn.begin() + static_cast<std::ptrdiff_t>(end), '\0');
+        }
+        write("log", torn);
+        store = open();
+        ASSERT_NE(store, nullptr) << missing;
+        ASSERT_EQ(store->lastIndex(), 3U) << missing;
+        append(*store, 4, 5);
+        store.reset();
+        ASSERT_EQ(open()->lastIndex(), 5U) << missing;
+    }
+}
+
+// The same hole in front of a later batch is damage to acknowledged data, as batches are written one at a
+// time; and so is a last batch of which nothing is missing.
+TEST_F(FileLogStoreTest, RefusesMissingBlockBeforeLastBatchAndDamageWithoutOne)
+{
+    auto store = open();
+    append(*store, 1, 3);
+    const auto before = read("log").size();
+    auto large = entry(4);
+    large.payload = Base::toBytes(std::string(10'000, 'x'));
+    ASSERT_TRUE(store->append({&large, 1}).has_value());
+    ASSERT_TRUE(store->sync().has_value());
+    const auto behind = read("log").size();
+    append(*store, 5, 5);
+    store.reset();
+    const auto full = read("log");
+    auto holed = full;
+    std::fill(holed.begin() + static_cast<std::ptrdiff_t>(before), holed.begin() + 4096, '\0');
+    write("log", holed);
+    expectRefused("log");
+    auto changed = full.substr(0, behind);
+    changed[before + 5000] = 'y';
+    write("log", changed);
+    expectRefused("log");
+}
+
 // Damage to acknowledged data must stop the process instead of silently dropping entries or votes.
 TEST_F(FileLogStoreTest, RefusesEveryFlippedBitBeforeLastBatch)
 {
