Check all targets that a route names

Cause: the decoder read the first of gather, service and trafficSplit only.

Change: all of them are read and checked; the first is in use, as before.

Evidence: PlatformProtocol.RefusesInvalidTargetsBesideThoseInUse failed before in 9 places and passes now, with the other 33 tests of TestPlatform, 4 of TestLibRoute and 70 of TestServices.

--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -11,10 +11,10 @@
 namespace {
 
 void checkTargets(const Configuration &configuration, const RouteRule &route,
-                  std::vector<std::string> &mistakes)
+                  std::span<const WeightedService> targets, std::vector<std::string> &mistakes)
 {
     double total = 0.0;
-    for (const auto &target : route.targets) {
+    for (const auto &target : targets) {
         if (configuration.services.find(target.service) == configuration.services.end())
             mistakes.push_back(
                 fmt::format("route {}: service {} is not defined", route.name, target.service));
@@ -22,7 +22,7 @@
             mistakes.push_back(fmt::format("route {}: target weight is negative", route.name));
         total += target.weight;
     }
-    if (!route.gather && total <= 0.0)
+    if (total <= 0.0)
         mistakes.push_back(
             fmt::format("route {}: sum of the target weights must be greater than 0", route.name));
 }
@@ -50,9 +50,12 @@
         mistakes.push_back(fmt::format("route {}: path prefix must begin and end with a slash", route.name));
     if (route.timeout <= Base::Duration::zero())
         mistakes.push_back(fmt::format("route {}: timeout must be greater than 0", route.name));
-    checkTargets(configuration, route, mistakes);
     if (route.gather)
         checkGather(configuration, route, mistakes);
+    else
+        checkTargets(configuration, route, route.targets, mistakes);
+    for (const auto &targets : route.unusedTargets)
+        checkTargets(configuration, route, targets, mistakes);
 }
 
 /// A name is sent to backend servers as the value of a header.
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -48,6 +48,8 @@
     std::uint32_t attempts = 1; ///< Maximum number of backend servers per request or gather shard.
     std::vector<WeightedService> targets; ///< Empty for a gather.
     std::optional<GatherRule> gather;
+    /// Targets that the source names beside those in use. They must be valid as well.
+    std::vector<std::vector<WeightedService>> unusedTargets;
     bool isPublic = false; ///< Needs no key, even if the configuration has tenants.
     std::uint64_t sourceDigest = 0; ///< Of the source text; equal texts give equal rules.
 
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -86,6 +86,28 @@
     }
 }
 
+// Targets beside those in use were not looked at, so that an unknown service in them was acknowledged.
+TEST(PlatformProtocol, RefusesInvalidTargetsBesideThoseInUse)
+{
+    const std::string place = R"("host":"h","pathPrefix":"/a/","routeType":"safe","timeoutMs":10,)";
+    const std::string gather = R"("gather":["s"],"topK":1,"minCoverage":1.0,)";
+    for (const auto &used : {std::string(R"("service":"s",)"), gather}) {
+        const auto split = [&](const std::string &parts) {
+            return decode(configuration(fmt::format(R"({}{}"trafficSplit":{})", place, used, parts)));
+        };
+        EXPECT_TRUE(split(R"([{"service":"s","weight":1}])").has_value()) << used;
+        EXPECT_FALSE(split(R"([{"service":"t","weight":1}])").has_value()) << used;
+        EXPECT_FALSE(split(R"([{"service":"s","weight":0}])").has_value()) << used;
+        EXPECT_FALSE(split("[]").has_value()) << used;
+        EXPECT_FALSE(split("7").has_value()) << used;
+    }
+    EXPECT_FALSE(decode(configuration(place + gather + R"("service":"t")")).has_value());
+    const auto both = decode(configuration(place + gather + R"("service":"s")"));
+    ASSERT_TRUE(both.has_value());
+    EXPECT_TRUE(both->routes[0].gather.has_value());
+    EXPECT_TRUE(both->routes[0].targets.empty());
+}
+
 // Load pattern: hundreds of routes over a hundred shards, of which one changes, many times a second. Decoding
 // all of them held up every request of a small VM for 70 ms.
 TEST(PlatformProtocol, DecodesOnlyRoutesThatChanged)
