--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -15,6 +15,7 @@
 RECOVERY = 12.0  # recoveryS of the settings
 READ_BACK = 15.0  # longer than contactMs, for which the operator reads at least
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+AFTER_FIRST_ACK = os.environ.get("VARIANT") == "ack"  # only the first seed loses power, right after its first ack
 
 
 def configuration(version):
@@ -78,6 +79,16 @@
     return sum(status == 200 for status in statuses), len(statuses)
 
 
+def lose_first_seed(deployment):
+    """The machine without a disk loses power and is back after 0.8 s; nothing else happens."""
+    process = deployment.processes["registry-3"]
+    process.kill()
+    process.wait()
+    deployment.record.write("registry-3, the first seed, which has no disk, loses power")
+    time.sleep(0.8)
+    deployment.start("registry-3")
+
+
 def run():
     if not os.path.exists(PROGRAM):
         print("the program is not built")
@@ -95,6 +106,15 @@
         if deployment.put(configuration(3)) != 200:
             print("the first configuration was not acknowledged")
             return 2
+        if AFTER_FIRST_ACK:
+            if TROUBLE:
+                lose_first_seed(deployment)
+            time.sleep(RECOVERY)
+            version = read_back(deployment, 3)
+            text = f"acknowledged: 3; read back: {version}"
+            deployment.record.write(text)
+            print(text)
+            return 0 if version is not None and version >= 3 else 1
         results = []
         threading.Thread(target=send_requests, args=(deployment, results, stop), daemon=True).start()
         time.sleep(10.0)  # catchUpS is 4
