--- a/review/13/scenario.py
+++ b/review/13/scenario.py
@@ -13,7 +13,7 @@
 from deployment import HOST, PROGRAM, Deployment, exchange  # noqa: E402
 
 MEMORY_MB = 260  # memoryMb of the settings
-BODY_BYTES = 262144  # what the site file allows a configuration
+BODY_BYTES = 262144  # no page bounds a configuration; as much as a client's body may have
 ENDS_BROKEN = 3  # on half of the core
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
