--- a/review/11/scenario.py
+++ b/review/11/scenario.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "harness-3"))
 
-from deployment import HOST, PROGRAM, Deployment, exchange  # noqa: E402
+from deployment import HOST, PROGRAM, Deployment, exchange, main  # noqa: E402
 
 RECOVERY = 12.0  # recoveryS of the settings
 READ_BACK = 15.0  # longer than contactMs, for which the operator reads at least
@@ -152,4 +152,4 @@
         deployment.close()
 
 
-sys.exit(run())
+main(run)
--- a/review/13/scenario.py
+++ b/review/13/scenario.py
@@ -10,7 +10,7 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "harness-3"))
 
-from deployment import HOST, PROGRAM, Deployment, exchange  # noqa: E402
+from deployment import HOST, PROGRAM, Deployment, exchange, main  # noqa: E402
 
 MEMORY_MB = 260  # memoryMb of the settings
 BODY_BYTES = 262144  # no page bounds a configuration; as much as a client's body may have
@@ -116,8 +116,9 @@
         return 1 if 2 * len(often) >= len(deployment.registries) else 0
     finally:
         stop.set()
-        watcher.join()
+        if watcher.is_alive():
+            watcher.join()
         deployment.close()
 
 
-sys.exit(run())
+main(run)
--- a/review/harness-3/deployment.py
+++ b/review/harness-3/deployment.py
@@ -8,11 +8,14 @@
 import os
 import random
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 PROGRAM = os.path.join(ROOT, "target", "bin", "daisyroute")
@@ -306,3 +309,14 @@
     if len(body) < length:
         raise ConnectionError("the answer broke off")
     return int(line.split()[1]), headers, body
+
+
+def main(run):
+    """Exits with what `run` returns; with 2 if the script itself fails or is ended from outside."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: sys.exit(2))
+    try:
+        sys.exit(run())
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
+        sys.exit(2)
