Let a registry with a disk found the cluster

Cause: the first seed founded the cluster with its own vote whatever its store was, and one voter was enough for it to accept a configuration. Later only two of three disks got a vote beside it.

Change: a first seed without a disk appoints the first registry with a fresh disk that asks to join (Registry::FounderSearch), and founds the cluster itself only when none comes. Voters without a disk lose their vote once a voter has one, do not count towards the voters that are needed, and hold up the first configuration until they are gone (Control::VoterEligibility). One that stops leaves if anybody else can vote.

--- a/Libraries/LibConsensus/StandardRaftNodeElection.cpp
+++ b/Libraries/LibConsensus/StandardRaftNodeElection.cpp
@@ -183,7 +183,7 @@
     nextRestartPoll_ = now + options_.heartbeatInterval / 2;
     std::vector<NodeIdentity> members;
     for (const auto &member : memberships_.latest().members) {
-        if (identityOf(member) != self_ && (member.voter || member.mayVote))
+        if (identityOf(member) != self_ && (member.voter || member.hasDisk))
             members.push_back(identityOf(member));
     }
     restartPoll_.begin(now, members);
--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -1,6 +1,7 @@
 #include "LibControl/MembershipPlanner.h"
 
 #include "LibControl/RaftWatch.h"
+#include "LibControl/VoterEligibility.h"
 
 #include <algorithm>
 #include <vector>
@@ -16,7 +17,7 @@
 
 bool isCaughtUpLearner(const Consensus::MemberStatus &member, std::uint64_t commitIndex)
 {
-    return !member.member.voter && member.member.mayVote && isResponsive(member)
+    return !member.member.voter && member.member.hasDisk && isResponsive(member)
            && member.matchIndex >= commitIndex;
 }
 
@@ -61,6 +62,35 @@
     return membership;
 }
 
+/// Whether the member holds the membership that the leader has, so that the next one can be committed with
+/// it.
+bool followsMembership(const Consensus::RaftStatus &status, const Consensus::MemberStatus &member)
+{
+    return isResponsive(member) && member.matchIndex >= status.membershipIndex;
+}
+
+/// Returns a voter without a disk that must not count any more, because others with a disk vote. The leader
+/// goes last, so that it can remove the rest. All eligible voters must follow: once one is lost, the ones
+/// without a disk may be what a majority needs.
+const Wire::RaftMember *replacedVoter(const Consensus::RaftStatus &status)
+{
+    const Wire::RaftMember *replaced = nullptr;
+    bool hasEligibleVoter = false;
+    for (const auto &member : status.members) {
+        if (!member.member.voter)
+            continue;
+        if (!isEligible(status, member.member)) {
+            if (replaced == nullptr || member.member.nodeId != status.leaderId)
+                replaced = &member.member;
+            continue;
+        }
+        hasEligibleVoter = true;
+        if (!followsMembership(status, member))
+            return nullptr;
+    }
+    return hasEligibleVoter ? replaced : nullptr;
+}
+
 /// A learner beyond the target gets a vote only if the number of voters is odd with it, or with a further
 /// learner that is ready as well.
 bool shouldPromote(std::size_t voters, std::size_t voterTarget, std::size_t ready)
@@ -76,8 +106,10 @@
                                                             std::size_t voterTarget)
 {
     const auto ready = readyLearners(status);
-    if (shouldPromote(Consensus::voterCount(status), voterTarget, ready.size()))
+    if (shouldPromote(eligibleVoterCount(status), voterTarget, ready.size()))
         return withVoter(status, ready.front());
+    if (const auto *replaced = replacedVoter(status))
+        return without(present(status), *replaced);
     for (std::size_t position = 0; position < status.members.size(); ++position) {
         if (isSuperseded(status, position))
             return without(present(status), status.members[position].member);
@@ -90,8 +122,9 @@
                                                                    Base::Duration silenceLimit)
 {
     const auto responsiveVoters = static_cast<std::size_t>(
-        std::count_if(status.members.begin(), status.members.end(),
-                      [](const auto &member) { return member.member.voter && isResponsive(member); }));
+        std::count_if(status.members.begin(), status.members.end(), [&status](const auto &member) {
+            return member.member.voter && isEligible(status, member.member) && isResponsive(member);
+        }));
     for (const auto &member : status.members) {
         if (member.silentFor < silenceLimit)
             continue;
@@ -136,15 +169,18 @@
         }
         otherVoters += member.member.voter ? 1 : 0;
         responsiveVoters += member.member.voter && isResponsive(member) ? 1 : 0;
-        futureVoters += !member.member.voter && member.member.mayVote && isResponsive(member) ? 1 : 0;
+        futureVoters += !member.member.voter && member.member.hasDisk && isResponsive(member) ? 1 : 0;
     }
     const bool isCommitted = status.membershipIndex <= status.commitIndex;
     if (leaving == nullptr)
         return {isCommitted ? LeaveAnswer::Gone : LeaveAnswer::AskAgain, {}};
-    if (leaving->voter && otherVoters + futureVoters < voterTarget)
+    // Without a disk, the node loses its log whether it stays a member or not.
+    const auto votersAfterwards = std::max<std::size_t>(1, otherVoters + futureVoters);
+    const auto votersNeeded = leaving->hasDisk ? voterTarget : std::min(voterTarget, votersAfterwards);
+    if (leaving->voter && otherVoters + futureVoters < votersNeeded)
         return {LeaveAnswer::Needed, {}};
     const bool othersHaveMajority = responsiveVoters > otherVoters / 2;
-    const bool enoughVoters = !leaving->voter || otherVoters >= voterTarget;
+    const bool enoughVoters = !leaving->voter || otherVoters >= votersNeeded;
     if (!isCommitted || !othersHaveMajority)
         return {LeaveAnswer::AskAgain, {}};
     if (!enoughVoters) {
--- a/Libraries/LibControl/MembershipPlanner.h
+++ b/Libraries/LibControl/MembershipPlanner.h
@@ -15,7 +15,7 @@
     /// Returns the membership to propose next: a caught-up learner that may vote becomes a voter while there
     /// are fewer than `voterTarget`, and beyond that only as far as the number of voters stays odd. An even
     /// number bears no more losses than one less, and has no majority when it is cut into halves. The learner
-    /// that is left over stands by.
+    /// that is left over stands by. A voter without a disk is removed once a voter has one.
     ///
     /// An incarnation whose node has lost its data directory since is removed, voter or not. A learner gets
     /// its vote only after the earlier incarnations of its node are removed: with both as voters, the loss of
@@ -64,7 +64,8 @@
     /// Decides what becomes of a node that is about to stop, and may never return. It is removed first if at
     /// least `voterTarget` voters are left, so that it does not count for the majority once it is gone. With
     /// fewer, as in a restart without a successor, removing it would lower the majority and discard its copy
-    /// of the log. A follower may only rely on Needed and Gone, as it does not know which members respond.
+    /// of the log. A node without a disk stays only while nobody else may vote. A follower may only rely on
+    /// Needed and Gone, as it does not know which members respond.
     static LeaveStep leave(const Consensus::RaftStatus &status, const Consensus::NodeIdentity &node,
                            std::size_t voterTarget);
 
--- a/Libraries/LibRegistry/Formation.cpp
+++ b/Libraries/LibRegistry/Formation.cpp
@@ -1,5 +1,7 @@
 #include "LibRegistry/Formation.h"
 
+#include "LibControl/VoterEligibility.h"
+
 #include <algorithm>
 
 namespace Registry {
@@ -11,18 +13,24 @@
 
 } // namespace
 
+bool namesAllRegistries(std::size_t seeds)
+{
+    return seeds < SeedsNamed;
+}
+
 std::size_t votersToForm(const FormationFacts &facts)
 {
-    // Registries without a disk never vote, so a founder without one stays alone.
-    if (!facts.hasDisk)
+    // Registries without a disk get no vote, so a founder without one stays alone.
+    if (!facts.anyMemberHasDisk)
         return 1;
     const auto target = 2 * facts.lostVmsTolerated + 1;
-    return facts.seeds < SeedsNamed ? std::min(target, std::max<std::size_t>(1, facts.seeds)) : target;
+    return namesAllRegistries(facts.seeds) ? std::min(target, std::max<std::size_t>(1, facts.seeds)) : target;
 }
 
 bool isForming(const Consensus::RaftStatus &status, std::uint64_t heldVersion, std::size_t votersToForm)
 {
-    return heldVersion == 0 && Consensus::voterCount(status) < votersToForm;
+    const auto voters = Control::eligibleVoterCount(status);
+    return heldVersion == 0 && (voters < votersToForm || voters < Consensus::voterCount(status));
 }
 
 } // namespace Registry
--- a/Libraries/LibRegistry/FormationWatch.cpp
+++ b/Libraries/LibRegistry/FormationWatch.cpp
@@ -1,6 +1,7 @@
 #include "LibRegistry/FormationWatch.h"
 
 #include "LibControl/RaftWatch.h"
+#include "LibControl/VoterEligibility.h"
 #include "LibRegistry/Formation.h"
 
 #include <algorithm>
@@ -20,7 +21,7 @@
     if (status.membershipIndex > status.commitIndex)
         return true;
     const auto isExpected = [](const Consensus::MemberStatus &member) {
-        const bool isLearner = member.member.mayVote && !member.member.voter;
+        const bool isLearner = member.member.hasDisk && !member.member.voter;
         return isLearner || (member.member.voter && member.silentFor >= Control::RaftWatch::UnheardAfter);
     };
     if (std::any_of(status.members.begin(), status.members.end(), isExpected))
@@ -46,7 +47,7 @@
 FormationWatch::State FormationWatch::observe(Base::Instant now, const Consensus::RaftStatus &status,
                                               const Facts &facts)
 {
-    if (Consensus::voterCount(status) >= facts.votersNeeded) {
+    if (Control::eligibleVoterCount(status) >= facts.votersNeeded) {
         reset();
         return state_ = State::Complete;
     }
--- a/Libraries/LibWire/RaftMessages.h
+++ b/Libraries/LibWire/RaftMessages.h
@@ -42,10 +42,10 @@
     std::uint64_t incarnation = 0;
     std::string peerAddress;
     bool voter = true;
-    bool mayVote = true; ///< False for a node without a disk: it follows, but forgets what it confirmed.
+    bool hasDisk = true; ///< Otherwise it loses its log and its vote when its process ends.
 
     bool operator==(const RaftMember &) const = default;
-    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, voter, mayVote)
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, voter, hasDisk)
 };
 
 struct RaftMembership
--- a/Libraries/LibWire/RegistryMessages.h
+++ b/Libraries/LibWire/RegistryMessages.h
@@ -196,8 +196,9 @@
     std::string peerAddress;
     bool holdsLog = false;
     bool hasDisk = true;
+    bool mayFound = false; ///< On an empty disk that never belonged to a cluster.
 
-    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, holdsLog, hasDisk)
+    MSGPACK_DEFINE(nodeId, incarnation, peerAddress, holdsLog, hasDisk, mayFound)
 };
 
 struct JoinReply
@@ -205,8 +206,9 @@
     bool isMember = false;
     bool mustReset = false; ///< The caller was removed; its log must be set aside before it can join again.
     std::string leaderAddress; ///< Peer address of the leader when the callee is not the leader.
+    bool mustFound = false; ///< The caller is appointed to found the cluster.
 
-    MSGPACK_DEFINE(isMember, mustReset, leaderAddress)
+    MSGPACK_DEFINE(isMember, mustReset, leaderAddress, mustFound)
 };
 
 /// registry → leader: a registry that has been told to stop asks to be removed first.
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -31,19 +31,25 @@
     return Consensus::FileLogStore::wasRepaired(settings.dataDirectory);
 }
 
-bool shouldBootstrapCluster(const NodeSettings &settings, const Consensus::LogStore &store, bool repaired)
+bool isEmpty(const Consensus::LogStore &store)
 {
-    const bool empty =
-        !store.snapshot() && store.lastIndex() == 0 && store.hardState() == Consensus::HardState {};
-    // A removed node is empty as well, but its cluster still exists and must not be bootstrapped again.
-    return empty && !repaired && settings.firstStart
-           && (settings.seeds.empty() || settings.seeds.front() == settings.operatorAddress);
+    return !store.snapshot() && store.lastIndex() == 0 && store.hardState() == Consensus::HardState {};
+}
+
+// A first seed without a disk appoints a founder that has one (Registry::FounderSearch).
+bool isFounder(const NodeSettings &settings, ClusterNode::Founding founding)
+{
+    if (founding == ClusterNode::Founding::Appointed)
+        return true;
+    const bool isFirstSeed = !settings.seeds.empty() && settings.seeds.front() == settings.operatorAddress;
+    return settings.firstStart
+           && (settings.seeds.empty() || (isFirstSeed && !settings.dataDirectory.empty()));
 }
 
 } // namespace
 
 Base::Result<std::unique_ptr<ClusterNode>> ClusterNode::create(const NodeSettings &settings,
-                                                               Base::Instant now)
+                                                               Base::Instant now, Founding founding)
 {
     const auto repaired = wasRepaired(settings);
     if (!repaired)
@@ -57,12 +63,17 @@
     options.heartbeatInterval = HeartbeatInterval;
     options.electionTimeout = ElectionTimeout;
     options.seed = std::random_device {}();
-    if (shouldBootstrapCluster(settings, **store, *repaired))
-        options.initialMembers = {{settings.nodeId, (*store)->incarnation(), options.peerAddress, true}};
+    const bool hasDisk = !settings.dataDirectory.empty();
+    // A removed node is empty as well, but its cluster still exists and must not be founded again.
+    const bool isFresh = isEmpty(**store) && !*repaired;
+    if (isFresh && isFounder(settings, founding))
+        options.initialMembers = {
+            {settings.nodeId, (*store)->incarnation(), options.peerAddress, true, hasDisk}};
     auto raft = Consensus::RaftNode::create(std::move(options), **store, now);
     if (!raft)
         return tl::unexpected(raft.error());
-    return std::unique_ptr<ClusterNode>(new ClusterNode(std::move(*store), std::move(*raft)));
+    return std::unique_ptr<ClusterNode>(
+        new ClusterNode(std::move(*store), std::move(*raft), isFresh && hasDisk));
 }
 
 Base::Result<void> ClusterNode::reset(const NodeSettings &settings)
@@ -73,11 +84,17 @@
 }
 
 ClusterNode::ClusterNode(std::unique_ptr<Consensus::LogStore> store,
-                         std::unique_ptr<Consensus::RaftNode> raft)
+                         std::unique_ptr<Consensus::RaftNode> raft, bool isFreshDisk)
     : store_(std::move(store))
     , raft_(std::move(raft))
     , core_(std::make_unique<Registry::RegistryCore>(*raft_))
+    , isFreshDisk_(isFreshDisk)
+{
+}
+
+bool ClusterNode::mayFound() const
 {
+    return isFreshDisk_ && isEmpty(*store_);
 }
 
 Base::Result<void> ClusterNode::compactIfDue(std::size_t appliedBytes)
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -1,6 +1,7 @@
 // The replicated log of a registry and its members.
 
 #include "LibControl/MembershipPlanner.h"
+#include "LibControl/VoterEligibility.h"
 #include "LibRegistry/Formation.h"
 #include "Services/Registry/RegistryProcess.h"
 
@@ -54,10 +55,10 @@
     events_.append("cluster_changed", {{"what", summary}, {"detail", detail}});
 }
 
-void RegistryProcess::openCluster(Base::Instant now)
+void RegistryProcess::openCluster(Base::Instant now, ClusterNode::Founding founding)
 {
     nextOpenAttempt_ = now + ReopenInterval;
-    auto cluster = ClusterNode::create(settings_, now);
+    auto cluster = ClusterNode::create(settings_, now, founding);
     if (!cluster) {
         if (openFailure_ != cluster.error().detail)
             events_.write(now, Importance::Notable, "dependency_lost",
@@ -80,6 +81,26 @@
                    {"holds_log", cluster_->holdsLog()}});
 }
 
+void RegistryProcess::foundCluster(Base::Instant now, std::string_view reason)
+{
+    events_.write(now, Importance::Notable, "cluster_founded",
+                  {{"reason", reason}, {"has_disk", !settings_.dataDirectory.empty()}});
+    cluster_.reset();
+    openCluster(now, ClusterNode::Founding::Appointed);
+}
+
+void RegistryProcess::searchForFounder(Base::Instant now, const Consensus::RaftStatus &status)
+{
+    if (!founderSearch_)
+        return;
+    if (isMember(status))
+        return founderSearch_.reset();
+    if (!founderSearch_->mustFoundHere(now))
+        return;
+    founderSearch_.reset();
+    foundCluster(now, "no registry with a disk has come");
+}
+
 void RegistryProcess::closeCluster(const Base::Error &reason)
 {
     events_.write(
@@ -162,7 +183,8 @@
         .set(static_cast<double>(cluster_->core().evacuations().count()));
     if (!leads) {
         formation_.reset();
-        return joinIfNeeded(now, status);
+        joinIfNeeded(now, status);
+        return searchForFounder(now, status);
     }
     watchFormation(now, status);
     introduceToNewMembers(status);
@@ -177,10 +199,10 @@
                       {{"members_before", status.members.size()}, {"members_after", next->members.size()}});
 }
 
-std::size_t RegistryProcess::votersToForm() const
+std::size_t RegistryProcess::votersToForm(const Consensus::RaftStatus &status) const
 {
     return Registry::votersToForm(
-        {settings_.lostVmsTolerated, settings_.seeds.size(), !settings_.dataDirectory.empty()});
+        {settings_.lostVmsTolerated, settings_.seeds.size(), Control::anyMemberHasDisk(status)});
 }
 
 void RegistryProcess::watchFormation(Base::Instant now, const Consensus::RaftStatus &status)
@@ -188,8 +210,8 @@
     std::vector<std::string> seeds;
     for (const auto &seed : settings_.seeds)
         seeds.push_back(settings_.registryPeerAddress(seed));
-    const auto state = formation_.observe(now, status, {votersToForm(), seeds, settings_.catchUpTime});
-    const auto voters = Consensus::voterCount(status);
+    const auto state = formation_.observe(now, status, {votersToForm(status), seeds, settings_.catchUpTime});
+    const auto voters = Control::eligibleVoterCount(status);
     if (state == Registry::FormationWatch::State::Starting || voters >= targetVoterCount()
         || std::exchange(warnedOfFewVoters_, true))
         return;
@@ -246,11 +268,19 @@
     return {};
 }
 
-std::vector<std::string> RegistryProcess::knownRegistries() const
+/// Peer addresses of the registries that the settings name, but for this one.
+std::set<std::string> RegistryProcess::otherSeeds() const
 {
-    std::set<std::string> known;
+    std::set<std::string> seeds;
     for (const auto &seed : settings_.seeds)
-        known.insert(settings_.registryPeerAddress(seed));
+        seeds.insert(settings_.registryPeerAddress(seed));
+    seeds.erase(settings_.registryPeerAddress());
+    return seeds;
+}
+
+std::vector<std::string> RegistryProcess::knownRegistries() const
+{
+    auto known = otherSeeds();
     if (cluster_) {
         for (const auto &member : cluster_->raft().status(clock_.now()).members)
             known.insert(member.member.peerAddress);
@@ -281,9 +311,9 @@
         target = hint->second;
         joinHints_.erase(hint);
     }
-    const Wire::JoinRequest request {settings_.nodeId, cluster_->incarnation(),
-                                     settings_.registryPeerAddress(), cluster_->holdsLog(),
-                                     !settings_.dataDirectory.empty()};
+    const Wire::JoinRequest request {
+        settings_.nodeId,     cluster_->incarnation(),          settings_.registryPeerAddress(),
+        cluster_->holdsLog(), !settings_.dataDirectory.empty(), cluster_->mayFound()};
     endpoint_->call(target, Wire::Method::JoinCluster, Wire::encode(request), JoinTimeout,
                     [this, target, incarnation = request.incarnation](Base::Result<Base::Bytes> payload) {
                         loop_.post([this, target, incarnation, payload = std::move(payload)] {
@@ -303,9 +333,13 @@
     if (!reply->leaderAddress.empty())
         joinHints_[address] = reply->leaderAddress;
     // A late reply to an earlier incarnation must not reset the current one, which may be a voter already.
-    if (!reply->mustReset || incarnation != cluster_->incarnation())
+    if (incarnation != cluster_->incarnation())
         return;
     const auto now = clock_.now();
+    if (reply->mustFound && cluster_->mayFound())
+        return foundCluster(now, "appointed by the first registry of the settings");
+    if (!reply->mustReset)
+        return;
     events_.write(now, Importance::Notable, "removed_from_cluster",
                   {{"told_by", address}, {"incarnation", cluster_->incarnation()}});
     cluster_->core().failPendingSubmissions();
@@ -325,6 +359,10 @@
     // Only a leader that has applied an entry of its own term knows the newest membership.
     if (!cluster_->core().isUpToDateLeader(now)) {
         reply.leaderAddress = leaderAddress(status);
+        if (founderSearch_) {
+            reply.mustFound = founderSearch_->appoints(request);
+            reply.leaderAddress = founderSearch_->founderAddress();
+        }
         return reply;
     }
     addresses_.add(request.nodeId, request.incarnation, request.peerAddress);
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -79,9 +79,10 @@
 /// Whether this node leads a cluster that is too small to keep what it accepts.
 bool RegistryProcess::isFormingLeader(Base::Instant now)
 {
-    return isLeader(now) && formation_.state() != Registry::FormationWatch::State::Undersized
-           && Registry::isForming(cluster_->raft().status(now), cluster_->core().configuration().version(),
-                                  votersToForm());
+    if (!isLeader(now) || formation_.state() == Registry::FormationWatch::State::Undersized)
+        return false;
+    const auto status = cluster_->raft().status(now);
+    return Registry::isForming(status, cluster_->core().configuration().version(), votersToForm(status));
 }
 
 void RegistryProcess::submit(std::uint64_t version, const std::string &text,
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -1,8 +1,10 @@
 #include "Services/Registry/RegistryProcess.h"
 
 #include "LibBase/AddressText.h"
+#include "LibRegistry/Formation.h"
 #include "Services/Common/MetricsEndpoint.h"
 
+#include <algorithm>
 #include <csignal>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -14,6 +16,9 @@
 
 /// Below half of the heartbeat interval, so that heartbeats leave on time.
 constexpr Base::Duration TickInterval = Base::milliseconds(30);
+/// How long a first seed without a disk waits for a registry that has one, at least. Covers what the VMs of a
+/// deployment start apart.
+constexpr Base::Duration ShortestFounderPatience = Base::seconds(2);
 constexpr Base::Duration SettingsPollInterval = Base::seconds(1);
 /// Time allowed for sending the last replies.
 constexpr Base::Duration EndpointStopTimeout = Base::milliseconds(300);
@@ -93,6 +98,10 @@
     metricsServer_ = std::move(*metricsServer);
     listReader_ = std::make_unique<ServerListReader>(loop_, adapter_, settings_.serverListAddress);
     openCluster(clock_.now());
+    if (settings_.firstStart && settings_.dataDirectory.empty() && !settings_.seeds.empty()
+        && settings_.seeds.front() == settings_.operatorAddress)
+        founderSearch_.emplace(otherSeeds(), Registry::namesAllRegistries(settings_.seeds.size()),
+                               std::max(settings_.catchUpTime, ShortestFounderPatience));
     return {};
 }
 
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -11,6 +11,7 @@
 #include "LibPeer/Endpoint.h"
 #include "LibRegistry/Directory.h"
 #include "LibRegistry/FormationWatch.h"
+#include "LibRegistry/FounderSearch.h"
 #include "LibRegistry/GatewayTable.h"
 #include "LibRegistry/RegistryAddresses.h"
 #include "LibRegistry/ServerListHolder.h"
@@ -73,14 +74,16 @@
     nlohmann::json describeStatus();
 
     // RegistryCluster.cpp: the replicated log and its members.
-    void openCluster(Base::Instant now);
+    void openCluster(Base::Instant now, ClusterNode::Founding founding = ClusterNode::Founding::FirstSeed);
+    void foundCluster(Base::Instant now, std::string_view reason);
+    void searchForFounder(Base::Instant now, const Consensus::RaftStatus &status);
     void closeCluster(const Base::Error &reason);
     void processReady();
     void logStoredState();
     void sendRaft(const std::vector<Wire::RaftMessage> &messages);
     void maintainMembership(Base::Instant now);
     void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
-    std::size_t votersToForm() const;
+    std::size_t votersToForm(const Consensus::RaftStatus &status) const;
     void introduceToNewMembers(const Consensus::RaftStatus &status);
     void introduceTo(const std::string &address);
     void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
@@ -97,6 +100,7 @@
 
     std::string leaderAddress(const Consensus::RaftStatus &status) const;
     bool isMember(const Consensus::RaftStatus &status) const;
+    std::set<std::string> otherSeeds() const;
     std::vector<std::string> knownRegistries() const;
     void writeClusterEvent(Base::LogLevel level, std::string_view summary,
                            std::initializer_list<Base::LogField> fields);
@@ -171,6 +175,7 @@
     Registry::RegistryAddresses seenRegistries_;
     Base::Instant nextSearchForFormer_; ///< When the leader next calls at addresses without a member.
     Registry::FormationWatch formation_;
+    std::optional<Registry::FounderSearch> founderSearch_; ///< On a first seed without a disk.
     bool warnedOfFewVoters_ = false;
     std::uint64_t loggedVersion_ = 0;
     std::uint64_t loggedEvacuationRevision_ = 0;
--- a/Tests/LibConsensus/SimulatedCluster.cpp
+++ b/Tests/LibConsensus/SimulatedCluster.cpp
@@ -29,7 +29,8 @@
 
 Wire::RaftMember SimulatedCluster::member(std::size_t index, bool voter) const
 {
-    return {nodes_[index].id, nodes_[index].store->incarnation(), "", voter};
+    const auto &node = nodes_[index];
+    return {node.id, node.store->incarnation(), node.id, voter, node.hasDisk};
 }
 
 std::size_t SimulatedCluster::leader() const
@@ -116,6 +117,8 @@
 {
     nodes_[index].raft.reset();
     nodes_[index].store->crash(keptChanges);
+    if (!nodes_[index].hasDisk)
+        replaceStore(index);
 }
 
 void SimulatedCluster::restart(std::size_t index)
@@ -144,10 +147,21 @@
 void SimulatedCluster::wipe(std::size_t index)
 {
     crash(index);
+    replaceStore(index);
+}
+
+void SimulatedCluster::replaceStore(std::size_t index)
+{
     nodes_[index].store = std::make_unique<MemoryLogStore>(nextIncarnation_++);
     nodes_[index].checkedChanges = 0;
 }
 
+void SimulatedCluster::found(std::size_t index)
+{
+    start(index, {member(index, true)});
+    takeReady(index);
+}
+
 void SimulatedCluster::repairStep()
 {
     const auto index = leader();
--- a/Tests/LibConsensus/SimulatedCluster.h
+++ b/Tests/LibConsensus/SimulatedCluster.h
@@ -40,6 +40,11 @@
     void restart(std::size_t index);
     /// Starts a further node with an empty disk, which is no member. Returns its index.
     std::size_t addNode();
+    /// Takes the node's disk away: from now on a crash empties it.
+    void takeDisk(std::size_t index) { nodes_[index].hasDisk = false; }
+    bool hasDisk(std::size_t index) const { return nodes_[index].hasDisk; }
+    /// Makes an empty node the only member of a new cluster.
+    void found(std::size_t index);
     /// Ends the node for good; recovery expects only the other nodes.
     void retire(std::size_t index);
     bool isRetired(std::size_t index) const { return nodes_[index].retired; }
@@ -77,10 +82,12 @@
         std::string applied;
         std::uint64_t appliedIndex = 0;
         std::uint64_t checkedChanges = 0; ///< logChanges() of the store at the last check.
+        bool hasDisk = true;
         bool retired = false;
     };
 
     void start(std::size_t index, std::vector<Wire::RaftMember> initialMembers);
+    void replaceStore(std::size_t index);
     void apply(SimulatedNode &node, const Consensus::Ready &ready);
     void expect(bool holds, const std::string &property, const SimulatedNode &node);
     void checkVote(const SimulatedNode &node, const Wire::RaftMessage &message);
--- a/Tests/LibControl/TestMembershipPlanner.cpp
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -135,7 +135,7 @@
     Consensus::RaftStatus status;
     status.commitIndex = 10;
     status.members = {member("c1", 1, true, 10), member("c2", 1, false, 10)};
-    status.members[1].member.mayVote = false;
+    status.members[1].member.hasDisk = false;
     EXPECT_FALSE(MembershipPlanner::next(status, 3).has_value());
 }
 
@@ -197,3 +197,47 @@
     status.members.back().member.voter = true;
     EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Remove);
 }
+
+// A founder without a disk keeps its vote only until a registry with a disk has one: the loss of its power
+// would leave a majority out of reach.
+TEST(MembershipPlanner, VoterWithoutADiskGivesWayToOneThatHasOne)
+{
+    Consensus::RaftStatus status;
+    status.leaderId = "c1";
+    status.commitIndex = 10;
+    status.membershipIndex = 10;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, true, 10), member("c3", 1, false, 10)};
+    status.members[0].member.hasDisk = false;
+    status.members[1].member.hasDisk = false;
+    const auto promoted = MembershipPlanner::next(status, 1);
+    ASSERT_TRUE(promoted.has_value());
+    EXPECT_TRUE(promoted->members[2].voter);
+    status.members[2].member.voter = true;
+    status.members[2].matchIndex = 9;
+    EXPECT_FALSE(MembershipPlanner::next(status, 1).has_value()) << "before the disk holds the membership";
+    status.members[2].matchIndex = 10;
+    const auto withoutFollower = MembershipPlanner::next(status, 1);
+    ASSERT_TRUE(withoutFollower.has_value());
+    EXPECT_EQ(withoutFollower->members.size(), 2U);
+    EXPECT_EQ(withoutFollower->members.front().nodeId, "c1");
+    status.members.erase(status.members.begin() + 1);
+    const auto withoutLeader = MembershipPlanner::next(status, 1);
+    ASSERT_TRUE(withoutLeader.has_value());
+    ASSERT_EQ(withoutLeader->members.size(), 1U);
+    EXPECT_EQ(withoutLeader->members.front().nodeId, "c3");
+}
+
+// As a member that has lost its log it would count for the majority for good.
+TEST(MembershipPlanner, NodeWithoutADiskLeavesWhenAnybodyElseCanVote)
+{
+    using LeaveAnswer = MembershipPlanner::LeaveAnswer;
+    Consensus::RaftStatus status;
+    status.members = {member("c1", 1, true, 0)};
+    status.members[0].member.hasDisk = false;
+    const Consensus::NodeIdentity leaving {"c1", 1};
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Needed);
+    status.members.push_back(member("c2", 1, true, 0));
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Remove);
+    status.members.push_back(member("c3", 1, false, 0));
+    EXPECT_EQ(MembershipPlanner::leave(status, leaving, 3).answer, LeaveAnswer::Prepare);
+}
--- a/Tests/LibRegistry/TestFormation.cpp
+++ b/Tests/LibRegistry/TestFormation.cpp
@@ -101,7 +101,7 @@
 {
     Founding founding(2, 2);
     for (auto &member : founding.status.members)
-        member.member.mayVote = member.member.voter;
+        member.member.hasDisk = member.member.voter;
     EXPECT_TRUE(founding.undersizedWithin(ALongTime));
 }
 
@@ -159,6 +159,16 @@
     EXPECT_FALSE(Registry::isForming(statusOf(2, 1), 7, 3));
 }
 
+// A voter without a disk loses what it confirmed with its power; a majority that needs it keeps nothing.
+TEST(Formation, VotersWithoutADiskDoNotCountBesideOthers)
+{
+    auto status = statusOf(4, 0);
+    status.members.front().member.hasDisk = false;
+    EXPECT_TRUE(Registry::isForming(status, 0, 3));
+    status.members.erase(status.members.begin());
+    EXPECT_FALSE(Registry::isForming(status, 0, 3));
+}
+
 // Deployments with fewer registries than the tolerated losses need, or without disks, must accept
 // configurations as well.
 TEST(Formation, SmallDeploymentsFormWithAllTheyHave)
--- a/Tests/Services/TestClusterNode.cpp
+++ b/Tests/Services/TestClusterNode.cpp
@@ -109,3 +109,38 @@
     ASSERT_TRUE(node.has_value());
     EXPECT_FALSE(leadsAlone(**node));
 }
+
+// review/11: a first seed without a disk founded the cluster, and what it alone had confirmed was lost with
+// its power.
+TEST(ClusterNode, FirstSeedWithoutADiskDoesNotFound)
+{
+    const auto node = Services::ClusterNode::create(settingsOf(""), Start);
+    ASSERT_TRUE(node.has_value());
+    EXPECT_FALSE(leadsAlone(**node));
+    EXPECT_FALSE((*node)->mayFound());
+}
+
+// Only a disk that never belonged to a cluster may found one; otherwise two clusters would exist.
+TEST(ClusterNode, AppointedNodeFoundsOnAFreshDiskOnly)
+{
+    using Founding = Services::ClusterNode::Founding;
+    const TemporaryDirectory directory;
+    auto settings = settingsOf(directory.path());
+    settings.operatorAddress = "10.0.0.2:80";
+    {
+        const auto node = Services::ClusterNode::create(settings, Start);
+        ASSERT_TRUE(node.has_value());
+        EXPECT_TRUE((*node)->mayFound());
+    }
+    {
+        const auto node = Services::ClusterNode::create(settings, Start, Founding::Appointed);
+        ASSERT_TRUE(node.has_value());
+        EXPECT_FALSE((*node)->mayFound());
+        EXPECT_TRUE(leadsAlone(**node));
+    }
+    ASSERT_TRUE(Services::ClusterNode::reset(settings).has_value());
+    const auto removed = Services::ClusterNode::create(settings, Start, Founding::Appointed);
+    ASSERT_TRUE(removed.has_value());
+    EXPECT_FALSE((*removed)->mayFound());
+    EXPECT_FALSE(leadsAlone(**removed));
+}
--- a/Tests/Soak/Cluster.cpp
+++ b/Tests/Soak/Cluster.cpp
@@ -72,8 +72,8 @@
                         vm, network_, vm + 1 + OuterOffset, vm + 1, address(vm, CallerPort),
                         address(vm, ReadinessPort), address(vm, LookupPort), outerAddress(vm, OperatorPort),
                         RegistryPeerPort, operatorAddress(0), operatorAddress(1), operatorAddress(2),
-                        firstStart_, isRegistry(vm) ? dataDirectory(vm) : "", listAddress_, AllowanceWindowS,
-                        AllowanceOverage, AllowanceSlack);
+                        firstStart_, isRegistry(vm) && !withoutDisk_.contains(vm) ? dataDirectory(vm) : "",
+                        listAddress_, AllowanceWindowS, AllowanceOverage, AllowanceSlack);
 }
 
 void Cluster::startAll()
--- a/Tests/Soak/Cluster.h
+++ b/Tests/Soak/Cluster.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,10 @@
 
     void startAll();
     void start(int vm);
+    /// Takes the disk of a registry away before it starts for the first time.
+    void takeDisk(int vm) { withoutDisk_.insert(vm); }
+    /// Whether processes that start are told that the whole deployment starts for the first time.
+    void setFirstStart(bool firstStart) { firstStart_ = firstStart; }
     void signal(int vm, int number);
     /// Fills or frees the VM's disk: while it is full, no file of its process grows.
     void setDiskFull(int vm, bool full);
@@ -66,6 +71,7 @@
     std::string directory_;
     std::string listAddress_;
     bool firstStart_ = true;
+    std::set<int> withoutDisk_;
     std::vector<std::unique_ptr<Sessions::Process>> processes_;
 };
 
