Bound what a process keeps of an invalid message

Cause: decoding made room for a rule for each element, went on after the first mistake and kept each mistake as a text, joined them into the error and wrote all of it in one log line.

Change: Base::MistakeList keeps 50 mistakes and decoding stops there; lists are visited without an index of them, and an element with more than 65,536 values is refused before it is parsed. On related paths: details of errors and values in log lines have a length, messages between processes are refused if they declare more elements than they can hold, entries and page tokens of the server list have a length, documents and settings list 100 mistakes, and other JSON bodies have the limit of values.

One test changed: JsonText.FindsPartsWithoutDecodingThem reads through the visitors that replace the lists, with more exact checks.

--- a/Libraries/LibBase/Error.h
+++ b/Libraries/LibBase/Error.h
@@ -2,12 +2,17 @@
 
 #include "LibBase/ErrorKind.h"
 
+#include <cstddef>
 #include <string>
 #include <tl/expected.hpp>
 #include <utility>
 
 namespace Base {
 
+/// Longest detail of an error. Details go into log lines, answers and messages, and parts of them may come
+/// from the message that was refused.
+constexpr std::size_t MaxErrorDetailBytes = std::size_t {16} * 1024;
+
 /// An error kind with a sentence about this occurrence.
 struct Error
 {
@@ -24,6 +29,8 @@
 /// Builds the error side of a Result.
 inline tl::unexpected<Error> fail(ErrorKind kind, std::string detail = {})
 {
+    if (detail.size() > MaxErrorDetailBytes)
+        detail.resize(MaxErrorDetailBytes);
     return tl::unexpected<Error>(Error {kind, std::move(detail)});
 }
 
--- a/Libraries/LibBase/JsonDepth.h
+++ b/Libraries/LibBase/JsonLimits.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string_view>
 
 namespace Base {
@@ -12,4 +13,14 @@
 /// valid JSON: a parser stops there.
 bool isNestedDeeperThan(std::string_view text, int levels);
 
+/// Values that a text may hold which is parsed as a whole. A parsed value takes up to about 100 bytes, and
+/// its text as few as two.
+constexpr std::size_t MaxJsonValues = 65'536;
+
+/// Whether `text` holds more than `count` values. Keys of objects do not count.
+bool holdsMoreValuesThan(std::string_view text, std::size_t count);
+
+/// Whether a parser may build `text` in memory.
+bool isWithinJsonLimits(std::string_view text);
+
 } // namespace Base
--- a/Libraries/LibBase/Log.cpp
+++ b/Libraries/LibBase/Log.cpp
@@ -51,11 +51,15 @@
 
 void appendLogField(std::string &line, const LogField &field)
 {
+    const std::string_view value = field.value;
+    const auto shown = value.substr(0, MaxLogValueBytes);
     fmt::format_to(std::back_inserter(line), " {}=", field.key);
-    if (needsQuotes(field.value))
-        appendQuoted(line, field.value);
+    if (needsQuotes(shown))
+        appendQuoted(line, shown);
     else
-        line += field.value;
+        line += shown;
+    if (shown.size() < value.size())
+        fmt::format_to(std::back_inserter(line), " {}_bytes={}", field.key, value.size());
 }
 
 std::string logTimeStamp()
--- a/Libraries/LibBase/Log.h
+++ b/Libraries/LibBase/Log.h
@@ -47,7 +47,11 @@
     std::string_view part_;
 };
 
-/// Appends " key=value"; values with spaces, quotes or control characters are quoted.
+/// Longest value that is written whole.
+constexpr std::size_t MaxLogValueBytes = 2048;
+
+/// Appends " key=value"; values with spaces, quotes or control characters are quoted. Of a longer value than
+/// MaxLogValueBytes, the beginning is written, and " key_bytes=" with its size.
 void appendLogField(std::string &line, const LogField &field);
 
 /// Returns the wall-clock time as "2026-12-04T04:03:07.123Z".
--- a/Libraries/LibConfiguration/DocumentParser.h
+++ b/Libraries/LibConfiguration/DocumentParser.h
@@ -23,7 +23,7 @@
 struct ParseOutcome
 {
     std::optional<Document> document; ///< Set only when there is no mistake.
-    std::vector<Mistake> mistakes; ///< All of them, in line order.
+    std::vector<Mistake> mistakes; ///< In line order; of very many, the first ones and one that says so.
 };
 
 /// Parses and validates the TOML text of a document; unknown keys are mistakes.
--- a/Libraries/LibConfiguration/TableReader.cpp
+++ b/Libraries/LibConfiguration/TableReader.cpp
@@ -12,6 +12,9 @@
 
 constexpr std::size_t LongestName = 64;
 constexpr std::size_t LongestShownValue = 80;
+constexpr std::size_t LongestReportedText = 256;
+/// A document may hold a mistake in every few bytes.
+constexpr std::size_t MaxMistakes = 100;
 
 constexpr std::string_view AcceptedName =
     "a name of 1 to 64 lower-case letters, digits, '.', '_' or '-', starting with a letter or digit";
@@ -61,6 +64,11 @@
 {
 }
 
+bool TableReader::hasEnoughMistakes() const
+{
+    return mistakes_->size() >= MaxMistakes;
+}
+
 std::uint32_t TableReader::line() const
 {
     return std::max<std::uint32_t>(lineOf(*table_), 1);
@@ -79,7 +87,13 @@
 
 void TableReader::report(std::uint32_t line, std::string path, std::string value, std::string accepted)
 {
+    if (hasEnoughMistakes())
+        return;
+    for (auto *text : {&path, &value})
+        text->resize(std::min(text->size(), LongestReportedText));
     mistakes_->push_back({line, std::move(path), std::move(value), std::move(accepted)});
+    if (hasEnoughMistakes())
+        mistakes_->push_back({0, "document", "the rest", "a document without the mistakes that are listed"});
 }
 
 void TableReader::reportKey(std::string_view key, std::string_view accepted)
@@ -222,6 +236,8 @@
 void TableReader::refuseUnknownKeys()
 {
     for (const auto &[key, node] : *table_) {
+        if (hasEnoughMistakes())
+            return;
         if (known_.find(key.str()) == known_.end())
             report(key.source().begin.line, pathOf(key.str()), shownValue(node), knownKeys(known_));
     }
--- a/Libraries/LibConfiguration/TableReader.h
+++ b/Libraries/LibConfiguration/TableReader.h
@@ -31,7 +31,7 @@
 };
 
 /// Reads one TOML table key by key. Each read records its mistakes and returns a usable value, so that one
-/// pass finds all mistakes.
+/// pass finds all mistakes, up to a number that a person can use.
 class TableReader
 {
 public:
@@ -69,6 +69,7 @@
     std::string pathOf(std::string_view key) const;
 
 private:
+    bool hasEnoughMistakes() const;
     const toml::node *find(std::string_view key);
     const toml::array *findArray(std::string_view key, std::string_view accepted);
 
--- a/Libraries/LibRoute/Configuration.cpp
+++ b/Libraries/LibRoute/Configuration.cpp
@@ -11,45 +11,41 @@
 namespace {
 
 void checkTargets(const Configuration &configuration, const RouteRule &route,
-                  std::span<const WeightedService> targets, std::vector<std::string> &mistakes)
+                  std::span<const WeightedService> targets, Base::MistakeList &mistakes)
 {
     double total = 0.0;
     for (const auto &target : targets) {
         if (configuration.services.find(target.service) == configuration.services.end())
-            mistakes.push_back(
-                fmt::format("route {}: service {} is not defined", route.name, target.service));
+            mistakes.add("route {}: service {} is not defined", route.name, target.service);
         if (target.weight < 0.0)
-            mistakes.push_back(fmt::format("route {}: target weight is negative", route.name));
+            mistakes.add("route {}: target weight is negative", route.name);
         total += target.weight;
     }
     if (total <= 0.0)
-        mistakes.push_back(
-            fmt::format("route {}: sum of the target weights must be greater than 0", route.name));
+        mistakes.add("route {}: sum of the target weights must be greater than 0", route.name);
 }
 
-void checkGather(const Configuration &configuration, const RouteRule &route,
-                 std::vector<std::string> &mistakes)
+void checkGather(const Configuration &configuration, const RouteRule &route, Base::MistakeList &mistakes)
 {
     std::set<std::string_view> seen;
     for (const auto &shard : route.gather->shards) {
         if (configuration.services.find(shard) == configuration.services.end())
-            mistakes.push_back(fmt::format("route {}: service {} is not defined", route.name, shard));
+            mistakes.add("route {}: service {} is not defined", route.name, shard);
         if (!seen.insert(shard).second)
-            mistakes.push_back(fmt::format("route {}: shard {} is listed twice", route.name, shard));
+            mistakes.add("route {}: shard {} is listed twice", route.name, shard);
     }
     if (route.gather->shards.empty())
-        mistakes.push_back(fmt::format("route {}: gather lists no shards", route.name));
+        mistakes.add("route {}: gather lists no shards", route.name);
     if (route.repeatability != Repeatability::Idempotent)
-        mistakes.push_back(fmt::format("route {}: a gather route must be idempotent", route.name));
+        mistakes.add("route {}: a gather route must be idempotent", route.name);
 }
 
-void checkRoute(const Configuration &configuration, const RouteRule &route,
-                std::vector<std::string> &mistakes)
+void checkRoute(const Configuration &configuration, const RouteRule &route, Base::MistakeList &mistakes)
 {
     if (!route.prefix.starts_with('/') || !route.prefix.ends_with('/'))
-        mistakes.push_back(fmt::format("route {}: path prefix must begin and end with a slash", route.name));
+        mistakes.add("route {}: path prefix must begin and end with a slash", route.name);
     if (route.timeout <= Base::Duration::zero())
-        mistakes.push_back(fmt::format("route {}: timeout must be greater than 0", route.name));
+        mistakes.add("route {}: timeout must be greater than 0", route.name);
     if (route.gather)
         checkGather(configuration, route, mistakes);
     else
@@ -66,50 +62,52 @@
            && std::all_of(text.begin(), text.end(), isVisible);
 }
 
-void checkTenants(const Configuration &configuration, std::vector<std::string> &mistakes)
+void checkTenants(const Configuration &configuration, Base::MistakeList &mistakes)
 {
     std::set<std::string_view> names;
     std::unordered_map<KeyDigest, const TenantRule *, KeyDigestHash> holders;
     const auto emptyKey = digestOfKey({});
     for (const auto &tenant : configuration.tenantRules()) {
         if (!isHeaderValue(tenant.name))
-            mistakes.emplace_back("tenants: a name is empty or holds characters that a header may not hold");
+            mistakes.add("tenants: a name is empty or holds characters that a header may not hold");
         else if (!names.insert(tenant.name).second)
-            mistakes.push_back(fmt::format("tenant {}: another tenant already has this name", tenant.name));
+            mistakes.add("tenant {}: another tenant already has this name", tenant.name);
         for (const auto &key : tenant.keys) {
             if (key == emptyKey)
-                mistakes.push_back(fmt::format("tenant {}: a key is empty", tenant.name));
+                mistakes.add("tenant {}: a key is empty", tenant.name);
             const auto [holder, isNew] = holders.emplace(key, &tenant);
             if (!isNew && holder->second != &tenant)
-                mistakes.push_back(
-                    fmt::format("tenant {}: tenant {} has the same key", tenant.name, holder->second->name));
+                mistakes.add("tenant {}: tenant {} has the same key", tenant.name, holder->second->name);
         }
     }
 }
 
 } // namespace
 
-std::vector<std::string> findMistakes(const Configuration &configuration)
+Base::MistakeList findMistakes(const Configuration &configuration)
 {
     std::vector<std::size_t> all(configuration.routes.size());
     std::iota(all.begin(), all.end(), 0);
-    return findMistakes(configuration, ChangedParts {all, true});
+    Base::MistakeList mistakes;
+    findMistakes(configuration, {all, true}, mistakes);
+    return mistakes;
 }
 
-std::vector<std::string> findMistakes(const Configuration &configuration, const ChangedParts &changed)
+void findMistakes(const Configuration &configuration, const ChangedParts &changed,
+                  Base::MistakeList &mistakes)
 {
-    std::vector<std::string> mistakes;
     std::set<std::pair<std::string_view, std::string_view>> places;
     for (const auto &route : configuration.routes) {
         if (!places.emplace(route.host, route.prefix).second)
-            mistakes.push_back(fmt::format("route {}: another route already has host and prefix {}{}",
-                                           route.name, route.host, route.prefix));
+            mistakes.add("route {}: another route already has host and prefix {}{}", route.name, route.host,
+                         route.prefix);
+    }
+    for (const auto position : changed.routes) {
+        if (!mistakes.isFull())
+            checkRoute(configuration, configuration.routes[position], mistakes);
     }
-    for (const auto position : changed.routes)
-        checkRoute(configuration, configuration.routes[position], mistakes);
     if (changed.tenants)
         checkTenants(configuration, mistakes);
-    return mistakes;
 }
 
 } // namespace Route
--- a/Libraries/LibRoute/Configuration.h
+++ b/Libraries/LibRoute/Configuration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Error.h"
+#include "LibBase/MistakeList.h"
 #include "LibBase/Time.h"
 #include "LibRoute/KeyDigest.h"
 
@@ -118,10 +119,10 @@
     bool tenants = true;
 };
 
-/// Validates the configuration. Returns all errors, each with the name of its route or tenant and never with
-/// a key.
-std::vector<std::string> findMistakes(const Configuration &configuration);
-/// The same, but checks only the changed parts, and all routes for equal host and prefix.
-std::vector<std::string> findMistakes(const Configuration &configuration, const ChangedParts &changed);
+/// Validates the configuration. Each mistake has the name of its route or tenant, and none has a key.
+Base::MistakeList findMistakes(const Configuration &configuration);
+/// The same, but checks only the changed parts, and all routes for equal host and prefix. Adds to `mistakes`.
+void findMistakes(const Configuration &configuration, const ChangedParts &changed,
+                  Base::MistakeList &mistakes);
 
 } // namespace Route
--- a/Libraries/LibWire/ErrorMessage.h
+++ b/Libraries/LibWire/ErrorMessage.h
@@ -18,13 +18,14 @@
 
 inline ErrorMessage toMessage(const Base::Error &error)
 {
-    return {static_cast<std::uint8_t>(error.kind), error.detail};
+    return {static_cast<std::uint8_t>(error.kind), error.detail.substr(0, Base::MaxErrorDetailBytes)};
 }
 
 inline Base::Error fromMessage(const ErrorMessage &message)
 {
     const bool known = message.kind < static_cast<std::uint8_t>(Base::ErrorKind::Count);
-    return {known ? static_cast<Base::ErrorKind>(message.kind) : Base::ErrorKind::Internal, message.detail};
+    return {known ? static_cast<Base::ErrorKind>(message.kind) : Base::ErrorKind::Internal,
+            message.detail.substr(0, Base::MaxErrorDetailBytes)};
 }
 
 } // namespace Wire
--- a/Services/Control/OperatorInterface.cpp
+++ b/Services/Control/OperatorInterface.cpp
@@ -1,7 +1,7 @@
 #include "Services/Control/OperatorInterface.h"
 
 #include "LibBase/Digest.h"
-#include "LibBase/JsonDepth.h"
+#include "LibBase/JsonLimits.h"
 #include "Services/Control/HttpAnswer.h"
 #include "Services/Control/StatusJson.h"
 
@@ -67,10 +67,10 @@
                               {"peer_address", result->peerAddress}});
 }
 
-/// Returns a discarded value for a body that is no JSON or is nested too deeply.
+/// Returns a discarded value for a body that is no JSON, is nested too deeply or holds too many values.
 json parseBody(const std::string &body)
 {
-    if (Base::isNestedDeeperThan(body, Base::MaxJsonDepth))
+    if (!Base::isWithinJsonLimits(body))
         return json(json::value_t::discarded);
     return json::parse(body, nullptr, false);
 }
--- a/Services/Entry/BackendProtocol.cpp
+++ b/Services/Entry/BackendProtocol.cpp
@@ -1,6 +1,6 @@
 #include "Services/Entry/BackendProtocol.h"
 
-#include "LibBase/JsonDepth.h"
+#include "LibBase/JsonLimits.h"
 
 #include <algorithm>
 #include <charconv>
@@ -72,7 +72,7 @@
 
 std::optional<Backend::BackendStatus> readBackendStatus(const Http::Response &response)
 {
-    if (response.status != OkStatus || Base::isNestedDeeperThan(response.body, Base::MaxJsonDepth))
+    if (response.status != OkStatus || !Base::isWithinJsonLimits(response.body))
         return std::nullopt;
     try {
         const auto page = nlohmann::json::parse(response.body);
--- a/Services/Entry/QueryParser.cpp
+++ b/Services/Entry/QueryParser.cpp
@@ -1,6 +1,6 @@
 #include "Services/Entry/QueryParser.h"
 
-#include "LibBase/JsonDepth.h"
+#include "LibBase/JsonLimits.h"
 
 #include <algorithm>
 #include <array>
@@ -148,6 +148,8 @@
 {
     if (Base::isNestedDeeperThan(body, MaxDepth))
         return invalid("the body is nested too deeply");
+    if (Base::holdsMoreValuesThan(body, Base::MaxJsonValues))
+        return invalid("the body holds too many values");
     try {
         const auto object = json::parse(body);
         if (!object.is_object())
--- a/Services/Gateway/ExplainQuestion.cpp
+++ b/Services/Gateway/ExplainQuestion.cpp
@@ -1,6 +1,6 @@
 #include "Services/Gateway/ExplainQuestion.h"
 
-#include "LibBase/JsonDepth.h"
+#include "LibBase/JsonLimits.h"
 #include "LibSettings/Rule.h"
 
 #include <algorithm>
@@ -77,8 +77,9 @@
 
 Base::Result<ExplainQuestion> parseExplainQuestion(std::string_view text)
 {
-    if (Base::isNestedDeeperThan(text, Base::MaxJsonDepth))
-        return Base::fail(Base::ErrorKind::InvalidRequest, "the body is nested too deeply");
+    if (!Base::isWithinJsonLimits(text))
+        return Base::fail(Base::ErrorKind::InvalidRequest,
+                          "the body is nested too deeply or holds too many values");
     const auto question = json::parse(text, nullptr, false);
     if (!question.is_object())
         return Base::fail(Base::ErrorKind::InvalidRequest, "the body is no JSON object");
--- a/Tests/LibBase/TestLog.cpp
+++ b/Tests/LibBase/TestLog.cpp
@@ -9,3 +9,12 @@
                                           {{"reason", "a b\n"}, {"count", 3}});
     EXPECT_EQ(line, "info entry: Refused a request. reason=\"a b\\x0a\" count=3");
 }
+
+// A refused configuration wrote one line of 60 MB, and the process answered nobody until it was out.
+TEST(Log, CutsLongValues)
+{
+    std::string line;
+    Base::appendLogField(line, {"detail", std::string(1'000'000, 'x')});
+    EXPECT_LT(line.size(), Base::MaxLogValueBytes + 100);
+    EXPECT_TRUE(line.ends_with("x detail_bytes=1000000"));
+}
--- a/Tests/LibConfiguration/TestDocumentParser.cpp
+++ b/Tests/LibConfiguration/TestDocumentParser.cpp
@@ -2,6 +2,7 @@
 #include "LibConfiguration/DurationText.h"
 
 #include <array>
+#include <fmt/format.h>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -78,6 +79,23 @@
 }
 
 // The message must say what would be accepted, not only that something is wrong.
+// A document with a mistake in every line gave an answer many times its size.
+TEST(DocumentParser, ListsTheFirstOfVeryManyMistakes)
+{
+    std::string text;
+    for (int key = 0; key < 20'000; ++key)
+        text += fmt::format("k{} = 0\n", key);
+    text += fmt::format("environment = \"{}\"\n", std::string(100'000, 'E'));
+    const auto outcome = Configuration::parseDocument(text);
+    EXPECT_FALSE(outcome.document.has_value());
+    EXPECT_GE(outcome.mistakes.size(), 100U);
+    std::size_t bytes = 0;
+    for (const auto &mistake : outcome.mistakes)
+        bytes += Configuration::describe(mistake).size();
+    EXPECT_LT(bytes, 100'000U);
+    EXPECT_EQ(outcome.mistakes.front().value, "the rest");
+}
+
 TEST(DocumentParser, DescribesOneMistake)
 {
     const auto outcome = Configuration::parseDocument(Faulty);
--- a/Tests/LibWire/TestCodec.cpp
+++ b/Tests/LibWire/TestCodec.cpp
@@ -52,6 +52,20 @@
     (void)Wire::decode<Wire::RenewLeaseReply>(input);
 }
 
+// Room for the declared elements of a list was made before they were read: 160 bytes took 768 MB.
+TEST(Codec, RefusesListsThatTheMessageCannotHold)
+{
+    std::vector<std::uint8_t> nested;
+    for (int level = 0; level < 30; ++level) {
+        for (const std::uint8_t byte : {0xdd, 0x00, 0x0f, 0xff, 0xff}) // A list of 1,048,575 elements.
+            nested.push_back(byte);
+    }
+    EXPECT_FALSE(Wire::decode<Wire::RaftMembership>(nested).has_value());
+    std::vector<std::uint8_t> many {0x91, 0xdd, 0x00, 0x7f, 0xff, 0x00};
+    many.resize(many.size() + 0x7fff00, 0xc0);
+    EXPECT_FALSE(Wire::decode<Wire::RaftMembership>(many).has_value());
+}
+
 // A truncated message must not decode.
 RC_GTEST_PROP(Codec, RejectsTruncatedMessages, (const std::string &id, std::uint64_t epoch))
 {
--- a/Tests/Platform/TestPlatformProtocol.cpp
+++ b/Tests/Platform/TestPlatformProtocol.cpp
@@ -1,3 +1,4 @@
+#include "LibBase/JsonLimits.h"
 #include "LibTenant/Authenticator.h"
 #include "platform/JsonText.h"
 #include "platform/PlatformProtocol.h"
@@ -324,18 +325,70 @@
     EXPECT_FALSE(decode(text(route + "," + R"({"name":1})", service), &*before).has_value());
 }
 
+// review/13: a list of numbers for routes gave seven mistakes for each two bytes, an error of 60 MB in one
+// log line, and took registries beyond their memory.
+TEST(PlatformProtocol, MistakesDoNotGrowWithTheConfiguration)
+{
+    const auto listOf = [](const std::string &element) {
+        std::string list = "[" + element;
+        while (list.size() < 262'144)
+            list += "," + element;
+        return list + "]";
+    };
+    for (const auto *field : {"routes", "services", "tenants"}) {
+        for (const auto *element : {"0", "{}", "[]", R"({"name":1})", R"({"gather":0,"trafficSplit":0})"}) {
+            const auto text = R"({"version":9,"services":[],"routes":[],)" + fmt::format("\"{}\":", field)
+                              + listOf(element) + "}";
+            const auto decoded = Platform::PlatformProtocol().decodeConfiguration(text, nullptr);
+            ASSERT_FALSE(decoded.has_value()) << field << element;
+            EXPECT_LE(decoded.error().detail.size(), Base::MaxErrorDetailBytes) << field << element;
+        }
+    }
+    const auto unknownShards =
+        R"({"version":9,"services":[],"routes":[{"name":"r","host":"h","pathPrefix":"/",)"
+        R"("routeType":"safe","timeoutMs":1,"gather":)"
+        + listOf("\"s\"").substr(0, 200'000) + "]}]}";
+    const auto decoded = Platform::PlatformProtocol().decodeConfiguration(unknownShards, nullptr);
+    ASSERT_FALSE(decoded.has_value());
+    EXPECT_LE(decoded.error().detail.size(), Base::MaxErrorDetailBytes);
+}
+
+// A parsed element takes up to 50 times its text.
+TEST(PlatformProtocol, RefusesElementsWithTooManyValues)
+{
+    std::string list = "[0";
+    while (list.size() < 3 * Base::MaxJsonValues)
+        list += ",0";
+    for (const auto *place : {R"("routes":[{"x":)", R"("services":[{"x":)", R"("limits":{"a":{"x":)"}) {
+        auto text = std::string(R"({"version":9,"services":[],"routes":[],)") + place + list + "]}";
+        text += text.find("limits") == std::string::npos ? "]}" : "}}";
+        const auto decoded = Platform::PlatformProtocol().decodeConfiguration(text, nullptr);
+        ASSERT_FALSE(decoded.has_value());
+        EXPECT_NE(decoded.error().detail.find("too many values"), std::string::npos)
+            << decoded.error().detail;
+    }
+}
+
 TEST(JsonText, FindsPartsWithoutDecodingThem)
 {
-    const auto members = Platform::splitObject(R"( {"a\"}" : {"b":[1,2]} , "c":"x,{\\" ,"d":[ ]} )");
-    ASSERT_TRUE(members.has_value());
-    ASSERT_EQ(members->size(), 3U);
-    EXPECT_EQ((*members)[0].first, R"("a\"}")");
-    EXPECT_EQ((*members)[0].second, R"({"b":[1,2]})");
-    EXPECT_EQ((*members)[1].second, R"("x,{\\")");
-    EXPECT_EQ(Platform::splitList((*members)[2].second)->size(), 0U);
-    EXPECT_EQ(Platform::splitList("[1, [2,3],{\"x\":4}]")->size(), 3U);
+    using Texts = std::vector<std::string_view>;
+    Texts keys;
+    Texts values;
+    const auto keepMember = [&](std::string_view key, std::string_view value) {
+        keys.push_back(key);
+        values.push_back(value);
+    };
+    ASSERT_TRUE(Platform::visitObject(R"( {"a\"}" : {"b":[1,2]} , "c":"x,{\\" ,"d":[ ]} )", keepMember));
+    EXPECT_EQ(keys, (Texts {R"("a\"}")", R"("c")", R"("d")"}));
+    EXPECT_EQ(values, (Texts {R"({"b":[1,2]})", R"("x,{\\")", "[ ]"}));
+    Texts elements;
+    const auto keepElement = [&](std::string_view element) { elements.push_back(element); };
+    EXPECT_TRUE(Platform::visitList(values[2], keepElement));
+    EXPECT_TRUE(elements.empty());
+    EXPECT_TRUE(Platform::visitList("[1, [2,3],{\"x\":4}]", keepElement));
+    EXPECT_EQ(elements, (Texts {"1", "[2,3]", R"({"x":4})"}));
     for (const char *broken : {"", "x", "{", "[1", "[1}", "{1}", "[]]"})
-        EXPECT_FALSE(Platform::splitObject(broken).has_value()) << broken;
+        EXPECT_FALSE(Platform::visitObject(broken, [](std::string_view, std::string_view) {})) << broken;
 }
 
 // One entry of another writer must not hide the servers beside it.
--- a/Tests/Platform/TestServerPageDecoder.cpp
+++ b/Tests/Platform/TestServerPageDecoder.cpp
@@ -72,6 +72,22 @@
     EXPECT_LT(peakMemoryKb() - before, AllowedKb);
 }
 
+// A flat entry may have as many values as a nested one has levels, and each of them takes memory.
+TEST(ServerPageDecoder, EntryWithVeryManyValuesIsUnreadable)
+{
+    constexpr long AllowedKb = 65'536;
+    std::string values = "[{}";
+    while (values.size() < 7'000'000)
+        values += ",{}";
+    const auto wide = R"({"id":"x","a":)" + values + "]}";
+    expectNeighboursOf(entry(std::string(wide.size(), 'x')));
+    const auto before = peakMemoryKb();
+    expectNeighboursOf(wide);
+    EXPECT_LT(peakMemoryKb() - before, AllowedKb);
+    const auto longToken = R"({"instances":[],"nextPageToken":")" + std::string(100'000, 'x') + "\"}";
+    EXPECT_FALSE(Protocol.decodeServerPage(longToken).has_value());
+}
+
 // One damaged byte in an entry of another writer hid the whole list: quotes and brackets were counted over
 // the page. None of its bytes, whatever they become, may move the bounds of its neighbours.
 TEST(ServerPageDecoder, DamagedByteLeavesTheNeighbours)
