Let registries without a disk vote where nobody has one

Cause: registries without a disk never got a vote, so the founder was the only voter.

Change: while no member has a disk, all may vote, and as many are needed for the first configuration as elsewhere. An incarnation that is gone never answers again, so no vote counts twice. One check changed: Formation.SmallDeploymentsFormWithAllTheyHave wanted one voter for a founder without a disk, which was the fault.

Evidence: Founding.DeploymentWithoutDisksBearsTheLossOfEachRegistry loses each of three to six registries in turn; with one voter the first loss ends the cluster.

--- a/Libraries/LibControl/MembershipPlanner.cpp
+++ b/Libraries/LibControl/MembershipPlanner.cpp
@@ -15,10 +15,10 @@
     return member.silentFor < RaftWatch::UnheardAfter;
 }
 
-bool isCaughtUpLearner(const Consensus::MemberStatus &member, std::uint64_t commitIndex)
+bool isCaughtUpLearner(const Consensus::RaftStatus &status, const Consensus::MemberStatus &member)
 {
-    return !member.member.voter && member.member.hasDisk && isResponsive(member)
-           && member.matchIndex >= commitIndex;
+    return !member.member.voter && isEligible(status, member.member) && isResponsive(member)
+           && member.matchIndex >= status.commitIndex;
 }
 
 /// Members are listed in the order in which they were added. If a later incarnation of a node has answered
@@ -48,8 +48,7 @@
 {
     std::vector<std::size_t> ready;
     for (std::size_t position = 0; position < status.members.size(); ++position) {
-        if (isCaughtUpLearner(status.members[position], status.commitIndex)
-            && !hasEarlierIncarnation(status, position))
+        if (isCaughtUpLearner(status, status.members[position]) && !hasEarlierIncarnation(status, position))
             ready.push_back(position);
     }
     return ready;
@@ -169,7 +168,8 @@
         }
         otherVoters += member.member.voter ? 1 : 0;
         responsiveVoters += member.member.voter && isResponsive(member) ? 1 : 0;
-        futureVoters += !member.member.voter && member.member.hasDisk && isResponsive(member) ? 1 : 0;
+        const bool canVote = !member.member.voter && isEligible(status, member.member);
+        futureVoters += canVote && isResponsive(member) ? 1 : 0;
     }
     const bool isCommitted = status.membershipIndex <= status.commitIndex;
     if (leaving == nullptr)
--- a/Libraries/LibRegistry/Formation.cpp
+++ b/Libraries/LibRegistry/Formation.cpp
@@ -20,9 +20,6 @@
 
 std::size_t votersToForm(const FormationFacts &facts)
 {
-    // Registries without a disk get no vote, so a founder without one stays alone.
-    if (!facts.anyMemberHasDisk)
-        return 1;
     const auto target = 2 * facts.lostVmsTolerated + 1;
     return namesAllRegistries(facts.seeds) ? std::min(target, std::max<std::size_t>(1, facts.seeds)) : target;
 }
--- a/Libraries/LibRegistry/Formation.h
+++ b/Libraries/LibRegistry/Formation.h
@@ -12,7 +12,6 @@
 {
     std::size_t lostVmsTolerated = 1; ///< VMs with a disk that may be lost at once.
     std::size_t seeds = 0; ///< Registries named in the settings: three, or all if there are fewer.
-    bool anyMemberHasDisk = true;
 };
 
 /// Whether the settings name each registry of the deployment.
--- a/Libraries/LibRegistry/FormationWatch.cpp
+++ b/Libraries/LibRegistry/FormationWatch.cpp
@@ -20,8 +20,8 @@
 {
     if (status.membershipIndex > status.commitIndex)
         return true;
-    const auto isExpected = [](const Consensus::MemberStatus &member) {
-        const bool isLearner = member.member.hasDisk && !member.member.voter;
+    const auto isExpected = [&status](const Consensus::MemberStatus &member) {
+        const bool isLearner = !member.member.voter && Control::isEligible(status, member.member);
         return isLearner || (member.member.voter && member.silentFor >= Control::RaftWatch::UnheardAfter);
     };
     if (std::any_of(status.members.begin(), status.members.end(), isExpected))
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -199,10 +199,9 @@
                       {{"members_before", status.members.size()}, {"members_after", next->members.size()}});
 }
 
-std::size_t RegistryProcess::votersToForm(const Consensus::RaftStatus &status) const
+std::size_t RegistryProcess::votersToForm() const
 {
-    return Registry::votersToForm(
-        {settings_.lostVmsTolerated, settings_.seeds.size(), Control::anyMemberHasDisk(status)});
+    return Registry::votersToForm({settings_.lostVmsTolerated, settings_.seeds.size()});
 }
 
 void RegistryProcess::watchFormation(Base::Instant now, const Consensus::RaftStatus &status)
@@ -210,7 +209,7 @@
     std::vector<std::string> seeds;
     for (const auto &seed : settings_.seeds)
         seeds.push_back(settings_.registryPeerAddress(seed));
-    const auto state = formation_.observe(now, status, {votersToForm(status), seeds, settings_.catchUpTime});
+    const auto state = formation_.observe(now, status, {votersToForm(), seeds, settings_.catchUpTime});
     const auto voters = Control::eligibleVoterCount(status);
     if (state == Registry::FormationWatch::State::Starting || voters >= targetVoterCount()
         || std::exchange(warnedOfFewVoters_, true))
--- a/Services/Registry/RegistryOperators.cpp
+++ b/Services/Registry/RegistryOperators.cpp
@@ -82,7 +82,7 @@
     if (!isLeader(now) || formation_.state() == Registry::FormationWatch::State::Undersized)
         return false;
     const auto status = cluster_->raft().status(now);
-    return Registry::isForming(status, cluster_->core().configuration().version(), votersToForm(status));
+    return Registry::isForming(status, cluster_->core().configuration().version(), votersToForm());
 }
 
 void RegistryProcess::submit(std::uint64_t version, const std::string &text,
--- a/Services/Registry/RegistryProcess.h
+++ b/Services/Registry/RegistryProcess.h
@@ -83,7 +83,7 @@
     void sendRaft(const std::vector<Wire::RaftMessage> &messages);
     void maintainMembership(Base::Instant now);
     void watchFormation(Base::Instant now, const Consensus::RaftStatus &status);
-    std::size_t votersToForm(const Consensus::RaftStatus &status) const;
+    std::size_t votersToForm() const;
     void introduceToNewMembers(const Consensus::RaftStatus &status);
     void introduceTo(const std::string &address);
     void joinIfNeeded(Base::Instant now, const Consensus::RaftStatus &status);
--- a/Tests/LibControl/TestMembershipPlanner.cpp
+++ b/Tests/LibControl/TestMembershipPlanner.cpp
@@ -227,6 +227,21 @@
     EXPECT_EQ(withoutLeader->members.front().nodeId, "c3");
 }
 
+// review/12: where no member has a disk, one of them alone must not be the cluster.
+TEST(MembershipPlanner, NodesWithoutADiskVoteWhereNobodyHasOne)
+{
+    Consensus::RaftStatus status;
+    status.commitIndex = 10;
+    status.members = {member("c1", 1, true, 10), member("c2", 1, false, 10)};
+    for (auto &each : status.members)
+        each.member.hasDisk = false;
+    const auto promoted = MembershipPlanner::next(status, 3);
+    ASSERT_TRUE(promoted.has_value());
+    EXPECT_TRUE(promoted->members[1].voter);
+    status.members.push_back(member("c3", 1, false, 4));
+    EXPECT_FALSE(MembershipPlanner::next(status, 3).has_value()) << "it gives way to a disk";
+}
+
 // As a member that has lost its log it would count for the majority for good.
 TEST(MembershipPlanner, NodeWithoutADiskLeavesWhenAnybodyElseCanVote)
 {
--- a/Tests/LibRegistry/TestFounding.cpp
+++ b/Tests/LibRegistry/TestFounding.cpp
@@ -2,7 +2,6 @@
 // first configuration after the losses that it must survive.
 
 #include "LibControl/RepairingCluster.h"
-#include "LibControl/VoterEligibility.h"
 #include "LibRegistry/Formation.h"
 #include "LibRegistry/FormationWatch.h"
 #include "LibRegistry/FounderSearch.h"
@@ -113,10 +112,7 @@
 private:
     Consensus::RaftStatus statusOf(std::size_t index) { return cluster_.node(index)->status(cluster_.now()); }
 
-    static std::size_t votersToForm(const Consensus::RaftStatus &status)
-    {
-        return Registry::votersToForm({Tolerated, SeedsNamed, Control::anyMemberHasDisk(status)});
-    }
+    static std::size_t votersToForm() { return Registry::votersToForm({Tolerated, SeedsNamed}); }
 
     bool mayAccept(std::size_t leader)
     {
@@ -124,7 +120,7 @@
             return false;
         const auto status = statusOf(leader);
         return watch_.state() == Registry::FormationWatch::State::Undersized
-               || !Registry::isForming(status, held_ ? 1 : 0, votersToForm(status));
+               || !Registry::isForming(status, held_ ? 1 : 0, votersToForm());
     }
 
     void watchFormation()
@@ -137,7 +133,7 @@
             return;
         const std::vector<std::string> seeds {logic_.idOf(0), logic_.idOf(1), logic_.idOf(2)};
         const auto status = statusOf(leader);
-        watch_.observe(cluster_.now(), status, {votersToForm(status), seeds, CatchUpTime});
+        watch_.observe(cluster_.now(), status, {votersToForm(), seeds, CatchUpTime});
     }
 
     void searchForFounder()
@@ -240,6 +236,28 @@
     }
 }
 
+// review/12: of three registries without a disk only the founder voted, so the end of its process left a
+// cluster without any voter.
+TEST(Founding, DeploymentWithoutDisksBearsTheLossOfEachRegistry)
+{
+    for (std::size_t size = 3; size <= 6; ++size) {
+        Founding founding(size, 0);
+        for (std::size_t index = 0; index < size; ++index)
+            founding.start(index);
+        ASSERT_TRUE(founding.acknowledges("first", seconds(10))) << size;
+        ASSERT_GE(founding.voters().size(), 3U) << size;
+        for (std::size_t lost = 0; lost < size; ++lost) {
+            const auto command = fmt::format("after{}", lost);
+            founding.losePower(lost);
+            founding.run(milliseconds(800));
+            founding.restart(lost);
+            ASSERT_TRUE(founding.readsBack("first")) << size << ", node " << lost;
+            ASSERT_TRUE(founding.acknowledges(command, seconds(2))) << size << ", node " << lost;
+            founding.run(seconds(2)); // The time to catch up, after which the next one may be lost.
+        }
+    }
+}
+
 // Registries with a disk that come after one without has founded the cluster take over from it; what was
 // accepted meanwhile must not depend on it any more.
 TEST(Founding, LateDisksTakeOverFromAFounderWithoutOne)
