Let a founder find the registries that the settings name

An appointed founder that the settings do not name was known to the first seed alone. If that lost its power before it had told the other registries, these asked one another for ever and the cluster kept one member, which accepts nothing.

The leader now calls at the named registries that are no members, as it did at those it had seen before. RegistryAddresses.LeaderLooksForTheRegistriesThatTheSettingsName shows the choice of addresses.

--- a/Libraries/LibRegistry/RegistryAddresses.cpp
+++ b/Libraries/LibRegistry/RegistryAddresses.cpp
@@ -1,7 +1,5 @@
 #include "LibRegistry/RegistryAddresses.h"
 
-#include <algorithm>
-
 namespace Registry {
 
 void RegistryAddresses::rememberMembers(std::span<const Consensus::MemberStatus> members)
@@ -15,17 +13,14 @@
     return !address.empty() && remembered_.size() < MaxRemembered && remembered_.insert(address).second;
 }
 
-std::vector<std::string>
-RegistryAddresses::withoutMember(std::span<const Consensus::MemberStatus> members) const
+std::vector<std::string> RegistryAddresses::withoutMember(std::span<const Consensus::MemberStatus> members,
+                                                          const std::set<std::string> &named) const
 {
-    std::vector<std::string> addresses;
-    std::copy_if(remembered_.begin(), remembered_.end(), std::back_inserter(addresses),
-                 [members](const std::string &address) {
-                     return std::none_of(members.begin(), members.end(), [&address](const auto &member) {
-                         return member.member.peerAddress == address;
-                     });
-                 });
-    return addresses;
+    auto addresses = named;
+    addresses.insert(remembered_.begin(), remembered_.end());
+    for (const auto &member : members)
+        addresses.erase(member.member.peerAddress);
+    return {addresses.begin(), addresses.end()};
 }
 
 } // namespace Registry
--- a/Libraries/LibRegistry/RegistryAddresses.h
+++ b/Libraries/LibRegistry/RegistryAddresses.h
@@ -25,8 +25,9 @@
 
     const std::set<std::string> &remembered() const { return remembered_; }
 
-    /// Remembered addresses at which no member is.
-    std::vector<std::string> withoutMember(std::span<const Consensus::MemberStatus> members) const;
+    /// Remembered addresses, and those of registries that the settings name, at which no member is.
+    std::vector<std::string> withoutMember(std::span<const Consensus::MemberStatus> members,
+                                           const std::set<std::string> &named) const;
 
 private:
     std::set<std::string> remembered_;
--- a/Services/Registry/RegistryCluster.cpp
+++ b/Services/Registry/RegistryCluster.cpp
@@ -238,7 +238,7 @@
     if (now < nextSearchForFormer_)
         return;
     nextSearchForFormer_ = now + SearchForFormerInterval;
-    for (const auto &address : seenRegistries_.withoutMember(status.members))
+    for (const auto &address : seenRegistries_.withoutMember(status.members, otherSeeds()))
         introduceTo(address);
 }
 
--- a/Tests/LibRegistry/TestRegistryAddresses.cpp
+++ b/Tests/LibRegistry/TestRegistryAddresses.cpp
@@ -21,9 +21,18 @@
 {
     Registry::RegistryAddresses addresses;
     addresses.rememberMembers(membersAt({"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}));
-    EXPECT_EQ(addresses.withoutMember(membersAt({"10.0.0.1:1", "10.0.0.3:1"})),
+    EXPECT_EQ(addresses.withoutMember(membersAt({"10.0.0.1:1", "10.0.0.3:1"}), {}),
               std::vector<std::string> {"10.0.0.2:1"});
-    EXPECT_TRUE(addresses.withoutMember(membersAt({"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"})).empty());
+    EXPECT_TRUE(addresses.withoutMember(membersAt({"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}), {}).empty());
+}
+
+// A founder that the settings do not name is known to the first seed alone. If that is lost before it has
+// told anybody, the founder must find the others.
+TEST(RegistryAddresses, LeaderLooksForTheRegistriesThatTheSettingsName)
+{
+    const Registry::RegistryAddresses addresses;
+    EXPECT_EQ(addresses.withoutMember(membersAt({"10.0.0.9:1", "10.0.0.2:1"}), {"10.0.0.1:1", "10.0.0.2:1"}),
+              std::vector<std::string> {"10.0.0.1:1"});
 }
 
 TEST(RegistryAddresses, IntroducerIsRememberedOnce)
