Share the walk over JSON text outside of strings

isNestedDeeperThan() and holdsMoreValuesThan() each walked the text with the same handling of quotes and escapes. No behaviour changes; TestLibBase and the tests of limits in TestPlatform pass.

--- a/Libraries/LibBase/JsonLimits.cpp
+++ b/Libraries/LibBase/JsonLimits.cpp
@@ -2,9 +2,12 @@
 
 namespace Base {
 
-bool isNestedDeeperThan(std::string_view text, int levels)
+namespace {
+
+/// Calls `goesOn` with each character outside of strings, until it returns false or the text ends.
+template<typename GoesOn>
+void visitOutsideStrings(std::string_view text, const GoesOn &goesOn)
 {
-    int depth = 0;
     bool quoted = false;
     for (std::size_t position = 0; position < text.size(); ++position) {
         const char c = text[position];
@@ -12,29 +15,34 @@
             ++position;
         else if (c == '"')
             quoted = !quoted;
-        else if (!quoted && (c == '{' || c == '['))
+        else if (!quoted && !goesOn(c))
+            return;
+    }
+}
+
+} // namespace
+
+bool isNestedDeeperThan(std::string_view text, int levels)
+{
+    int depth = 0;
+    visitOutsideStrings(text, [&depth, levels](char c) {
+        if (c == '{' || c == '[')
             ++depth;
-        else if (!quoted && (c == '}' || c == ']'))
+        else if (c == '}' || c == ']')
             --depth;
-        if (depth > levels)
-            return true;
-    }
-    return false;
+        return depth <= levels;
+    });
+    return depth > levels;
 }
 
 bool holdsMoreValuesThan(std::string_view text, std::size_t count)
 {
     std::size_t values = 1;
-    bool quoted = false;
-    for (std::size_t position = 0; position < text.size() && values <= count; ++position) {
-        const char c = text[position];
-        if (quoted && c == '\\')
-            ++position;
-        else if (c == '"')
-            quoted = !quoted;
-        else if (!quoted && (c == '{' || c == '[' || c == ','))
+    visitOutsideStrings(text, [&values, count](char c) {
+        if (c == '{' || c == '[' || c == ',')
             ++values;
-    }
+        return values <= count;
+    });
     return values > count;
 }
 
