Drop the count of mistakes that nothing reads

MistakeList counted what it left out, and only size() used it; callers ask whether there is any, or whether the list is full. TestLibRoute and TestPlatform pass.

--- a/Libraries/LibBase/MistakeList.h
+++ b/Libraries/LibBase/MistakeList.h
@@ -9,8 +9,8 @@
 
 namespace Base {
 
-/// What is wrong with one message. The first mistakes are kept and the rest are counted, because a message
-/// may hold one in every few bytes. Readers of a message stop early once the list is full.
+/// What is wrong with one message. Only the first mistakes are kept, because a message may hold one in every
+/// few bytes. Readers of a message stop early once the list is full.
 class MistakeList
 {
 public:
@@ -20,10 +20,8 @@
     template<typename... Arguments>
     void add(fmt::format_string<Arguments...> format, Arguments &&...arguments)
     {
-        if (isFull()) {
-            ++leftOut_;
+        if (isFull())
             return;
-        }
         auto &mistake = mistakes_.emplace_back();
         fmt::format_to_n(std::back_inserter(mistake), MaxMistakeBytes, format,
                          std::forward<Arguments>(arguments)...);
@@ -31,7 +29,7 @@
 
     bool empty() const { return mistakes_.empty(); }
     bool isFull() const { return mistakes_.size() >= MaxMistakes; }
-    std::size_t size() const { return mistakes_.size() + leftOut_; }
+    std::size_t size() const { return mistakes_.size(); }
 
     /// Returns the mistakes with `separator` between them. A list that is full says that there may be more.
     std::string text(std::string_view separator) const
@@ -44,7 +42,6 @@
 
 private:
     std::vector<std::string> mistakes_;
-    std::size_t leftOut_ = 0;
 };
 
 } // namespace Base
