Ask the settings whether a VM is the first seed

ClusterNode and RegistryProcess each compared the first seed with the own address. No behaviour changes; the ClusterNode and NodeSettings tests pass.

--- a/Services/Common/NodeSettings.h
+++ b/Services/Common/NodeSettings.h
@@ -62,6 +62,9 @@
     /// Whether a gateway that runs hot is named to fewer callers.
     bool shareCallersByLoad = false;
 
+    /// Whether this VM is the first one that the seeds name.
+    bool isFirstSeed() const { return !seeds.empty() && seeds.front() == operatorAddress; }
+
     /// Address of the registry on the VM of an operator address; empty when that is no address.
     std::string registryPeerAddress(std::string_view seed) const;
     std::string registryPeerAddress() const;
--- a/Services/Registry/ClusterNode.cpp
+++ b/Services/Registry/ClusterNode.cpp
@@ -41,9 +41,8 @@
 {
     if (founding == ClusterNode::Founding::Appointed)
         return true;
-    const bool isFirstSeed = !settings.seeds.empty() && settings.seeds.front() == settings.operatorAddress;
     return settings.firstStart
-           && (settings.seeds.empty() || (isFirstSeed && !settings.dataDirectory.empty()));
+           && (settings.seeds.empty() || (settings.isFirstSeed() && !settings.dataDirectory.empty()));
 }
 
 } // namespace
--- a/Services/Registry/RegistryProcess.cpp
+++ b/Services/Registry/RegistryProcess.cpp
@@ -98,8 +98,7 @@
     metricsServer_ = std::move(*metricsServer);
     listReader_ = std::make_unique<ServerListReader>(loop_, adapter_, settings_.serverListAddress);
     openCluster(clock_.now());
-    if (settings_.firstStart && settings_.dataDirectory.empty() && !settings_.seeds.empty()
-        && settings_.seeds.front() == settings_.operatorAddress)
+    if (settings_.firstStart && settings_.dataDirectory.empty() && settings_.isFirstSeed())
         founderSearch_.emplace(otherSeeds(), Registry::namesAllRegistries(settings_.seeds.size()),
                                std::max(settings_.catchUpTime, ShortestFounderPatience));
     return {};
